--- /dev/null
+++ b/src/agent.h
@@ -0,0 +1,71 @@
+/* Machines and what is on them, as their reports show it. No I/O: time is an argument. */
+#pragma once
+#include "ledger.h"
+#include "wire.h"
+
+typedef enum { KR_KILL_NO, KR_KILL_SLACK, KR_KILL_NOW } KrKill;
+
+/* One attempt of one task on one machine. */
+typedef struct {
+  char *job;
+  guint index;
+  guint64 attempt;
+  KrTaskState state;
+  KrWhy why;
+  guint64 doubt_seq; /* in doubt until a beat newer than this one */
+  gint64 since;      /* monotonic us: when it was seen running first; 0: not yet */
+  gboolean adopted;  /* found on the machine: its start time is unknown */
+  KrKill kill;
+  gboolean counted; /* part: it counts as active of its job */
+} KrLaunch;
+
+typedef struct {
+  char *id, *endpoint, *type, *zone;
+  gboolean spot, known; /* known: it has reported; type, zone and spot are valid */
+  guint64 session, seq, token;
+  gint64 heard;     /* monotonic us of the newest report that we took */
+  gint64 answered;  /* monotonic us of the last report that we answered with 200; 0: none */
+  gint64 notice_at; /* monotonic us when the cloud takes it; 0: no notice */
+  GPtrArray *launches;
+  gboolean must_fence; /* was used under an earlier owner, which may still command it */
+  gboolean fenced;     /* has seen our token: nobody earlier can command it */
+  /* part */
+  gboolean used, used_wanted; /* durable; to be made durable */
+  gboolean drain, deleting, fencing;
+  gint leaving_to;           /* part that it goes to when empty; -1: none */
+  gint64 idle_since, joined; /* monotonic us */
+  gint64 missing_since;      /* monotonic us: listed once, then not; 0: listed */
+  gboolean listed;
+  gint64 pause_until;   /* monotonic us: no launches after an error */
+  GHashTable *bad_jobs; /* jobs whose tasks failed here */
+  GHashTable *images;   /* images fetched here */
+  char *reserved_for;   /* job for which room was made here */
+  gint64 reserved_until;
+} KrBerth;
+
+typedef enum {
+  KR_SAW_NEW,     /* an attempt that we did not know */
+  KR_SAW_RUNNING, /* it runs now */
+  KR_SAW_EXITED,  /* see launch->why */
+  KR_SAW_GONE     /* it is surely not on the machine any more */
+} KrSaw;
+typedef void (*KrSawFunc) (KrBerth *berth, KrLaunch *launch, KrSaw what, gpointer data);
+
+KrBerth *kr_berth_new (const char *id);
+void kr_berth_free (gpointer berth);
+
+/* Takes a report in. `beat`: it came as a worker's report, not as an answer of /commands or /show:
+ * only such a one settles doubt, since the worker sends the next only after it has taken or dropped
+ * the response to the last. FALSE: older than what is known, nothing changed. */
+gboolean kr_berth_apply (KrBerth *self, const KrReport *report, gboolean beat, guint64 token,
+                         gint64 now, KrSawFunc saw, gpointer data);
+/* Everything on it is gone (deleted, taken, or its lease surely over). */
+void kr_berth_clear (KrBerth *self, KrSawFunc saw, gpointer data);
+/* Whether the worker's lease has surely run out since we last answered it. Only meaningful for a
+ * machine that is fenced: no one else answers it. */
+gboolean kr_berth_lease_over (const KrBerth *self, gint64 now, double lease_s);
+KrLaunch *kr_berth_launch (KrBerth *self, const char *job, guint index, guint64 attempt);
+void kr_launch_free (gpointer launch);
+/* What is not exited, in doubt included. */
+guint kr_berth_busy (const KrBerth *self);
+gint64 kr_seconds (double s); /* as us */
--- /dev/null
+++ b/src/api.c
@@ -0,0 +1,325 @@
+#include "api.h"
+#include "constants.h"
+#include "ledger.h"
+#include "log.h"
+#include "part.h"
+#include "place.h"
+#include <string.h>
+
+typedef struct {
+  KrJobState state;
+  guint done;
+} Final;
+
+struct KrApi {
+  KrNode *node;
+  GCancellable *cancel;
+  GHashTable *finals; /* id -> Final: immutable once told */
+  GQueue order;       /* ids, oldest first */
+  guint pending;      /* requests that wait for the state service */
+};
+
+/* One user's request on its way. */
+typedef struct Visit Visit;
+typedef void (*Found) (Visit *v, gboolean known, KrItem *item);
+struct Visit {
+  KrApi *api;
+  KrRequest *request;
+  KrRoute route;
+  char *id;
+  KrSpec *spec;
+  gint64 deadline;
+  Found found;
+  guint tries;
+  gboolean ended_key; /* looking below end/ now */
+};
+
+KrApi *
+kr_api_new (KrNode *node)
+{
+  KrApi *a = g_new0 (KrApi, 1);
+  a->node = node;
+  a->cancel = kr_cancellable_child (node->cancel);
+  a->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&a->order);
+  return a;
+}
+
+void
+kr_api_free (KrApi *a)
+{
+  g_cancellable_cancel (a->cancel);
+}
+
+static void
+remember (KrApi *a, const char *id, KrJobState state, guint done)
+{
+  if (g_hash_table_contains (a->finals, id))
+    return;
+  if (a->order.length >= KR_FINAL_CACHE) {
+    g_autofree char *oldest = g_queue_pop_head (&a->order);
+    g_hash_table_remove (a->finals, oldest);
+  }
+  Final *f = g_new (Final, 1);
+  *f = (Final){state, done};
+  g_hash_table_insert (a->finals, g_strdup (id), f);
+  g_queue_push_tail (&a->order, g_strdup (id));
+}
+
+static Visit *
+visit_new (KrApi *a, KrRequest *request, KrRoute route, const char *id, guint ms)
+{
+  Visit *v = g_new0 (Visit, 1);
+  v->api = a;
+  v->request = request;
+  v->route = route;
+  v->id = g_strdup (id);
+  v->deadline = g_get_monotonic_time () + (gint64)ms * 1000;
+  a->pending++;
+  return v;
+}
+
+static void
+answer (Visit *v, guint status, json_t *body, guint retry_after_s)
+{
+  kr_request_reply (v->request, status, body, retry_after_s);
+  v->api->pending--;
+  g_free (v->id);
+  if (v->spec)
+    kr_spec_free (v->spec);
+  g_free (v);
+}
+
+static void
+cannot_know (Visit *v)
+{
+  answer (v, 503, kr_wire_error ("the state service cannot be asked now"), KR_RETRY_AFTER_S);
+}
+
+static guint
+left_ms (Visit *v, guint most)
+{
+  gint64 ms = (v->deadline - g_get_monotonic_time ()) / 1000;
+  return (guint)CLAMP (ms, 1, most);
+}
+
+/* --- looking a job up: live first, then ended; it only ever moves that way ----------------------
+ */
+static void look (Visit *v, Found found);
+
+static void
+looked (guint status, json_t *body, gpointer data)
+{
+  Visit *v = data;
+  KrItem item;
+
+  if (status == 200 && kr_wire_item_parse (body, &item))
+    v->found (v, TRUE, &item);
+  else if (status == 404 && !v->ended_key) {
+    v->ended_key = TRUE;
+    g_autofree char *key = kr_job_end_key (v->id);
+    kr_state_get (v->api->node->state, key, left_ms (v, KR_STATE_TIMEOUT_MS), v->api->cancel,
+                  looked, v);
+  } else if (status == 404)
+    v->found (v, TRUE, NULL);
+  else
+    v->found (v, FALSE, NULL);
+}
+
+static void
+look (Visit *v, Found found)
+{
+  g_autofree char *key = kr_job_key (v->id);
+  v->found = found;
+  v->ended_key = FALSE;
+  kr_state_get (v->api->node->state, key, left_ms (v, KR_STATE_TIMEOUT_MS), v->api->cancel, looked,
+                v);
+}
+
+/* Tells what a stored value says. */
+static void
+answer_value (Visit *v, json_t *value, guint status)
+{
+  KrJobState state;
+  guint done, running;
+  if (!kr_job_peek (value, &state, &done, &running)) {
+    cannot_know (v);
+    return;
+  }
+  if (state == KR_JOB_DONE || state == KR_JOB_CANCELLED)
+    remember (v->api, v->id, state, done);
+  else
+    for (guint p = 0; p < v->api->node->settings->size; p++)
+      if (v->api->node->parts[p] && kr_part_counts (v->api->node->parts[p], v->id, &done, &running))
+        state = running ? KR_JOB_RUNNING : KR_JOB_PENDING;
+  answer (v, status, kr_wire_job_answer (v->id, state, v->route == KR_ROUTE_POLL, done, running),
+          0);
+}
+
+static gboolean
+answer_from_cache (KrApi *a, KrRequest *request, const char *id, gboolean counts)
+{
+  Final *f = g_hash_table_lookup (a->finals, id);
+  if (!f)
+    return FALSE;
+  kr_request_reply (request, 200, kr_wire_job_answer (id, f->state, counts, f->done, 0), 0);
+  return TRUE;
+}
+
+/* The stage's buffer is small: beyond it the user is told at once when to come back. */
+static gboolean
+too_busy (KrApi *a, KrRequest *request)
+{
+  if (a->pending < KR_API_PENDING_MAX)
+    return FALSE;
+  kr_request_reply (request, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
+  return TRUE;
+}
+
+/* --- poll
+ * ------------------------------------------------------------------------------------------ */
+static void
+poll_found (Visit *v, gboolean known, KrItem *item)
+{
+  if (!known)
+    cannot_know (v);
+  else if (!item)
+    answer (v, 404, kr_wire_error ("no such job"), 0);
+  else
+    answer_value (v, item->value, 200);
+}
+
+void
+kr_api_poll (KrApi *a, KrRequest *request, const char *id)
+{
+  if (!kr_wire_is_job_id (id))
+    kr_request_reply (request, 404, kr_wire_error ("no such job"), 0);
+  else if (!answer_from_cache (a, request, id, TRUE) && !too_busy (a, request))
+    look (visit_new (a, request, KR_ROUTE_POLL, id, KR_USER_READ_MS), poll_found);
+}
+
+/* --- submit
+ * ---------------------------------------------------------------------------------------- */
+static void
+submit_found (Visit *v, gboolean known, KrItem *item)
+{
+  /* Absent after a write with unknown outcome: it may still be applied, so not "no". */
+  if (!known || !item)
+    cannot_know (v);
+  else
+    answer_value (v, item->value, 200);
+}
+
+static void
+submitted (guint status, json_t *body, gpointer data)
+{
+  Visit *v = data;
+  if (status == 200)
+    answer (v, 201, kr_wire_job_answer (v->id, KR_JOB_PENDING, FALSE, 0, 0), 0);
+  else if (status == 409 || status == 0)
+    look (v, submit_found);
+  else
+    cannot_know (v);
+}
+
+static const char *
+never (KrApi *a, const KrSpec *s)
+{
+  const KrTeam *team = kr_settings_team (a->node->settings, s->team);
+  KrRoom nothing = {0, 0, 0};
+  gboolean fits = FALSE;
+  if (!team)
+    return "unknown team";
+  for (guint i = 0; i < a->node->types->len; i++)
+    fits |= kr_place_fits_type (s, a->node->types->pdata[i]);
+  if (!fits)
+    return "a task fits no allowed machine type";
+  if (!kr_place_team_ok (team, &nothing, s))
+    return "a task needs more than the team's limit";
+  return NULL;
+}
+
+void
+kr_api_submit (KrApi *a, KrRequest *request)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (KrSpec) spec = kr_wire_spec_parse (kr_request_json (request), &error);
+  const char *why;
+  KrState *state = a->node->state;
+
+  if (!spec)
+    kr_request_reply (request, 400, kr_wire_error (error->message), 0);
+  else if (answer_from_cache (a, request, spec->id, FALSE))
+    return;
+  else if (!a->node->types)
+    kr_request_reply (request, 503, kr_wire_error ("machine types are not yet known"),
+                      KR_RETRY_AFTER_S);
+  else if ((why = never (a, spec)))
+    kr_request_reply (request, 422, kr_wire_error (why), 0);
+  else if (too_busy (a, request))
+    return;
+  else if (kr_state_write_wait (state) > KR_USER_WRITE_MS / 2000.0)
+    kr_request_reply (request, 429, kr_wire_error ("too many writes"),
+                      (guint)kr_state_write_wait (state));
+  else {
+    Visit *v = visit_new (a, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_MS);
+    g_autofree char *key = kr_job_key (spec->id), *end = kr_job_end_key (spec->id);
+    KrTxn *txn = kr_txn_new ();
+    guint part = kr_settings_part_of_team (a->node->settings, spec->team);
+    g_autoptr (KrJob) j = kr_job_new (g_steal_pointer (&spec), g_get_real_time () / 1e6, part);
+    kr_txn_when (txn, key, 0);
+    kr_txn_when (txn, end, 0);
+    kr_txn_put (txn, key, kr_job_encode (j, j->done, 0), 0);
+    kr_state_commit (state, txn, FALSE, KR_STATE_TIMEOUT_MS, a->cancel, submitted, v);
+  }
+}
+
+/* --- abort
+ * ----------------------------------------------------------------------------------------- */
+static void abort_found (Visit *v, gboolean known, KrItem *item);
+
+static void
+aborted (guint status, json_t *body, gpointer data)
+{
+  Visit *v = data;
+  if (status == 200) {
+    remember (v->api, v->id, KR_JOB_CANCELLED, 0);
+    answer (v, 200, kr_wire_job_answer (v->id, KR_JOB_CANCELLED, FALSE, 0, 0), 0);
+  } else if ((status == 409 || status == 0) && g_get_monotonic_time () < v->deadline)
+    look (v, abort_found);
+  else
+    cannot_know (v);
+}
+
+static void
+abort_found (Visit *v, gboolean known, KrItem *item)
+{
+  KrJobState state;
+  guint done, running;
+
+  if (!known)
+    cannot_know (v);
+  else if (!item)
+    answer (v, 404, kr_wire_error ("no such job"), 0);
+  else if (!kr_job_peek (item->value, &state, &done, &running) || state >= KR_JOB_DONE)
+    answer_value (v, item->value, 200);
+  else {
+    g_autofree char *key = kr_job_key (v->id);
+    KrTxn *txn = kr_txn_new ();
+    json_t *value = json_deep_copy (item->value);
+    json_object_set_new (value, "Cancelled", json_true ());
+    kr_txn_when (txn, key, item->mark);
+    kr_txn_put (txn, key, value, 0);
+    kr_state_commit (v->api->node->state, txn, TRUE, left_ms (v, KR_STATE_TIMEOUT_MS),
+                     v->api->cancel, aborted, v);
+  }
+}
+
+void
+kr_api_abort (KrApi *a, KrRequest *request, const char *id)
+{
+  if (!kr_wire_is_job_id (id))
+    kr_request_reply (request, 404, kr_wire_error ("no such job"), 0);
+  else if (!answer_from_cache (a, request, id, FALSE) && !too_busy (a, request))
+    look (visit_new (a, request, KR_ROUTE_ABORT, id, KR_USER_WRITE_MS), abort_found);
+}
--- /dev/null
+++ b/src/api.h
@@ -0,0 +1,12 @@
+/* Users. Any node answers any request from the state service; what cannot be known is 503. */
+#pragma once
+#include "http.h"
+#include "node.h"
+#include "wire.h"
+
+KrApi *kr_api_new (KrNode *node);
+void kr_api_free (KrApi *self);
+/* All three take over `request`. */
+void kr_api_submit (KrApi *self, KrRequest *request);
+void kr_api_poll (KrApi *self, KrRequest *request, const char *id);
+void kr_api_abort (KrApi *self, KrRequest *request, const char *id);
--- /dev/null
+++ b/src/constants.h
@@ -0,0 +1,78 @@
+/* Every constant of the program, with its unit and its reason. What a deployment decides (sizes,
+ * rates, leases) is told by the settings file and never stands here. */
+#pragma once
+
+/* --- HTTP ------------------------------------------------------------------------------- */
+#define KR_BODY_MAX 65536          /* bytes; largest request body by the protocol */
+#define KR_CLIENT_IDLE_S 40        /* s; a user's or worker's silent connection is closed then */
+#define KR_CLIENT_SOCKET_SHARE 0.6 /* of `sockets`: for users and workers; the rest is ours */
+#define KR_ACCEPT_PAUSE_MS 50      /* ms; pause after a failed accept, so that it cannot spin */
+#define KR_API_PENDING_MAX 64      /* user requests that may wait for the state service at once */
+#define KR_RETRY_AFTER_S 1         /* s; told to users with 429/503: the shortest they honour */
+#define KR_STATE_TIMEOUT_MS 2500   /* ms; state calls take 10 ms, now and then some hundreds */
+#define KR_USER_READ_MS 1700       /* ms; a user waits 2 s for a poll's answer */
+#define KR_USER_WRITE_MS 4000      /* ms; a user waits 5 s for the answer to a submission */
+#define KR_CLOUD_TIMEOUT_MS 10000  /* ms; rentals are slow; the outcome matters */
+#define KR_WORKER_TIMEOUT_MS 1500  /* ms; a reachable worker answers in a few */
+#define KR_PEER_TIMEOUT_MS 1500    /* ms; a reachable peer answers in a few, if it is not starved */
+#define KR_STATE_CONNS 8           /* two watches and a few calls side by side */
+#define KR_CLOUD_CONNS 4           /* the list is read while a rental is under way */
+#define KR_WORKER_CONNS 48         /* unreachable machines hold theirs until the time-out */
+#define KR_PEER_CONNS 4            /* one exchange at a time with each peer */
+#define KR_WORKER_IDLE_S 15        /* s; direct connections to workers are rare */
+#define KR_QUEUE_MAX 128           /* calls waiting for a rate limit; beyond: refused at once */
+
+/* --- State service ---------------------------------------------------------------------- */
+#define KR_FOLLOW_HOLD_MS 10000 /* ms; long enough to be cheap, short enough to see a cut */
+#define KR_FOLLOW_SLACK_MS 4000 /* ms beyond the hold before a watch counts as lost */
+#define KR_FOLLOW_PAUSE_MS 100  /* ms between watches: changes of one moment come together */
+#define KR_SCAN_PAGE 200        /* keys a page: stays far below 512 KiB */
+#define KR_RETRY_MS 500         /* ms; pause after a failed state call */
+#define KR_NODE_LEASE_MS 6000   /* ms; a dead node's parts are free after this */
+#define KR_NODE_RENEW_MS 1500   /* ms; four tries within the lease */
+#define KR_VALUE_RESERVE 2048   /* bytes of a value kept for a job's fields beside its bits */
+#define KR_CHUNK_BITS 24000     /* tasks a chunk of a done set: 4 KB in base64 */
+#define KR_COMMIT_BYTES 40000   /* bytes; a batch stays well below the protocol's 64 KiB */
+#define KR_FLUSH_MS 5000        /* ms; progress is written this often (design: ours) */
+#define KR_FINAL_CACHE 4096     /* jobs whose final answer a node remembers */
+
+/* --- Ownership -------------------------------------------------------------------------- */
+#define KR_FOREIGN_WAIT_MS 1500  /* ms a part must be free before a node not its home takes it */
+#define KR_FOREIGN_STEP_MS 800   /* ms more for each part already held: the idlest goes first */
+#define KR_HOME_HEALTHY_MS 8000  /* ms the home node must be present before it gets parts back */
+#define KR_SILENCE_S 3.0         /* s beyond two reports without any machine: hand the part on */
+#define KR_SILENCE_HOLD_MS 30000 /* ms a node keeps off a part it handed on for silence */
+#define KR_FENCE_GRACE_S 12.0    /* s; a used machine not reached by then is deleted */
+#define KR_FENCE_RETRY_MS 1000   /* ms between tries to reach a machine */
+#define KR_LEASE_MARGIN_S 1.0    /* s over a worker's lease: timers' steps and our own lateness */
+#define KR_CLOCK_DRIFT 0.001     /* two clocks may drift apart by 0.0005 each */
+#define KR_LOST_DELETE_S 25.0    /* s of silence beyond the lease before a machine is returned */
+#define KR_LAUNCH_BITS 20        /* bits of an attempt number below the token */
+
+/* --- Scheduling ------------------------------------------------------------------------- */
+#define KR_TICK_MS 1000            /* ms; the part's periodic duties */
+#define KR_TIME_TO_GOAL_MIN_S 1.0  /* s; floor of goal minus now: slots needed stay finite */
+#define KR_DEFAULT_GOAL_S 600.0    /* s; goal of a job with neither deadline nor objective */
+#define KR_JOB_HOLD_S 5.0          /* s; first pause of a job that fails on several machines */
+#define KR_JOB_HOLD_MAX_S 120.0    /* s; longest such pause */
+#define KR_JOB_FAIL_BERTHS 2       /* machines on which a job must fail to be held back */
+#define KR_SICK_JOBS 2             /* jobs failing only there: the machine is sick */
+#define KR_PREEMPT_WAIT_S 2.0      /* s an urgent job waits before it may stop other work */
+#define KR_RESERVE_S 8.0           /* s room made by stopping stays reserved */
+#define KR_DEFAULT_SLACK_S 1.0     /* s over StowS granted to a task that saves */
+#define KR_CANCEL_DELETE_SHARE 0.6 /* of cancel_s: then an unreachable machine is deleted */
+
+/* --- Renting ---------------------------------------------------------------------------- */
+#define KR_TYPES_MS 30000       /* ms between reads of machine types (spot prices move) */
+#define KR_LIST_MS 5000         /* ms between reads of the machine list */
+#define KR_SYNC_MS 2000         /* ms between the leader's rounds with the parts */
+#define KR_RENT_MS 4000         /* ms; renting period */
+#define KR_MOVE_MS 6000         /* ms; shares period for free machines */
+#define KR_RENT_MAX 50          /* machines a request, by the protocol */
+#define KR_DELETE_MAX 100       /* names a request, by the protocol */
+#define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
+#define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
+#define KR_IDLE_RETURN_S 15.0   /* s a machine is idle and unneeded before it is returned */
+#define KR_BOOT_FACTOR 6.0      /* times ReadyS before a starting machine is given up */
+#define KR_BOOT_MIN_S 60.0      /* s; at least this, whatever ReadyS is */
+#define KR_NEEDS_STALE_S 20.0   /* s a silent part's last needs are still used */
--- /dev/null
+++ b/src/estimate.h
@@ -0,0 +1,24 @@
+/* The paper's completion-time estimate ("Performance-Driven Task Co-Scheduling", III-B and III-C).
+ * Pure functions of numbers. */
+#pragma once
+#include <glib.h>
+
+typedef struct {
+  double sum;            /* s, completed task time */
+  guint count;           /* completed tasks */
+  guint unstarted;       /* U */
+  guint running;         /* R, in doubt and fetching included */
+  const double *elapsed; /* s, one a running task; may be NULL (all zero) */
+  double now, goal;      /* s on one clock */
+  double submitted;      /* s on that clock */
+  double guess_s;        /* the owner's estimate, used only where no task has completed */
+} KrEstimateInput;
+
+/* Eq. 1; `guess_s` without data. */
+double kr_estimate_mean (const KrEstimateInput *in);
+/* Sum over running tasks of mean minus elapsed, each floored at zero. */
+double kr_estimate_remaining (const KrEstimateInput *in);
+/* Eq. 3. */
+double kr_estimate_slots (const KrEstimateInput *in);
+/* Expected completion against the goal: (expected end - submitted) / (goal - submitted). */
+double kr_estimate_lateness (const KrEstimateInput *in);
--- /dev/null
+++ b/src/http.h
@@ -0,0 +1,50 @@
+/* HTTP on libsoup: bounded servers and JSON calls with a deadline. Knows no field of the protocol.
+ */
+#pragma once
+#include "settings.h"
+#include <gio/gio.h>
+#include <jansson.h>
+
+/* A cancellable that is cancelled together with its parent. */
+GCancellable *kr_cancellable_child (GCancellable *parent);
+
+/* --- rate limit with a small queue ------------------------------------------------------- */
+typedef struct KrBucket KrBucket;
+typedef void (*KrBucketGo) (gboolean granted, gpointer data);
+/* `rate` a second, bursts worth `burst_s` seconds. */
+KrBucket *kr_bucket_new (double rate, double burst_s);
+void kr_bucket_free (KrBucket *self);
+/* Calls go(TRUE) when `cost` may be spent, at once if possible; go(FALSE) at once if the queue is
+ * full. `first`: ahead of the others (leases and ownership). */
+void kr_bucket_take (KrBucket *self, double cost, gboolean first, KrBucketGo go, gpointer data);
+guint kr_bucket_waiting (KrBucket *self);
+
+/* --- calls --------------------------------------------------------------------------------- */
+typedef struct KrClient KrClient;
+/* status 0: no response, the outcome is unknown. `body` is borrowed, NULL if not JSON. */
+typedef void (*KrReply) (guint status, json_t *body, gpointer data);
+
+KrClient *kr_client_new (guint conns, guint conns_per_host, guint idle_s);
+void kr_client_free (KrClient *self);
+/* Takes over `body` (may be NULL). `reply` is called exactly once, later, cancelled or not. */
+void kr_client_call (KrClient *self, const char *method, const char *host, const char *path,
+                     json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply,
+                     gpointer data);
+
+/* --- server -------------------------------------------------------------------------------- */
+typedef struct KrServer KrServer;
+typedef struct KrRequest KrRequest;
+typedef void (*KrHandler) (KrRequest *request, gpointer data);
+
+/* Listens on "ip:port"; at most `conns` connections, each bounded in idle time. */
+KrServer *kr_server_new (const char *address, guint conns, guint idle_s, GCancellable *cancel,
+                         KrHandler handler, gpointer data, GError **error);
+void kr_server_free (KrServer *self);
+
+const char *kr_request_method (KrRequest *request);
+const char *kr_request_path (KrRequest *request);
+/* NULL if the body is no JSON value. Borrowed. */
+json_t *kr_request_json (KrRequest *request);
+gboolean kr_request_gone (KrRequest *request);
+/* Answers and lets go of the request. Takes over `body`; retry_after_s 0: no such header. */
+void kr_request_reply (KrRequest *request, guint status, json_t *body, guint retry_after_s);
--- /dev/null
+++ b/src/ledger.c
@@ -0,0 +1,207 @@
+#include "ledger.h"
+#include "constants.h"
+#include <string.h>
+
+KrJob *
+kr_job_new (KrSpec *spec, double at, guint part)
+{
+  KrJob *j = g_new0 (KrJob, 1);
+  j->spec = spec;
+  j->at = at;
+  j->part = part;
+  j->done = g_malloc0 (kr_job_bytes (j));
+  j->durable = g_malloc0 (kr_job_bytes (j));
+  j->active = g_malloc0 (spec->tasks);
+  j->hold_s = KR_JOB_HOLD_S;
+  j->failed_on = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return j;
+}
+
+void
+kr_job_free (KrJob *j)
+{
+  kr_spec_free (j->spec);
+  g_free (j->done);
+  g_free (j->durable);
+  g_free (j->active);
+  g_hash_table_unref (j->failed_on);
+  g_free (j);
+}
+
+gsize
+kr_job_bytes (const KrJob *j)
+{
+  return (j->spec->tasks + 7) / 8;
+}
+
+char *
+kr_job_key (const char *id)
+{
+  return g_strconcat ("job/", id, NULL);
+}
+
+char *
+kr_job_end_key (const char *id)
+{
+  return g_strconcat ("end/", id, NULL);
+}
+
+char *
+kr_job_chunk_key (const char *id, guint chunk)
+{
+  return g_strdup_printf ("done/%s/%u", id, chunk);
+}
+
+guint
+kr_job_chunks (const KrJob *j)
+{
+  return MAX (1, (j->spec->tasks + KR_CHUNK_BITS - 1) / KR_CHUNK_BITS);
+}
+
+/* Byte range of a chunk. KR_CHUNK_BITS is a multiple of 8. */
+static gsize
+chunk_range (const KrJob *j, guint chunk, gsize *length)
+{
+  gsize from = (gsize)chunk * (KR_CHUNK_BITS / 8), all = kr_job_bytes (j);
+  *length = from < all ? MIN ((gsize)KR_CHUNK_BITS / 8, all - from) : 0;
+  return from;
+}
+
+json_t *
+kr_job_chunk_encode (const KrJob *j, const guint8 *done, guint chunk)
+{
+  gsize n, from = chunk_range (j, chunk, &n);
+  g_autofree char *text = g_base64_encode (done + from, n);
+  return json_string (text);
+}
+
+void
+kr_job_chunk_merge (KrJob *j, guint chunk, json_t *text)
+{
+  gsize n, got = 0, from = chunk_range (j, chunk, &n);
+  if (!json_is_string (text) || !*json_string_value (text))
+    return;
+  g_autofree guchar *bytes = g_base64_decode (json_string_value (text), &got);
+  for (gsize i = 0; i < MIN (n, got); i++)
+    for (guint b = 0; b < 8; b++) {
+      guint task = (guint)((from + i) * 8 + b);
+      if ((bytes[i] >> b & 1) && task < j->spec->tasks) {
+        kr_job_set_done (j, task);
+        j->durable[from + i] |= (guint8)(1u << b);
+      }
+    }
+}
+
+json_t *
+kr_job_encode (const KrJob *j, const guint8 *done, guint running)
+{
+  guint n = 0;
+  for (guint t = 0; t < j->spec->tasks; t++)
+    n += done[t / 8] >> (t % 8) & 1;
+  return json_pack ("{so sf sI sb sf sI sI sI so}", "Spec", kr_wire_spec_build (j->spec), "At",
+                    j->at, "Part", (json_int_t)j->part, "Cancelled", j->cancelled, "Sum", j->sum,
+                    "Count", (json_int_t)j->count, "N", (json_int_t)n, "R", (json_int_t)running,
+                    "Done", kr_job_chunk_encode (j, done, 0));
+}
+
+KrJob *
+kr_job_decode (json_t *value, guint64 mark)
+{
+  KrSpec *spec = kr_wire_spec_parse (json_object_get (value, "Spec"), NULL);
+  if (!spec)
+    return NULL;
+  KrJob *j = kr_job_new (spec, json_number_value (json_object_get (value, "At")),
+                         (guint)json_integer_value (json_object_get (value, "Part")));
+  j->mark = mark;
+  j->cancelled = json_is_true (json_object_get (value, "Cancelled"));
+  j->sum = json_number_value (json_object_get (value, "Sum"));
+  j->count = (guint)json_integer_value (json_object_get (value, "Count"));
+  kr_job_chunk_merge (j, 0, json_object_get (value, "Done"));
+  j->chunks_missing = kr_job_chunks (j) - 1;
+  return j;
+}
+
+json_t *
+kr_job_end_value (KrJobState state, guint done)
+{
+  return json_pack ("{ss sI}", "End", kr_wire_job_state (state), "N", (json_int_t)done);
+}
+
+gboolean
+kr_job_peek (json_t *value, KrJobState *state, guint *done, guint *running)
+{
+  const char *end = json_string_value (json_object_get (value, "End"));
+  *done = (guint)json_integer_value (json_object_get (value, "N"));
+  *running = 0;
+  if (end) {
+    *state = g_str_equal (end, kr_wire_job_state (KR_JOB_DONE)) ? KR_JOB_DONE : KR_JOB_CANCELLED;
+    return TRUE;
+  }
+  if (!json_is_object (json_object_get (value, "Spec")))
+    return FALSE;
+  *running = (guint)json_integer_value (json_object_get (value, "R"));
+  *state = json_is_true (json_object_get (value, "Cancelled")) ? KR_JOB_CANCELLED
+           : *running                                          ? KR_JOB_RUNNING
+                                                               : KR_JOB_PENDING;
+  return TRUE;
+}
+
+gboolean
+kr_job_is_done (const KrJob *j, guint t)
+{
+  return t < j->spec->tasks && (j->done[t / 8] >> (t % 8) & 1);
+}
+
+gboolean
+kr_job_is_durable (const KrJob *j, guint t)
+{
+  return t < j->spec->tasks && (j->durable[t / 8] >> (t % 8) & 1);
+}
+
+void
+kr_job_set_done (KrJob *j, guint t)
+{
+  if (t < j->spec->tasks && !kr_job_is_done (j, t)) {
+    j->done[t / 8] |= (guint8)(1u << (t % 8));
+    j->n_done++;
+  }
+}
+
+void
+kr_job_add_active (KrJob *j, guint t)
+{
+  if (t < j->spec->tasks && j->active[t] < G_MAXUINT8 && j->active[t]++ == 0)
+    j->n_active++;
+}
+
+void
+kr_job_drop_active (KrJob *j, guint t)
+{
+  if (t < j->spec->tasks && j->active[t] && --j->active[t] == 0) {
+    j->n_active--;
+    j->cursor = MIN (j->cursor, t);
+  }
+}
+
+guint
+kr_job_unstarted (const KrJob *j)
+{
+  /* A completed task may still be active elsewhere only after a takeover; count it once. */
+  guint taken = j->n_done + j->n_active;
+  return taken < j->spec->tasks ? j->spec->tasks - taken : 0;
+}
+
+gint64
+kr_job_next (KrJob *j)
+{
+  for (; j->cursor < j->spec->tasks; j->cursor++)
+    if (!j->active[j->cursor] && !kr_job_is_done (j, j->cursor))
+      return j->cursor;
+  return -1;
+}
+
+gboolean
+kr_job_complete (const KrJob *j)
+{
+  return j->n_done == j->spec->tasks;
+}
--- /dev/null
+++ b/src/ledger.h
@@ -0,0 +1,60 @@
+/* What is durable: jobs with their sums, counts and done sets, in one key each below job/ while
+ * they live and below end/ afterwards. Done sets too large for one value go on in done/ chunks. */
+#pragma once
+#include "settings.h"
+#include "wire.h"
+
+typedef struct {
+  KrSpec *spec;
+  double at; /* s since the epoch, by the accepting node's clock */
+  guint part;
+  guint64 mark; /* version of the durable record */
+  gboolean cancelled;
+  double sum; /* s, of `count` completed tasks: the paper's mean is sum/count */
+  guint count;
+  guint8 *done;    /* bit a task: completed */
+  guint8 *durable; /* bit a task: completed and written */
+  guint8 *active;  /* launches that may be on a machine, per task */
+  guint n_done, n_active;
+  guint cursor;         /* no startable task below it */
+  guint chunks_missing; /* chunks still to be read: not schedulable until 0 */
+  gboolean dirty;       /* progress not yet written */
+  gboolean writing;     /* a write is under way */
+  gboolean ended;       /* moved to end/ */
+  /* failures */
+  GHashTable *failed_on; /* machines on which a task failed since the last success */
+  double hold_s;         /* pause after the next failure */
+  gint64 hold_until;     /* monotonic us */
+  gint64 waiting_since;  /* monotonic us: when it last had no running task (preemption) */
+} KrJob;
+
+KrJob *kr_job_new (KrSpec *spec, double at, guint part); /* takes `spec` */
+void kr_job_free (KrJob *self);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrJob, kr_job_free)
+
+/* The durable form, and back; `done_count`: what the record says of itself. */
+json_t *kr_job_encode (const KrJob *self, const guint8 *done, guint running);
+KrJob *kr_job_decode (json_t *value, guint64 mark);
+json_t *kr_job_end_value (KrJobState state, guint done);
+/* What a stored value (live or ended) says to a user. FALSE if it is not a job's. */
+gboolean kr_job_peek (json_t *value, KrJobState *state, guint *done, guint *running);
+
+char *kr_job_key (const char *id);
+char *kr_job_end_key (const char *id);
+char *kr_job_chunk_key (const char *id, guint chunk);
+guint kr_job_chunks (const KrJob *self); /* 1: all in the job's own key */
+json_t *kr_job_chunk_encode (const KrJob *self, const guint8 *done, guint chunk);
+/* Adds the bits of a stored chunk to both sets. */
+void kr_job_chunk_merge (KrJob *self, guint chunk, json_t *text);
+
+gboolean kr_job_is_done (const KrJob *self, guint task);
+gboolean kr_job_is_durable (const KrJob *self, guint task);
+void kr_job_set_done (KrJob *self, guint task);
+void kr_job_add_active (KrJob *self, guint task);
+void kr_job_drop_active (KrJob *self, guint task);
+/* Tasks neither completed nor possibly on a machine. */
+guint kr_job_unstarted (const KrJob *self);
+/* The lowest such task, or -1. */
+gint64 kr_job_next (KrJob *self);
+gboolean kr_job_complete (const KrJob *self);
+gsize kr_job_bytes (const KrJob *self); /* of a done set */
--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,53 @@
+#include "log.h"
+#include <stdio.h>
+#include <string.h>
+
+static GLogLevelFlags threshold = G_LOG_LEVEL_INFO;
+
+gboolean
+kr_log_debug_enabled (void)
+{
+  return threshold >= G_LOG_LEVEL_DEBUG;
+}
+
+static GLogWriterOutput
+writer (GLogLevelFlags level, const GLogField *fields, gsize n_fields, gpointer data)
+{
+  const char *message = NULL, *word = "info";
+  g_autoptr (GDateTime) now = NULL;
+
+  level &= G_LOG_LEVEL_MASK;
+  if (level > threshold)
+    return G_LOG_WRITER_HANDLED;
+  for (gsize i = 0; i < n_fields; i++)
+    if (strcmp (fields[i].key, "MESSAGE") == 0)
+      message = fields[i].value;
+  if (level <= G_LOG_LEVEL_CRITICAL)
+    word = "error";
+  else if (level == G_LOG_LEVEL_WARNING)
+    word = "warning";
+  else if (level == G_LOG_LEVEL_DEBUG)
+    word = "debug";
+  gint64 t = g_get_real_time ();
+  fprintf (stderr, "%" G_GINT64_FORMAT ".%03d %s %s\n", t / G_USEC_PER_SEC, (int)(t / 1000 % 1000),
+           word, message ? message : "");
+  return G_LOG_WRITER_HANDLED;
+}
+
+gboolean
+kr_log_init (const char *level, GError **error)
+{
+  if (level == NULL || *level == '\0' || g_str_equal (level, "info"))
+    threshold = G_LOG_LEVEL_INFO;
+  else if (g_str_equal (level, "error"))
+    threshold = G_LOG_LEVEL_CRITICAL;
+  else if (g_str_equal (level, "debug"))
+    threshold = G_LOG_LEVEL_DEBUG;
+  else {
+    g_set_error (error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
+                 "LOG_LEVEL: '%s' is not one of error, info, debug", level);
+    return FALSE;
+  }
+  g_log_set_writer_func (writer, NULL, NULL);
+  return TRUE;
+}
--- /dev/null
+++ b/src/membership.c
@@ -0,0 +1,393 @@
+#include "membership.h"
+#include "constants.h"
+#include "log.h"
+#include <stdlib.h>
+#include <string.h>
+
+struct KrMembership {
+  const KrSettings *settings;
+  KrState *state;
+  GCancellable *cancel;
+  KrMembershipEvents events;
+  gpointer data;
+  char *incarnation;
+  KrFollow *follow;
+  gboolean seen;
+  KrHolder *holders; /* size parts, then the leader */
+  KrRecord *records;
+  GHashTable *present; /* node -> gint64* since when (monotonic us) */
+  guint64 lease;
+  gboolean lease_busy;
+  guint lease_timer, duty_timer;
+};
+
+/* A change of one holder's key under way. */
+typedef struct {
+  KrMembership *m;
+  guint which;
+  gboolean removal;
+} Change;
+
+char *
+kr_membership_owner_key (guint part)
+{
+  return g_strdup_printf ("c/owner/%u", part);
+}
+
+char *
+kr_membership_record_key (guint part)
+{
+  return g_strdup_printf ("c/berths/%u", part);
+}
+
+static char *
+holder_key (KrMembership *m, guint which)
+{
+  return which == m->settings->size ? g_strdup (KR_LEADER_KEY) : kr_membership_owner_key (which);
+}
+
+const KrHolder *
+kr_membership_holder (KrMembership *m, guint part)
+{
+  return &m->holders[part];
+}
+
+const KrHolder *
+kr_membership_leader (KrMembership *m)
+{
+  return &m->holders[m->settings->size];
+}
+
+KrRecord *
+kr_membership_record (KrMembership *m, guint part)
+{
+  return &m->records[part];
+}
+
+gboolean
+kr_membership_seen (KrMembership *m)
+{
+  return m->seen;
+}
+
+gboolean
+kr_membership_present (KrMembership *m, const char *node)
+{
+  return g_hash_table_contains (m->present, node);
+}
+
+static gboolean
+mine (KrMembership *m, const KrHolder *h)
+{
+  return h->node && g_str_equal (h->node, m->settings->node_name) &&
+         g_strcmp0 (h->incarnation, m->incarnation) == 0;
+}
+
+gboolean
+kr_membership_owns (KrMembership *m, guint part)
+{
+  return mine (m, &m->holders[part]);
+}
+
+gboolean
+kr_membership_leads (KrMembership *m)
+{
+  return mine (m, &m->holders[m->settings->size]);
+}
+
+/* --- what the watch shows -------------------------------------------------------------------- */
+static void
+set_holder (KrMembership *m, guint which, json_t *value, guint64 mark)
+{
+  KrHolder *h = &m->holders[which];
+  const char *node = json_string_value (json_object_get (value, "Node"));
+
+  if (mark < h->mark || (mark == h->mark && !!node == !!h->node))
+    return;
+  g_clear_pointer (&h->node, g_free);
+  g_clear_pointer (&h->incarnation, g_free);
+  h->mark = mark;
+  h->from = 0;
+  if (node) {
+    h->node = g_strdup (node);
+    h->incarnation = g_strdup (json_string_value (json_object_get (value, "Inc")));
+    h->from = (guint64)json_integer_value (json_object_get (value, "From"));
+  } else
+    h->free_since = g_get_monotonic_time ();
+  if (which == m->settings->size) {
+    kr_info ("leader: %s (token %" G_GUINT64_FORMAT ")", node ? node : "none", mark);
+    m->events.leader_changed (m->data);
+  } else {
+    kr_info ("part %u: owner %s (token %" G_GUINT64_FORMAT ")", which, node ? node : "none", mark);
+    m->events.holder_changed (which, m->data);
+  }
+}
+
+void
+kr_membership_note_record (KrMembership *m, guint part, json_t *value, guint64 mark)
+{
+  KrRecord *r = &m->records[part];
+  if (mark <= r->mark)
+    return;
+  json_decref (r->value);
+  r->value = json_incref (value);
+  r->mark = mark;
+  m->events.record_changed (part, m->data);
+}
+
+static void
+note_node (KrMembership *m, const char *name, gboolean there)
+{
+  if (there && !g_hash_table_contains (m->present, name)) {
+    gint64 *since = g_new (gint64, 1);
+    *since = g_get_monotonic_time ();
+    g_hash_table_insert (m->present, g_strdup (name), since);
+    kr_info ("node %s: present", name);
+  } else if (!there && g_hash_table_remove (m->present, name))
+    kr_info ("node %s: gone", name);
+}
+
+static void
+on_event (const KrItem *item, gpointer data)
+{
+  KrMembership *m = data;
+  guint size = m->settings->size;
+  const char *k = item->key;
+
+  if (g_str_has_prefix (k, "c/node/"))
+    note_node (m, k + strlen ("c/node/"), item->value != NULL);
+  else if (g_str_equal (k, KR_LEADER_KEY))
+    set_holder (m, size, item->value, item->mark);
+  else if (g_str_has_prefix (k, "c/owner/")) {
+    guint p = (guint)atoi (k + strlen ("c/owner/"));
+    if (p < size)
+      set_holder (m, p, item->value, item->mark);
+  } else if (g_str_has_prefix (k, "c/berths/")) {
+    guint p = (guint)atoi (k + strlen ("c/berths/"));
+    if (p < size && item->value)
+      kr_membership_note_record (m, p, item->value, item->mark);
+  }
+}
+
+static void
+on_scan (json_t *items, guint64 revision, gpointer data)
+{
+  KrMembership *m = data;
+  guint size = m->settings->size;
+  g_autofree gboolean *found = g_new0 (gboolean, size + 1);
+  g_autoptr (GHashTable) nodes = g_hash_table_new (g_str_hash, g_str_equal);
+  json_t *o;
+  size_t i;
+
+  json_array_foreach (items, i, o)
+  {
+    KrItem item;
+    if (!kr_wire_item_parse (o, &item))
+      continue;
+    if (g_str_has_prefix (item.key, "c/node/"))
+      g_hash_table_add (nodes, (char *)item.key + strlen ("c/node/"));
+    for (guint p = 0; p <= size; p++) {
+      g_autofree char *key = holder_key (m, p);
+      if (g_str_equal (key, item.key))
+        found[p] = TRUE;
+    }
+    on_event (&item, m);
+  }
+  for (guint p = 0; p <= size; p++)
+    if (!found[p])
+      set_holder (m, p, NULL, revision);
+  g_autoptr (GList) known = g_hash_table_get_keys (m->present);
+  for (GList *l = known; l; l = l->next) {
+    g_autofree char *name = g_strdup (l->data);
+    if (!g_hash_table_contains (nodes, name))
+      note_node (m, name, FALSE);
+  }
+  m->seen = TRUE;
+}
+
+/* --- taking and giving ----------------------------------------------------------------------- */
+static void
+change_done (guint status, json_t *body, gpointer data)
+{
+  Change *c = data;
+  KrMembership *m = c->m;
+  KrHolder *h = &m->holders[c->which];
+
+  h->busy = FALSE;
+  if (status == 200 && c->removal)
+    set_holder (m, c->which, NULL, kr_wire_revision (body));
+  else if (status == 400)
+    m->lease = 0; /* no such lease: the duty makes a new one */
+  g_free (c);
+}
+
+static void
+take (KrMembership *m, guint which)
+{
+  KrHolder *h = &m->holders[which];
+  guint64 expect = h->node ? h->mark : 0;
+  g_autofree char *key = holder_key (m, which);
+  KrTxn *txn = kr_txn_new ();
+  Change *c = g_new (Change, 1);
+
+  *c = (Change){m, which, FALSE};
+  h->busy = TRUE;
+  kr_txn_when (txn, key, expect);
+  kr_txn_put (txn, key,
+              json_pack ("{ss ss sI}", "Node", m->settings->node_name, "Inc", m->incarnation,
+                         "From", (json_int_t)expect),
+              m->lease);
+  kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
+}
+
+void
+kr_membership_renew_token (KrMembership *m, guint part)
+{
+  if (m->lease && !m->holders[part].busy && kr_membership_owns (m, part)) {
+    kr_info ("part %u: a machine has seen a higher token, renewing ours", part);
+    take (m, part);
+  }
+}
+
+void
+kr_membership_release (KrMembership *m, guint part, guint keep_off_ms)
+{
+  KrHolder *h = &m->holders[part];
+  if (h->busy || !mine (m, h))
+    return;
+  g_autofree char *key = holder_key (m, part);
+  KrTxn *txn = kr_txn_new ();
+  Change *c = g_new (Change, 1);
+
+  *c = (Change){m, part, TRUE};
+  h->busy = TRUE;
+  h->keep_off = g_get_monotonic_time () + (gint64)keep_off_ms * 1000;
+  kr_txn_when (txn, key, h->mark);
+  kr_txn_remove (txn, key);
+  kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
+}
+
+static guint
+parts_held (KrMembership *m)
+{
+  guint n = 0;
+  for (guint p = 0; p < m->settings->size; p++)
+    n += kr_membership_owns (m, p);
+  return n;
+}
+
+/* Whether this node should take a free key now: the home node at once, others after a while, the
+ * idlest first, so that two nodes rarely race (and if they do, one commit wins). */
+static gboolean
+due (KrMembership *m, guint which, gint64 now)
+{
+  KrHolder *h = &m->holders[which];
+  const KrSettings *s = m->settings;
+  if (now < h->keep_off)
+    return FALSE;
+  if (which < s->size && which == s->self)
+    return TRUE;
+  gint64 wait = KR_FOREIGN_STEP_MS * (gint64)parts_held (m);
+  if (which < s->size)
+    wait += KR_FOREIGN_WAIT_MS;
+  return now - h->free_since >= wait * 1000;
+}
+
+static gboolean
+duty (gpointer data)
+{
+  KrMembership *m = data;
+  const KrSettings *s = m->settings;
+  gint64 now = g_get_monotonic_time ();
+
+  if (!m->seen || !m->lease)
+    return G_SOURCE_CONTINUE;
+  for (guint p = 0; p <= s->size; p++) {
+    KrHolder *h = &m->holders[p];
+    if (h->busy)
+      continue;
+    if (!h->node) {
+      if (due (m, p, now))
+        take (m, p);
+    } else if (g_str_equal (h->node, s->node_name) && !mine (m, h)) {
+      /* Our own earlier life held it: nobody else can have acted in between. */
+      take (m, p);
+    } else if (p < s->size && mine (m, h) && p != s->self && p < s->names->len) {
+      gint64 *since = g_hash_table_lookup (m->present, s->names->pdata[p]);
+      if (since && now - *since > KR_HOME_HEALTHY_MS * G_GINT64_CONSTANT (1000)) {
+        kr_info ("part %u: handing it back to %s", p, (char *)s->names->pdata[p]);
+        kr_membership_release (m, p, KR_HOME_HEALTHY_MS);
+      }
+    }
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+/* --- the lease ------------------------------------------------------------------------------- */
+static void
+node_key_done (guint status, json_t *body, gpointer data)
+{
+  KrMembership *m = data;
+  if (status == 400)
+    m->lease = 0;
+}
+
+static void
+lease_done (guint status, json_t *body, gpointer data)
+{
+  KrMembership *m = data;
+  m->lease_busy = FALSE;
+  if (status == 404) {
+    kr_info ("state: our lease is over");
+    m->lease = 0;
+  } else if (status == 200 && !m->lease && (m->lease = kr_wire_lease_parse (body))) {
+    g_autofree char *key = g_strconcat ("c/node/", m->settings->node_name, NULL);
+    KrTxn *txn = kr_txn_new ();
+    kr_txn_put (txn, key, json_pack ("{ss}", "Inc", m->incarnation), m->lease);
+    kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, node_key_done, m);
+  }
+}
+
+static gboolean
+renew (gpointer data)
+{
+  KrMembership *m = data;
+  if (!m->lease_busy) {
+    m->lease_busy = TRUE;
+    kr_state_lease (m->state, m->lease, KR_NODE_LEASE_MS, m->cancel, lease_done, m);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+KrMembership *
+kr_membership_new (const KrSettings *settings, KrState *state, GCancellable *cancel,
+                   const KrMembershipEvents *events, gpointer data)
+{
+  KrMembership *m = g_new0 (KrMembership, 1);
+  m->settings = settings;
+  m->state = state;
+  m->cancel = kr_cancellable_child (cancel);
+  m->events = *events;
+  m->data = data;
+  m->incarnation = g_strdup_printf ("%08x%08x", g_random_int (), g_random_int ());
+  m->holders = g_new0 (KrHolder, settings->size + 1);
+  for (guint p = 0; p <= settings->size; p++)
+    m->holders[p].free_since = g_get_monotonic_time ();
+  m->records = g_new0 (KrRecord, settings->size);
+  m->present = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  m->follow = kr_follow_new (state, "c/", m->cancel, on_scan, on_event, m);
+  kr_follow_rescan (m->follow);
+  renew (m);
+  m->lease_timer = g_timeout_add (KR_NODE_RENEW_MS, renew, m);
+  m->duty_timer = g_timeout_add (300, duty, m);
+  return m;
+}
+
+void
+kr_membership_free (KrMembership *m)
+{
+  g_source_remove (m->lease_timer);
+  g_source_remove (m->duty_timer);
+  g_cancellable_cancel (m->cancel);
+  kr_follow_stop (m->follow);
+}
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,211 @@
+#include "node.h"
+#include "api.h"
+#include "constants.h"
+#include "log.h"
+#include "part.h"
+#include "rent.h"
+#include <string.h>
+
+const KrType *
+kr_node_type (KrNode *n, const char *name)
+{
+  for (guint i = 0; n->types && i < n->types->len; i++) {
+    const KrType *t = n->types->pdata[i];
+    if (g_str_equal (t->name, name))
+      return t;
+  }
+  return NULL;
+}
+
+gint
+kr_node_part_of (KrNode *n, const char *id)
+{
+  for (guint p = 0; p < n->settings->size; p++)
+    if (json_object_get (json_object_get (kr_membership_record (n->membership, p)->value, "Berths"),
+                         id))
+      return (gint)p;
+  return -1;
+}
+
+/* --- membership's events -------------------------------------------------------------------------
+ */
+static void
+holder_changed (guint part, gpointer data)
+{
+  KrNode *n = data;
+  const KrHolder *h = kr_membership_holder (n->membership, part);
+  KrPart *p = n->parts[part];
+  gboolean ours = kr_membership_owns (n->membership, part), any = FALSE;
+
+  if (p && ours && h->from == kr_part_token (p)) {
+    kr_part_renewed (p, h->mark);
+    return;
+  }
+  if (p)
+    kr_part_drop (p);
+  n->parts[part] = ours ? kr_part_new (n, part, h->mark, h->from) : NULL;
+  for (guint i = 0; i < n->settings->size; i++)
+    any |= n->parts[i] != NULL;
+  if (!any)
+    kr_follow_stop (n->jobs);
+}
+
+static void
+record_changed (guint part, gpointer data)
+{
+  KrNode *n = data;
+  if (n->rent)
+    kr_rent_records_changed (n->rent);
+  if (n->parts[part])
+    kr_part_record_changed (n->parts[part]);
+}
+
+static void
+leader_changed (gpointer data)
+{
+}
+
+static void
+jobs_scanned (json_t *items, guint64 revision, gpointer data)
+{
+  KrNode *n = data;
+  for (guint p = 0; p < n->settings->size; p++)
+    if (n->parts[p])
+      kr_part_jobs_scanned (n->parts[p], items);
+}
+
+static void
+job_event (const KrItem *item, gpointer data)
+{
+  KrNode *n = data;
+  for (guint p = 0; p < n->settings->size; p++)
+    if (n->parts[p])
+      kr_part_job_event (n->parts[p], item);
+}
+
+/* --- requests
+ * -------------------------------------------------------------------------------------- */
+static void
+beat (KrNode *n, KrRequest *request)
+{
+  g_autoptr (KrReport) r =
+      kr_request_json (request) ? kr_wire_report_parse (kr_request_json (request)) : NULL;
+  if (!r) {
+    kr_request_reply (request, 400, kr_wire_error ("not a report"), 0);
+    return;
+  }
+  gint part = kr_node_part_of (n, r->machine);
+  if (part >= 0 && n->parts[part]) {
+    kr_part_beat (n->parts[part], request, r);
+    return;
+  }
+  const KrHolder *h = part >= 0 ? kr_membership_holder (n->membership, (guint)part)
+                                : kr_membership_leader (n->membership);
+  gboolean self = h->node && g_str_equal (h->node, n->settings->node_name);
+  if (part < 0 && self)
+    kr_rent_seen (n->rent, r);
+  kr_request_reply (request, 421, kr_wire_redirect (self ? NULL : h->node), 0);
+}
+
+static void
+serve_public (KrRequest *request, gpointer data)
+{
+  KrNode *n = data;
+  g_autofree char *id = NULL;
+
+  switch (kr_wire_route (kr_request_method (request), kr_request_path (request), &id)) {
+  case KR_ROUTE_READY:
+    if (kr_membership_seen (n->membership) && n->types)
+      kr_request_reply (request, 200, NULL, 0);
+    else
+      kr_request_reply (request, 503, kr_wire_error ("starting"), KR_RETRY_AFTER_S);
+    break;
+  case KR_ROUTE_BEAT:
+    beat (n, request);
+    break;
+  case KR_ROUTE_SUBMIT:
+    kr_api_submit (n->api, request);
+    break;
+  case KR_ROUTE_POLL:
+    kr_api_poll (n->api, request, id);
+    break;
+  case KR_ROUTE_ABORT:
+    kr_api_abort (n->api, request, id);
+    break;
+  case KR_ROUTE_BAD_METHOD:
+    kr_request_reply (request, 405, kr_wire_error ("method not allowed"), 0);
+    break;
+  case KR_ROUTE_NONE:
+    kr_request_reply (request, 404, kr_wire_error ("no such path"), 0);
+    break;
+  }
+}
+
+static void
+serve_peer (KrRequest *request, gpointer data)
+{
+  KrNode *n = data;
+  if (g_str_equal (kr_request_path (request), "/sync"))
+    kr_request_reply (request, 200,
+                      kr_rent_sync (n->rent, json_object_get (kr_request_json (request), "Wishes")),
+                      0);
+  else
+    kr_request_reply (request, 404, NULL, 0);
+}
+
+/* --- life
+ * -------------------------------------------------------------------------------------------- */
+KrNode *
+kr_node_new (const KrSettings *s, GError **error)
+{
+  const KrMembershipEvents events = {holder_changed, record_changed, leader_changed};
+  KrNode *n = g_new0 (KrNode, 1);
+  guint conns = (guint)(s->sockets * KR_CLIENT_SOCKET_SHARE);
+
+  n->settings = s;
+  n->loop = g_main_loop_new (NULL, FALSE);
+  n->cancel = g_cancellable_new ();
+  n->parts = g_new0 (KrPart *, s->size);
+  n->state = kr_state_new (s);
+  n->cloud = kr_cloud_new (s);
+  n->workers = kr_client_new (KR_WORKER_CONNS, 2, KR_WORKER_IDLE_S);
+  n->peers =
+      kr_client_new (KR_PEER_CONNS * MAX (1, s->others->len), KR_PEER_CONNS, KR_CLIENT_IDLE_S);
+  n->jobs = kr_follow_new (n->state, "job/", n->cancel, jobs_scanned, job_event, n);
+  n->membership = kr_membership_new (s, n->state, n->cancel, &events, n);
+  n->rent = kr_rent_new (n);
+  n->api = kr_api_new (n);
+  n->public_server =
+      kr_server_new (s->client_listen, conns, KR_CLIENT_IDLE_S, n->cancel, serve_public, n, error);
+  if (n->public_server)
+    n->peer_server = kr_server_new (s->internal_addr, 4 * MAX (1, s->others->len), KR_CLIENT_IDLE_S,
+                                    n->cancel, serve_peer, n, error);
+  if (!n->peer_server) {
+    kr_node_free (n);
+    return NULL;
+  }
+  kr_info ("%s in %s, part %u of %u, users on %s", s->node_name, s->zone, s->self, s->size,
+           s->client_listen);
+  return n;
+}
+
+void
+kr_node_run (KrNode *n)
+{
+  g_main_loop_run (n->loop);
+}
+
+/* Ends all duties; the process ends right after. */
+void
+kr_node_free (KrNode *n)
+{
+  g_cancellable_cancel (n->cancel);
+  if (n->public_server)
+    kr_server_free (n->public_server);
+  if (n->peer_server)
+    kr_server_free (n->peer_server);
+  kr_rent_free (n->rent);
+  kr_api_free (n->api);
+  kr_membership_free (n->membership);
+  g_main_loop_unref (n->loop);
+}
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,33 @@
+/* One controller: puts the modules together and runs them on one main loop. */
+#pragma once
+#include "cloud.h"
+#include "membership.h"
+#include "settings.h"
+#include "state.h"
+
+typedef struct KrPart KrPart;
+typedef struct KrRent KrRent;
+typedef struct KrApi KrApi;
+
+typedef struct KrNode {
+  const KrSettings *settings;
+  GMainLoop *loop;
+  GCancellable *cancel;
+  KrState *state;
+  KrCloud *cloud;
+  KrClient *workers, *peers;
+  KrMembership *membership;
+  KrFollow *jobs;   /* follows job/ while a part is ours */
+  KrPart **parts;   /* size; NULL: not ours */
+  GPtrArray *types; /* KrType; NULL: not yet known */
+  KrRent *rent;
+  KrApi *api;
+  KrServer *public_server, *peer_server;
+} KrNode;
+
+KrNode *kr_node_new (const KrSettings *settings, GError **error);
+void kr_node_run (KrNode *self);
+void kr_node_free (KrNode *self);
+const KrType *kr_node_type (KrNode *self, const char *name); /* NULL: unknown */
+/* The part whose durable record holds a machine, or -1. */
+gint kr_node_part_of (KrNode *self, const char *machine);
--- /dev/null
+++ b/src/rank.c
@@ -0,0 +1,46 @@
+#include "rank.h"
+#include <string.h>
+
+static KrClass
+klass (const KrEstimateInput *in)
+{
+  if (in->now > in->goal)
+    return KR_CLASS_LATE;
+  return in->count ? KR_CLASS_ADJUST : KR_CLASS_NODATA;
+}
+
+KrRankKey
+kr_rank_key (const KrEstimateInput *in, const char *id)
+{
+  KrRankKey k = {klass (in), 0, id};
+  switch (k.klass) {
+  case KR_CLASS_LATE:
+    k.key = kr_estimate_lateness (in);
+    break;
+  case KR_CLASS_NODATA:
+    k.key = -in->submitted;
+    break;
+  case KR_CLASS_ADJUST:
+    k.key = kr_estimate_slots (in);
+    break;
+  }
+  return k;
+}
+
+int
+kr_rank_compare (const KrRankKey *a, const KrRankKey *b)
+{
+  if (a->klass != b->klass)
+    return a->klass < b->klass ? -1 : 1;
+  if (a->key != b->key)
+    return a->key > b->key ? -1 : 1;
+  return strcmp (a->id, b->id);
+}
+
+double
+kr_rank_want (const KrEstimateInput *in)
+{
+  if (klass (in) != KR_CLASS_ADJUST)
+    return in->unstarted;
+  return CLAMP (kr_estimate_slots (in), 0, (double)in->unstarted);
+}
--- /dev/null
+++ b/src/rent.c
@@ -0,0 +1,611 @@
+#include "rent.h"
+#include "constants.h"
+#include "http.h"
+#include "log.h"
+#include "part.h"
+#include "shares.h"
+#include <math.h>
+#include <string.h>
+
+/* One type in one zone, spot or ordinary. */
+typedef struct {
+  KrRent *rent;
+  char *type, *zone;
+  gboolean spot, busy;
+  char *request; /* a request whose outcome is not known: repeated under its name */
+  guint count;
+  gint64 closed_until; /* monotonic us: refused or filled in part */
+  double pause_ms;
+} Pool;
+
+typedef struct {
+  json_t *value; /* a part's summary */
+  gint64 at;
+} Summary;
+
+struct KrRent {
+  KrNode *node;
+  GCancellable *cancel;
+  GHashTable *listed;   /* id -> KrMachine, of the newest list */
+  GHashTable *fresh;    /* id -> KrMachine: rented or seen, not yet in a list */
+  GHashTable *recorded; /* id -> part + 1 */
+  GHashTable *left;     /* id -> gint64*: when it left the records */
+  GHashTable *pools;    /* "type zone kind" -> Pool */
+  Summary *summaries;   /* a part each */
+  json_t **wishes;      /* a part each: what its owner shall be told */
+  guint requests;
+  gboolean listing, types_busy, assigning, had_list;
+  gint64 next_types, next_list, next_rent, next_move;
+  gint64 leading_since;
+  guint timer;
+};
+
+static void
+pool_free (gpointer p)
+{
+  Pool *o = p;
+  g_free (o->type);
+  g_free (o->zone);
+  g_free (o->request);
+  g_free (o);
+}
+
+static KrMachine *
+machine_new (const char *id, const char *type, const char *zone, gboolean spot)
+{
+  KrMachine *m = g_new0 (KrMachine, 1);
+  m->id = g_strdup (id);
+  m->type = g_strdup (type);
+  m->zone = g_strdup (zone);
+  m->spot = spot;
+  return m;
+}
+
+/* --- records ---------------------------------------------------------------------------------- */
+void
+kr_rent_records_changed (KrRent *r)
+{
+  g_autoptr (GHashTable) now = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTableIter it;
+  gpointer id;
+  const char *name;
+  json_t *o;
+
+  for (guint p = 0; p < r->node->settings->size; p++)
+    json_object_foreach (
+        json_object_get (kr_membership_record (r->node->membership, p)->value, "Berths"), name, o)
+        g_hash_table_insert (now, g_strdup (name), GUINT_TO_POINTER (p + 1));
+  g_hash_table_iter_init (&it, r->recorded);
+  while (g_hash_table_iter_next (&it, &id, NULL))
+    if (!g_hash_table_contains (now, id)) {
+      gint64 *at = g_new (gint64, 1);
+      *at = g_get_monotonic_time ();
+      g_hash_table_insert (r->left, g_strdup (id), at);
+      g_hash_table_remove (r->fresh, id);
+    }
+  g_hash_table_unref (r->recorded);
+  r->recorded = g_steal_pointer (&now);
+}
+
+void
+kr_rent_seen (KrRent *r, const KrReport *report)
+{
+  if (!g_hash_table_contains (r->fresh, report->machine) &&
+      !g_hash_table_contains (r->recorded, report->machine)) {
+    kr_info ("machine %s: reports, but is in no part", report->machine);
+    KrMachine *m = machine_new (report->machine, report->type, report->zone, report->spot);
+    m->state = KR_MACHINE_RUNNING;
+    g_hash_table_remove (r->left, report->machine);
+    g_hash_table_insert (r->fresh, m->id, m);
+  }
+}
+
+static const KrMachine *
+machine (KrRent *r, const char *id)
+{
+  const KrMachine *m = g_hash_table_lookup (r->listed, id);
+  return m ? m : g_hash_table_lookup (r->fresh, id);
+}
+
+/* --- the exchange with owners ------------------------------------------------------------------
+ */
+static void
+take_summary (KrRent *r, json_t *s)
+{
+  guint p = (guint)json_integer_value (json_object_get (s, "Part"));
+  if (p >= r->node->settings->size)
+    return;
+  json_decref (r->summaries[p].value);
+  r->summaries[p].value = json_incref (s);
+  r->summaries[p].at = g_get_monotonic_time ();
+}
+
+json_t *
+kr_rent_sync (KrRent *r, json_t *wishes)
+{
+  json_t *parts = json_array (), *o;
+  size_t i;
+
+  json_array_foreach (wishes, i, o)
+  {
+    guint p = (guint)json_integer_value (json_object_get (o, "Part"));
+    const char *id = json_string_value (json_object_get (o, "Id"));
+    KrPart *part = p < r->node->settings->size ? r->node->parts[p] : NULL;
+    json_t *to = json_object_get (o, "To");
+    if (!part || !id)
+      continue;
+    if (json_is_integer (to))
+      kr_part_give (part, id, (guint)json_integer_value (to));
+    else
+      kr_part_return (part, id);
+  }
+  for (guint p = 0; p < r->node->settings->size; p++)
+    if (r->node->parts[p])
+      json_array_append_new (parts, kr_part_summary (r->node->parts[p]));
+  return json_pack ("{so}", "Parts", parts);
+}
+
+static void
+synced (guint status, json_t *body, gpointer data)
+{
+  KrRent *r = data;
+  json_t *s;
+  size_t i;
+  if (status == 200)
+    json_array_foreach (json_object_get (body, "Parts"), i, s) take_summary (r, s);
+}
+
+static json_t *
+wishes_for (KrRent *r, const char *node)
+{
+  json_t *out = json_array ();
+  for (guint p = 0; p < r->node->settings->size; p++) {
+    const KrHolder *h = kr_membership_holder (r->node->membership, p);
+    if (!h->node || !g_str_equal (h->node, node) || !r->wishes[p])
+      continue;
+    json_array_extend (out, r->wishes[p]);
+    g_clear_pointer (&r->wishes[p], json_decref);
+  }
+  return out;
+}
+
+static void
+exchange (KrRent *r)
+{
+  const KrSettings *s = r->node->settings;
+  json_t *mine = wishes_for (r, s->node_name);
+  json_t *answer = kr_rent_sync (r, mine);
+  synced (200, answer, r);
+  json_decref (answer);
+  json_decref (mine);
+  for (guint i = 0; i < s->others->len; i++) {
+    const KrPeerSettings *o = s->others->pdata[i];
+    kr_client_call (r->node->peers, "POST", o->addr, "/sync",
+                    json_pack ("{so}", "Wishes", wishes_for (r, o->name)), KR_PEER_TIMEOUT_MS,
+                    r->cancel, synced, r);
+  }
+}
+
+static void
+wish (KrRent *r, guint part, const char *id, gint to)
+{
+  if (!r->wishes[part])
+    r->wishes[part] = json_array ();
+  json_t *o = json_pack ("{sI ss}", "Part", (json_int_t)part, "Id", id);
+  if (to >= 0)
+    json_object_set_new (o, "To", json_integer (to));
+  json_array_append_new (r->wishes[part], o);
+}
+
+/* --- giving new machines to parts ---------------------------------------------------------------
+ */
+typedef struct {
+  KrRent *rent;
+  guint part;
+  json_t *value;
+} Assign;
+
+static void
+assigned (guint status, json_t *body, gpointer data)
+{
+  Assign *a = data;
+  a->rent->assigning = FALSE;
+  if (status == 200)
+    kr_membership_note_record (a->rent->node->membership, a->part, a->value,
+                               kr_wire_revision (body));
+  json_decref (a->value);
+  g_free (a);
+}
+
+static GPtrArray *
+homeless (KrRent *r, gint64 now)
+{
+  GPtrArray *out = g_ptr_array_new ();
+  gint64 stale = kr_seconds (4 * r->node->settings->cloud_list_lag_s + 40);
+  GHashTable *sources[] = {r->fresh, r->listed};
+  GHashTableIter it;
+  gpointer id, value;
+
+  for (guint k = 0; k < G_N_ELEMENTS (sources); k++) {
+    g_hash_table_iter_init (&it, sources[k]);
+    while (g_hash_table_iter_next (&it, &id, &value)) {
+      gint64 *left = g_hash_table_lookup (r->left, id);
+      if (g_hash_table_contains (r->recorded, id) ||
+          (k == 1 && g_hash_table_contains (r->fresh, id)))
+        continue;
+      /* Deleted ones are still listed for a while. */
+      if (left && now - *left < stale)
+        continue;
+      g_ptr_array_add (out, value);
+    }
+  }
+  return out;
+}
+
+static void
+assign (KrRent *r, GPtrArray *machines, const double *lack)
+{
+  const KrSettings *s = r->node->settings;
+  guint best = 0;
+  if (r->assigning || machines->len == 0)
+    return;
+  for (guint p = 1; p < s->size; p++)
+    if (lack[p] > lack[best])
+      best = p;
+  /* A record a transaction; the rest follows in the next round. Shared out by what parts lack. */
+  double sum = 0;
+  for (guint p = 0; p < s->size; p++)
+    sum += MAX (lack[p], 0.01);
+  guint n = (guint)ceil (machines->len * MAX (lack[best], 0.01) / sum);
+  Assign *a = g_new (Assign, 1);
+  KrRecord *rec = kr_membership_record (r->node->membership, best);
+  json_t *v = rec->value ? json_deep_copy (rec->value) : json_pack ("{s{}}", "Berths");
+  KrTxn *txn = kr_txn_new ();
+
+  *a = (Assign){r, best, v};
+  for (guint i = 0; i < MIN (n, machines->len); i++) {
+    const KrMachine *m = machines->pdata[i];
+    json_object_set_new (json_object_get (v, "Berths"), m->id, json_pack ("{sI}", "U", 0LL));
+  }
+  kr_txn_when (txn, KR_LEADER_KEY, kr_membership_leader (r->node->membership)->mark);
+  for (guint p = 0; p < s->size; p++) {
+    g_autofree char *key = kr_membership_record_key (p);
+    kr_txn_when (txn, key, kr_membership_record (r->node->membership, p)->mark);
+    if (p == best)
+      kr_txn_put (txn, key, json_incref (v), 0);
+  }
+  r->assigning = TRUE;
+  kr_state_commit (r->node->state, txn, FALSE, KR_STATE_TIMEOUT_MS, r->cancel, assigned, a);
+}
+
+/* --- renting -------------------------------------------------------------------------------------
+ */
+static Pool *
+pool (KrRent *r, const char *type, const char *zone, gboolean spot)
+{
+  g_autofree char *key = g_strdup_printf ("%s %s %d", type, zone, spot);
+  Pool *o = g_hash_table_lookup (r->pools, key);
+  if (!o) {
+    o = g_new0 (Pool, 1);
+    o->rent = r;
+    o->type = g_strdup (type);
+    o->zone = g_strdup (zone);
+    o->spot = spot;
+    o->pause_ms = KR_BACKOFF_MS;
+    g_hash_table_insert (r->pools, g_steal_pointer (&key), o);
+  }
+  return o;
+}
+
+static void
+rented (guint status, json_t *body, gpointer data)
+{
+  Pool *o = data;
+  KrRent *r = o->rent;
+  gint64 now = g_get_monotonic_time ();
+  g_auto (GStrv) ids = status == 200 ? kr_wire_rental_machines (body) : NULL;
+  guint n = ids ? g_strv_length (ids) : 0;
+
+  o->busy = FALSE;
+  if (status != 200 && status != 503 && status != 400)
+    return; /* unknown: the same request again in the next period */
+  for (guint i = 0; i < n; i++)
+    if (!g_hash_table_contains (r->recorded, ids[i])) {
+      KrMachine *m = machine_new (ids[i], o->type, o->zone, o->spot);
+      g_hash_table_insert (r->fresh, m->id, m);
+    }
+  kr_info ("rent: %u of %u %s %s in %s%s%s", n, o->count, o->spot ? "spot" : "ordinary", o->type,
+           o->zone, n ? ", first " : "", n ? ids[0] : "");
+  if (n < o->count) {
+    o->closed_until = now + (gint64)(o->pause_ms * 1000);
+    o->pause_ms = MIN (o->pause_ms * 2, KR_BACKOFF_MAX_MS);
+  } else
+    o->pause_ms = KR_BACKOFF_MS;
+  g_clear_pointer (&o->request, g_free);
+}
+
+static void
+ask (KrRent *r, Pool *o, guint count)
+{
+  if (!o->request) {
+    /* Never used before, by any node: the leader's token is this leadership's alone. */
+    o->request = g_strdup_printf ("kr-%" G_GUINT64_FORMAT "-%u",
+                                  kr_membership_leader (r->node->membership)->mark, ++r->requests);
+    o->count = MIN (count, KR_RENT_MAX);
+  }
+  o->busy = TRUE;
+  kr_cloud_rent (r->node->cloud, o->request, o->type, o->zone, o->spot, o->count, r->cancel, rented,
+                 o);
+}
+
+typedef struct {
+  const KrType *type;
+  gboolean spot;
+  double price; /* per CPU */
+} Offer;
+
+static int
+by_price (gconstpointer a, gconstpointer b)
+{
+  double d = ((const Offer *)a)->price - ((const Offer *)b)->price;
+  return d < 0 ? -1 : d > 0;
+}
+
+/* What no machine will serve is asked of the cheapest open pools: one call a type and zone. */
+static void
+rent (KrRent *r, GPtrArray *needs, gint64 now)
+{
+  g_autoptr (GArray) offers = g_array_new (FALSE, FALSE, sizeof (Offer));
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, r->pools);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    Pool *o = value;
+    if (o->request && !o->busy)
+      ask (r, o, o->count);
+  }
+  for (guint i = 0; i < r->node->types->len; i++) {
+    const KrType *t = r->node->types->pdata[i];
+    Offer spot = {t, TRUE, t->spot_price / MAX (t->cpus, 1)};
+    Offer ordinary = {t, FALSE, t->price / MAX (t->cpus, 1)};
+    if (t->spot_price > 0)
+      g_array_append_val (offers, spot);
+    g_array_append_val (offers, ordinary);
+  }
+  g_array_sort (offers, by_price);
+  for (guint i = 0; i < offers->len; i++) {
+    const Offer *f = &g_array_index (offers, Offer, i);
+    g_autoptr (GPtrArray) open = g_ptr_array_new ();
+    for (char **z = f->type->zones; *z; z++) {
+      Pool *o = pool (r, f->type->name, *z, f->spot);
+      if (!o->busy && !o->request && now >= o->closed_until)
+        g_ptr_array_add (open, o);
+    }
+    for (guint z = 0; z < open->len; z++) {
+      Pool *o = open->pdata[z];
+      double machines = 0, share_out = open->len - z;
+      for (guint k = 0; k < needs->len; k++) {
+        KrNeed *n = needs->pdata[k];
+        /* Ordinary machines only for work that may not use spot. */
+        if (n->unmet <= 1e-9 || (!f->spot && n->shape->spot) ||
+            !kr_place_allowed (n->shape, f->type->name, o->zone, f->spot) ||
+            !kr_place_fits_type (n->shape, f->type))
+          continue;
+        double part = n->shape->zone ? 1 : 1 / share_out;
+        double slots = n->unmet * part;
+        machines += slots * kr_place_share (n->shape, f->type);
+        n->unmet -= slots;
+      }
+      if (machines > 0.05)
+        ask (r, o, (guint)ceil (machines));
+    }
+  }
+}
+
+/* --- the leader's round
+ * ---------------------------------------------------------------------------- */
+static KrNeed *
+need_parse (json_t *o, guint part)
+{
+  KrNeed *n = g_new0 (KrNeed, 1);
+  json_t *types = json_object_get (o, "Types"), *t;
+  size_t i;
+  n->part = part;
+  n->shape = g_new0 (KrSpec, 1);
+  if (json_is_array (types)) {
+    n->shape->types = g_new0 (char *, json_array_size (types) + 1);
+    json_array_foreach (types, i, t) n->shape->types[i] = g_strdup (json_string_value (t));
+  }
+  n->shape->zone = g_strdup (json_string_value (json_object_get (o, "Zone")));
+  n->shape->spot = json_is_true (json_object_get (o, "Spot"));
+  n->shape->cpus = json_number_value (json_object_get (o, "Cpus"));
+  n->shape->gpus = json_number_value (json_object_get (o, "Gpus"));
+  n->shape->mem_gb = json_number_value (json_object_get (o, "Mem"));
+  n->slots = json_number_value (json_object_get (o, "Slots"));
+  n->late = json_is_true (json_object_get (o, "Late"));
+  return n;
+}
+
+static void
+collect (KrRent *r, GPtrArray *needs, GPtrArray *supplies, gint64 now)
+{
+  g_autoptr (GHashTable) berths = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter it;
+  gpointer id, value;
+  json_t *o;
+  size_t i;
+
+  for (guint p = 0; p < r->node->settings->size; p++) {
+    Summary *s = &r->summaries[p];
+    if (!s->value || now - s->at > kr_seconds (KR_NEEDS_STALE_S))
+      continue;
+    json_array_foreach (json_object_get (s->value, "Needs"), i, o)
+        g_ptr_array_add (needs, need_parse (o, p));
+    json_array_foreach (json_object_get (s->value, "Berths"), i, o)
+        g_hash_table_insert (berths, (gpointer)json_string_value (json_object_get (o, "Id")), o);
+  }
+  g_hash_table_iter_init (&it, r->recorded);
+  while (g_hash_table_iter_next (&it, &id, &value)) {
+    const KrMachine *m = machine (r, id);
+    json_t *b = g_hash_table_lookup (berths, id);
+    const char *type = m ? m->type : json_string_value (json_object_get (b, "Type"));
+    KrSupply *s = g_new0 (KrSupply, 1);
+    s->id = g_strdup (id);
+    s->part = (gint)GPOINTER_TO_UINT (value) - 1;
+    s->type = type ? kr_node_type (r->node, type) : NULL;
+    s->zone = m ? m->zone : NULL;
+    s->spot = m ? m->spot : json_is_true (json_object_get (b, "Spot"));
+    s->idle_s = b ? json_number_value (json_object_get (b, "Idle")) : -1;
+    s->up = json_is_true (json_object_get (b, "Up"));
+    s->going = json_is_true (json_object_get (b, "Going")) || (m && m->state == KR_MACHINE_FAILED);
+    g_ptr_array_add (supplies, s);
+  }
+}
+
+static void
+lead (KrRent *r, gint64 now)
+{
+  guint size = r->node->settings->size;
+  g_autoptr (GPtrArray) needs = g_ptr_array_new_with_free_func (kr_need_free);
+  g_autoptr (GPtrArray) supplies = g_ptr_array_new_with_free_func (kr_supply_free);
+  g_autofree double *lack = g_new0 (double, size);
+  g_autoptr (GPtrArray) news = NULL;
+
+  exchange (r);
+  /* First hear all parts and see one list: a new leader must not rent what is there already. */
+  if (!r->node->types || !r->had_list ||
+      now - r->leading_since < kr_seconds (1.5 * KR_SYNC_MS / 1000.0))
+    return;
+  collect (r, needs, supplies, now);
+  news = homeless (r, now);
+  for (guint i = 0; i < news->len; i++) {
+    const KrMachine *m = news->pdata[i];
+    KrSupply *s = g_new0 (KrSupply, 1);
+    s->id = g_strdup (m->id);
+    s->part = -1;
+    s->type = kr_node_type (r->node, m->type);
+    s->zone = m->zone;
+    s->spot = m->spot;
+    s->idle_s = -1;
+    g_ptr_array_add (supplies, s);
+  }
+  kr_shares_match (needs, supplies, lack);
+  if (news->len)
+    assign (r, news, lack);
+  if (now >= r->next_move) {
+    r->next_move = now + KR_MOVE_MS * 1000;
+    guint most = 0;
+    for (guint p = 1; p < size; p++)
+      if (lack[p] > lack[most])
+        most = p;
+    for (guint i = 0; i < supplies->len; i++) {
+      KrSupply *s = supplies->pdata[i];
+      if (s->part < 0 || s->going || s->idle_s < 0 || !s->type)
+        continue;
+      if (lack[most] > 0.1 && (guint)s->part != most && lack[s->part] <= 0.1) {
+        wish (r, (guint)s->part, s->id, (gint)most);
+        lack[most] -= 1;
+      } else if (s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S)
+        wish (r, (guint)s->part, s->id, -1);
+      for (guint p = 0; p < size; p++)
+        if (lack[p] > lack[most])
+          most = p;
+    }
+  }
+  if (now >= r->next_rent) {
+    r->next_rent = now + KR_RENT_MS * 1000;
+    rent (r, needs, now);
+  }
+}
+
+/* --- reading the cloud
+ * ------------------------------------------------------------------------------ */
+static void
+types_read (guint status, json_t *body, gpointer data)
+{
+  KrRent *r = data;
+  GPtrArray *types = status == 200 ? kr_wire_types_parse (body) : NULL;
+  r->types_busy = FALSE;
+  if (!types)
+    return;
+  r->next_types = g_get_monotonic_time () + KR_TYPES_MS * 1000;
+  if (!r->node->types)
+    kr_info ("cloud: %u machine types", types->len);
+  g_clear_pointer (&r->node->types, g_ptr_array_unref);
+  r->node->types = types;
+}
+
+static void
+list_read (GPtrArray *machines, gpointer data)
+{
+  KrRent *r = data;
+  r->listing = FALSE;
+  if (!machines)
+    return;
+  r->had_list = TRUE;
+  g_hash_table_remove_all (r->listed);
+  g_ptr_array_set_free_func (machines, NULL);
+  for (guint i = 0; i < machines->len; i++) {
+    KrMachine *m = machines->pdata[i];
+    g_hash_table_replace (r->listed, m->id, m);
+    g_hash_table_remove (r->fresh, m->id);
+  }
+  for (guint p = 0; p < r->node->settings->size; p++)
+    if (r->node->parts[p])
+      kr_part_machines_listed (r->node->parts[p], r->listed);
+}
+
+static gboolean
+tick (gpointer data)
+{
+  KrRent *r = data;
+  gint64 now = g_get_monotonic_time ();
+  gboolean leads = kr_membership_leads (r->node->membership), owns = FALSE;
+
+  for (guint p = 0; p < r->node->settings->size; p++)
+    owns |= r->node->parts[p] != NULL;
+  if (now >= r->next_types && !r->types_busy) {
+    r->types_busy = TRUE;
+    r->next_types = now + 1000 * 1000;
+    kr_cloud_types (r->node->cloud, r->cancel, types_read, r);
+  }
+  if (now >= r->next_list && !r->listing && (leads || owns)) {
+    r->listing = TRUE;
+    r->next_list = now + KR_LIST_MS * 1000;
+    kr_cloud_list (r->node->cloud, r->cancel, list_read, r);
+  }
+  if (!leads)
+    r->leading_since = 0;
+  else {
+    if (!r->leading_since)
+      r->leading_since = now;
+    lead (r, now);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+KrRent *
+kr_rent_new (KrNode *node)
+{
+  KrRent *r = g_new0 (KrRent, 1);
+  r->node = node;
+  r->cancel = kr_cancellable_child (node->cancel);
+  r->listed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
+  r->fresh = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
+  r->recorded = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  r->left = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
+  r->summaries = g_new0 (Summary, node->settings->size);
+  r->wishes = g_new0 (json_t *, node->settings->size);
+  r->timer = g_timeout_add (KR_SYNC_MS, tick, r);
+  tick (r);
+  return r;
+}
+
+void
+kr_rent_free (KrRent *r)
+{
+  g_source_remove (r->timer);
+  g_cancellable_cancel (r->cancel);
+}
--- /dev/null
+++ b/src/rent.h
@@ -0,0 +1,13 @@
+/* The machines as a whole: every node reads the list for its own parts; the leader rents toward the
+ * sum of needs, gives each machine to a part, and has what is not needed returned. */
+#pragma once
+#include "node.h"
+#include "wire.h"
+
+KrRent *kr_rent_new (KrNode *node);
+void kr_rent_free (KrRent *self);
+void kr_rent_records_changed (KrRent *self);
+/* A machine in no part's record has reported here. */
+void kr_rent_seen (KrRent *self, const KrReport *report);
+/* A peer's exchange: the leader's wishes in, summaries of our parts out. */
+json_t *kr_rent_sync (KrRent *self, json_t *wishes);
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,276 @@
+#include "settings.h"
+#include "constants.h"
+#include <math.h>
+#include <string.h>
+
+G_DEFINE_QUARK (kr - settings - error, kr_settings_error)
+
+static void
+team_free (gpointer p)
+{
+  KrTeam *t = p;
+  g_free (t->name);
+  g_free (t);
+}
+
+static void
+objective_free (gpointer p)
+{
+  KrObjective *o = p;
+  g_free (o->kind);
+  g_free (o->lane);
+  g_free (o);
+}
+
+static void
+peer_free (gpointer p)
+{
+  KrPeerSettings *o = p;
+  g_free (o->name);
+  g_free (o->zone);
+  g_free (o->addr);
+  g_free (o);
+}
+
+void
+kr_settings_free (KrSettings *s)
+{
+  g_free (s->node_name);
+  g_free (s->zone);
+  g_free (s->client_listen);
+  g_free (s->internal_addr);
+  g_free (s->cloud);
+  g_free (s->state);
+  g_clear_pointer (&s->others, g_ptr_array_unref);
+  g_clear_pointer (&s->names, g_ptr_array_unref);
+  g_clear_pointer (&s->teams, g_ptr_array_unref);
+  g_clear_pointer (&s->objectives, g_ptr_array_unref);
+  g_free (s);
+}
+
+/* A walk through the tree that remembers the first fault. */
+typedef struct {
+  const char *where;
+  GError *fault;
+} Reader;
+
+static void
+fault (Reader *r, const char *field, const char *what)
+{
+  if (!r->fault)
+    g_set_error (&r->fault, KR_SETTINGS_ERROR, 0, "%s%s%s: %s", r->where, *r->where ? "." : "",
+                 field, what);
+}
+
+static char *
+text (Reader *r, json_t *o, const char *field)
+{
+  json_t *v = json_object_get (o, field);
+  if (!json_is_string (v) || !*json_string_value (v)) {
+    fault (r, field, v ? "must be a non-empty string" : "is missing");
+    return NULL;
+  }
+  return g_strdup (json_string_value (v));
+}
+
+static char *
+address (Reader *r, json_t *o, const char *field)
+{
+  char *s = text (r, o, field);
+  const char *colon = s ? strrchr (s, ':') : NULL;
+  if (!s)
+    return NULL;
+  guint64 port = 0;
+  g_autofree char *host = colon ? g_strndup (s, colon - s) : NULL;
+  if (!colon || !g_hostname_is_ip_address (host) ||
+      !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &port, NULL))
+    fault (r, field, "must be an IP address and a port");
+  return s;
+}
+
+static double
+number (Reader *r, json_t *o, const char *field, double least, double most, double fallback)
+{
+  json_t *v = json_object_get (o, field);
+  if (!v && !isnan (fallback))
+    return fallback;
+  if (!json_is_number (v)) {
+    fault (r, field, v ? "must be a number" : "is missing");
+    return 0;
+  }
+  double x = json_number_value (v);
+  if (!(x >= least && x <= most)) {
+    g_autofree char *m = g_strdup_printf ("must be from %g to %g", least, most);
+    fault (r, field, m);
+  }
+  return x;
+}
+
+static json_t *
+table (Reader *r, json_t *o, const char *field)
+{
+  json_t *v = json_object_get (o, field);
+  if (!json_is_object (v))
+    fault (r, field, v ? "must be a table" : "is missing");
+  return v;
+}
+
+static int
+by_name (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+KrSettings *
+kr_settings_from_json (json_t *root, GError **error)
+{
+  g_autoptr (KrSettings) s = g_new0 (KrSettings, 1);
+  Reader r = {"", NULL};
+  json_t *t, *facts;
+  size_t i;
+
+  s->others = g_ptr_array_new_with_free_func (peer_free);
+  s->names = g_ptr_array_new ();
+  s->teams = g_ptr_array_new_with_free_func (team_free);
+  s->objectives = g_ptr_array_new_with_free_func (objective_free);
+
+  s->node_name = text (&r, root, "node_name");
+  s->zone = text (&r, root, "zone");
+  s->client_listen = address (&r, root, "client_listen");
+  s->internal_addr = address (&r, root, "internal_addr");
+  json_t *others = json_object_get (root, "others");
+  if (others && !json_is_array (others))
+    fault (&r, "others", "must be an array of tables");
+  json_array_foreach (others, i, t)
+  {
+    KrPeerSettings *p = g_new0 (KrPeerSettings, 1);
+    g_ptr_array_add (s->others, p);
+    r.where = "others";
+    p->name = text (&r, t, "node_name");
+    p->zone = text (&r, t, "zone");
+    p->addr = address (&r, t, "peer_addr");
+    if (p->name)
+      g_ptr_array_add (s->names, p->name);
+  }
+  r.where = "";
+  json_t *external = table (&r, root, "external");
+  r.where = "external";
+  s->cloud = address (&r, external, "cloud");
+  s->state = address (&r, external, "state");
+  r.where = "";
+  facts = table (&r, root, "facts");
+  r.where = "facts";
+  s->size = (guint)number (&r, facts, "size", 1, 64, NAN);
+  s->clock_error_s = number (&r, facts, "clock_error_ms", 0, 1e6, 0) / 1000;
+  json_t *teams = json_object_get (facts, "teams");
+  if (!json_is_array (teams) || json_array_size (teams) == 0)
+    fault (&r, "teams", "must be a non-empty array of tables");
+  json_array_foreach (teams, i, t)
+  {
+    KrTeam *team = g_new0 (KrTeam, 1);
+    g_ptr_array_add (s->teams, team);
+    r.where = "facts.teams";
+    team->name = text (&r, t, "name");
+    team->cpus = number (&r, t, "cpus", 0, 1e9, 0);
+    team->cpus_max = number (&r, t, "cpus_max", 0, 1e9, 0);
+    team->gpus = number (&r, t, "gpus", 0, 1e9, 0);
+    team->gpus_max = number (&r, t, "gpus_max", 0, 1e9, 0);
+  }
+  json_array_foreach (json_object_get (facts, "objectives"), i, t)
+  {
+    KrObjective *o = g_new0 (KrObjective, 1);
+    g_ptr_array_add (s->objectives, o);
+    r.where = "facts.objectives";
+    o->kind = text (&r, t, "kind");
+    o->lane = g_strdup (json_string_value (json_object_get (t, "class")));
+    o->share = number (&r, t, "share", 0, 1, 0);
+    o->within_s = number (&r, t, "within_s", 0, 1e9, 0);
+  }
+  r.where = "facts";
+  t = table (&r, facts, "workers");
+  r.where = "facts.workers";
+  s->report_s = number (&r, t, "report_s", 0.01, 3600, NAN);
+  s->lease_s = number (&r, t, "lease_s", 0.1, 86400, NAN);
+  s->cancel_s = number (&r, t, "cancel_s", 0.1, 86400, NAN);
+  r.where = "facts";
+  t = table (&r, facts, "state");
+  r.where = "facts.state";
+  s->state_rps = number (&r, t, "rps", 0.1, 1e9, NAN);
+  s->state_write_rps = number (&r, t, "write_rps", 0.1, 1e9, NAN);
+  s->state_value_kb = number (&r, t, "value_kb", 7, 1e6, NAN);
+  s->state_txn_ops = (guint)number (&r, t, "txn_ops", 6, 1e6, NAN);
+  r.where = "facts";
+  t = table (&r, facts, "cloud");
+  r.where = "facts.cloud";
+  s->cloud_rps = number (&r, t, "rps", 0.01, 1e9, NAN);
+  s->cloud_list_lag_s = number (&r, t, "list_lag_s", 0, 86400, NAN);
+  r.where = "facts";
+  t = table (&r, facts, "resources");
+  r.where = "facts.resources";
+  s->core_share = number (&r, t, "core_share", 0.001, 1e6, 1);
+  s->ram_mb = number (&r, t, "ram_mb", 1, 1e9, 256);
+  s->sockets = (guint)number (&r, t, "sockets", 64, 1e9, 1024);
+
+  if (r.fault) {
+    g_propagate_error (error, r.fault);
+    return NULL;
+  }
+  g_ptr_array_add (s->names, s->node_name);
+  g_ptr_array_sort (s->names, by_name);
+  for (guint k = 0; k < s->names->len; k++) {
+    if (k && g_str_equal (s->names->pdata[k - 1], s->names->pdata[k])) {
+      g_set_error (error, KR_SETTINGS_ERROR, 0, "others.node_name: '%s' stands twice",
+                   (char *)s->names->pdata[k]);
+      return NULL;
+    }
+    if (s->names->pdata[k] == s->node_name)
+      s->self = k;
+  }
+  return g_steal_pointer (&s);
+}
+
+KrSettings *
+kr_settings_load (const char *path, GError **error)
+{
+  g_autofree char *message = NULL;
+  json_t *root = kr_toml_load (path, &message);
+  if (!root) {
+    g_set_error (error, KR_SETTINGS_ERROR, 1, "%s", message ? message : "cannot be read");
+    return NULL;
+  }
+  KrSettings *s = kr_settings_from_json (root, error);
+  json_decref (root);
+  return s;
+}
+
+const KrTeam *
+kr_settings_team (const KrSettings *s, const char *name)
+{
+  for (guint i = 0; i < s->teams->len; i++) {
+    const KrTeam *t = s->teams->pdata[i];
+    if (g_str_equal (t->name, name))
+      return t;
+  }
+  return NULL;
+}
+
+guint
+kr_settings_part_of_team (const KrSettings *s, const char *name)
+{
+  for (guint i = 0; i < s->teams->len; i++)
+    if (g_str_equal (((KrTeam *)s->teams->pdata[i])->name, name))
+      return i % s->size;
+  return 0;
+}
+
+double
+kr_settings_goal (const KrSettings *s, const char *lane)
+{
+  for (guint i = 0; i < s->objectives->len; i++) {
+    const KrObjective *o = s->objectives->pdata[i];
+    if (o->lane && o->within_s > 0 && g_str_equal (o->kind, "finished") &&
+        g_str_equal (o->lane, lane))
+      return o->within_s;
+  }
+  return KR_DEFAULT_GOAL_S;
+}
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,35 @@
+/* The state service's client: rate-limited calls, and a follower that keeps a prefix in view. */
+#pragma once
+#include "http.h"
+#include "settings.h"
+#include "wire.h"
+
+typedef struct KrState KrState;
+
+KrState *kr_state_new (const KrSettings *settings);
+void kr_state_free (KrState *self);
+
+/* status 429: refused by our own limit or the service's, not executed; 0: unknown outcome. */
+void kr_state_get (KrState *self, const char *key, guint timeout_ms, GCancellable *cancel,
+                   KrReply reply, gpointer data);
+/* Takes over `txn`. `first`: ahead of waiting calls. */
+void kr_state_commit (KrState *self, KrTxn *txn, gboolean first, guint timeout_ms,
+                      GCancellable *cancel, KrReply reply, gpointer data);
+void kr_state_lease (KrState *self, guint64 lease, guint life_ms, GCancellable *cancel,
+                     KrReply reply, gpointer data); /* lease 0: a new one */
+/* Seconds that a further write would wait now. */
+double kr_state_write_wait (KrState *self);
+/* Time since the service last answered anything but 503, in seconds. */
+double kr_state_silence (KrState *self);
+
+/* Reads a prefix whole, then follows its changes. After a gap it reads the prefix anew. */
+typedef struct KrFollow KrFollow;
+/* items: JSON array for kr_wire_item_parse; revision: all changes up to it are in there. */
+typedef void (*KrFollowScan) (json_t *items, guint64 revision, gpointer data);
+typedef void (*KrFollowEvent) (const KrItem *item, gpointer data);
+KrFollow *kr_follow_new (KrState *state, const char *prefix, GCancellable *cancel,
+                         KrFollowScan on_scan, KrFollowEvent on_event, gpointer data);
+/* Drops what is under way and reads anew: the next on_scan began after this call. */
+void kr_follow_rescan (KrFollow *self);
+/* Stops until the next rescan. */
+void kr_follow_stop (KrFollow *self);
--- /dev/null
+++ b/src/wire.c
@@ -0,0 +1,635 @@
+#include "wire.h"
+#include <math.h>
+#include <string.h>
+
+/* --- reading fields ------------------------------------------------------------------------ */
+static const char *
+str (json_t *o, const char *field)
+{
+  return json_string_value (json_object_get (o, field));
+}
+
+static gboolean
+is_null (json_t *o, const char *field)
+{
+  json_t *v = json_object_get (o, field);
+  return v == NULL || json_is_null (v);
+}
+
+static guint64
+uint_of (json_t *o, const char *field)
+{
+  json_t *v = json_object_get (o, field);
+  return json_is_integer (v) && json_integer_value (v) >= 0 ? (guint64)json_integer_value (v) : 0;
+}
+
+static double
+num (json_t *o, const char *field)
+{
+  return json_number_value (json_object_get (o, field));
+}
+
+static gboolean
+truth (json_t *o, const char *field)
+{
+  return json_is_true (json_object_get (o, field));
+}
+
+/* --- users --------------------------------------------------------------------------------- */
+#define JOB_PREFIX "wk-"
+static const char *const rank_words[] = {"idle", "normal", "urgent", "critical"};
+static const char *const job_words[] = {"pending", "running", "done", "cancelled"};
+
+void
+kr_spec_free (KrSpec *s)
+{
+  g_free (s->id);
+  g_free (s->lane);
+  g_free (s->team);
+  g_free (s->image);
+  g_free (s->zone);
+  g_strfreev (s->types);
+  g_free (s);
+}
+
+gboolean
+kr_wire_is_job_id (const char *id)
+{
+  gsize n = id ? strlen (id) : 0;
+  if (n <= strlen (JOB_PREFIX) || n > 64 || !g_str_has_prefix (id, JOB_PREFIX))
+    return FALSE;
+  for (const char *p = id + strlen (JOB_PREFIX); *p; p++)
+    if (!g_ascii_isdigit (*p))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+bad (GError **error, const char *field)
+{
+  if (error && !*error)
+    g_set_error (error, KR_SETTINGS_ERROR, 2, "%s is missing or invalid", field);
+  return FALSE;
+}
+
+static gboolean
+plain (const char *s)
+{
+  gsize n = s ? strlen (s) : 0;
+  return n > 0 && n <= 128 && g_utf8_validate (s, n, NULL);
+}
+
+static char *
+need_str (json_t *o, const char *field, GError **error)
+{
+  const char *s = str (o, field);
+  if (!plain (s)) {
+    bad (error, field);
+    return NULL;
+  }
+  return g_strdup (s);
+}
+
+static char *
+maybe_str (json_t *o, const char *field, GError **error)
+{
+  return is_null (o, field) ? NULL : need_str (o, field, error);
+}
+
+static double
+need_num (json_t *o, const char *field, double least, double most, GError **error)
+{
+  json_t *v = json_object_get (o, field);
+  double x = json_number_value (v);
+  if (!json_is_number (v) || !(x >= least && x <= most))
+    bad (error, field);
+  return x;
+}
+
+static gboolean
+need_bool (json_t *o, const char *field, GError **error)
+{
+  json_t *v = json_object_get (o, field);
+  if (!json_is_boolean (v))
+    bad (error, field);
+  return json_is_true (v);
+}
+
+KrSpec *
+kr_wire_spec_parse (json_t *o, GError **error)
+{
+  g_autoptr (KrSpec) s = g_new0 (KrSpec, 1);
+  GError *fault = NULL;
+  const char *word;
+
+  if (!json_is_object (o)) {
+    bad (error, "the body");
+    return NULL;
+  }
+  s->id = need_str (o, "Id", &fault);
+  if (s->id && !kr_wire_is_job_id (s->id))
+    bad (&fault, "Id");
+  s->lane = need_str (o, "Lane", &fault);
+  s->team = need_str (o, "Crew", &fault);
+  word = str (o, "Form");
+  if (!word || !g_str_equal (word, "array"))
+    bad (&fault, "Form");
+  word = str (o, "Rank");
+  s->rank = G_N_ELEMENTS (rank_words);
+  for (guint i = 0; word && i < G_N_ELEMENTS (rank_words); i++)
+    if (g_str_equal (word, rank_words[i]))
+      s->rank = i;
+  if (s->rank == G_N_ELEMENTS (rank_words))
+    bad (&fault, "Rank");
+  if (!json_is_integer (json_object_get (o, "Shifts")))
+    bad (&fault, "Shifts");
+  s->tasks = (guint)need_num (o, "Shifts", 1, 100000, &fault);
+  s->cpus = need_num (o, "Cores", 0, 1e6, &fault);
+  s->gpus = is_null (o, "Accelerators") ? 0 : need_num (o, "Accelerators", 0, 1e6, &fault);
+  s->mem_gb = need_num (o, "MemGb", 0, 1e7, &fault);
+  s->image = maybe_str (o, "Cargo", &fault);
+  s->image_gb = is_null (o, "PullGb") ? 0 : need_num (o, "PullGb", 0, 1e6, &fault);
+  if (!is_null (o, "Hulls")) {
+    json_t *a = json_object_get (o, "Hulls"), *v;
+    size_t i, n = json_array_size (a);
+    if (!json_is_array (a) || n == 0 || n > 64)
+      bad (&fault, "Hulls");
+    else {
+      s->types = g_new0 (char *, n + 1);
+      json_array_foreach (a, i, v)
+      {
+        if (!plain (json_string_value (v))) {
+          bad (&fault, "Hulls");
+          break;
+        }
+        s->types[i] = g_strdup (json_string_value (v));
+      }
+    }
+  }
+  s->zone = maybe_str (o, "Harbor", &fault);
+  s->one_zone = need_bool (o, "OneZone", &fault);
+  s->apart = need_bool (o, "Apart", &fault);
+  s->spot = need_bool (o, "Driftwood", &fault);
+  s->estimate_s = need_num (o, "SailS", 0, 1e9, &fault);
+  s->checkpoint_s = is_null (o, "MooringS") ? 0 : need_num (o, "MooringS", 0, 1e9, &fault);
+  s->save_s = is_null (o, "StowS") ? 0 : need_num (o, "StowS", 0, 1e9, &fault);
+  s->deadline_s = is_null (o, "TideS") ? NAN : need_num (o, "TideS", 0, 1e9, &fault);
+  if (fault) {
+    g_propagate_error (error, fault);
+    return NULL;
+  }
+  return g_steal_pointer (&s);
+}
+
+static json_t *
+string_or_null (const char *s)
+{
+  return s ? json_string (s) : json_null ();
+}
+
+json_t *
+kr_wire_spec_build (const KrSpec *s)
+{
+  json_t *types = json_null ();
+  if (s->types) {
+    types = json_array ();
+    for (char **t = s->types; *t; t++)
+      json_array_append_new (types, json_string (*t));
+  }
+  return json_pack ("{ss ss ss ss ss sI sf sf sf so sf so so sb sb sb sf sf sf so}", "Id", s->id,
+                    "Lane", s->lane, "Crew", s->team, "Form", "array", "Rank", rank_words[s->rank],
+                    "Shifts", (json_int_t)s->tasks, "Cores", s->cpus, "Accelerators", s->gpus,
+                    "MemGb", s->mem_gb, "Cargo", string_or_null (s->image), "PullGb", s->image_gb,
+                    "Hulls", types, "Harbor", string_or_null (s->zone), "OneZone", s->one_zone,
+                    "Apart", s->apart, "Driftwood", s->spot, "SailS", s->estimate_s, "MooringS",
+                    s->checkpoint_s, "StowS", s->save_s, "TideS",
+                    isnan (s->deadline_s) ? json_null () : json_real (s->deadline_s));
+}
+
+const char *
+kr_wire_job_state (KrJobState state)
+{
+  return job_words[state];
+}
+
+json_t *
+kr_wire_job_answer (const char *id, KrJobState state, gboolean counts, guint done, guint running)
+{
+  json_t *o = json_pack ("{ss ss}", "Id", id, "Bearing", job_words[state]);
+  if (counts) {
+    json_object_set_new (o, "done", json_integer (done));
+    json_object_set_new (o, "running", json_integer (running));
+  }
+  return o;
+}
+
+json_t *
+kr_wire_error (const char *text)
+{
+  return json_pack ("{ss}", "error", text);
+}
+
+KrRoute
+kr_wire_route (const char *method, const char *path, char **id)
+{
+  gboolean post = g_str_equal (method, "POST"), get = g_str_equal (method, "GET");
+  *id = NULL;
+  if (g_str_equal (path, "/ready"))
+    return get ? KR_ROUTE_READY : KR_ROUTE_BAD_METHOD;
+  if (g_str_equal (path, "/agent/beat"))
+    return post ? KR_ROUTE_BEAT : KR_ROUTE_BAD_METHOD;
+  if (g_str_equal (path, "/api/jobs"))
+    return post ? KR_ROUTE_SUBMIT : KR_ROUTE_BAD_METHOD;
+  if (!g_str_has_prefix (path, "/api/jobs/"))
+    return KR_ROUTE_NONE;
+  const char *rest = path + strlen ("/api/jobs/");
+  const char *slash = strchr (rest, '/');
+  if (slash && !g_str_equal (slash, "/abort"))
+    return KR_ROUTE_NONE;
+  if (slash ? !post : !get)
+    return KR_ROUTE_BAD_METHOD;
+  *id = slash ? g_strndup (rest, slash - rest) : g_strdup (rest);
+  return slash ? KR_ROUTE_ABORT : KR_ROUTE_POLL;
+}
+
+/* --- workers ------------------------------------------------------------------------------- */
+void
+kr_report_free (KrReport *r)
+{
+  g_free (r->machine);
+  g_free (r->endpoint);
+  g_free (r->type);
+  g_free (r->zone);
+  for (guint i = 0; r->tasks && i < r->tasks->len; i++)
+    g_free (g_array_index (r->tasks, KrTaskReport, i).job);
+  g_clear_pointer (&r->tasks, g_array_unref);
+  g_free (r);
+}
+
+static KrTaskState
+task_state (const char *s)
+{
+  if (g_strcmp0 (s, "pulling") == 0)
+    return KR_TASK_PULLING;
+  if (g_strcmp0 (s, "saving") == 0)
+    return KR_TASK_SAVING;
+  if (g_strcmp0 (s, "exited") == 0)
+    return KR_TASK_EXITED;
+  return KR_TASK_RUNNING;
+}
+
+static KrWhy
+why (const char *s)
+{
+  if (!s)
+    return KR_WHY_NONE;
+  if (g_str_equal (s, "done"))
+    return KR_WHY_DONE;
+  if (g_str_equal (s, "stopped"))
+    return KR_WHY_STOPPED;
+  if (g_str_equal (s, "no_room") || g_str_equal (s, "in_use"))
+    return KR_WHY_REFUSED;
+  if (g_str_equal (s, "unknown"))
+    return KR_WHY_UNKNOWN;
+  return KR_WHY_ERROR;
+}
+
+KrReport *
+kr_wire_report_parse (json_t *o)
+{
+  g_autoptr (KrReport) r = g_new0 (KrReport, 1);
+  json_t *tasks = json_object_get (o, "Shifts"), *t;
+  size_t i;
+
+  r->tasks = g_array_new (FALSE, TRUE, sizeof (KrTaskReport));
+  if (!str (o, "Berth") || !str (o, "Endpoint") || !str (o, "Hull") || !str (o, "Harbor") ||
+      uint_of (o, "Watch") == 0)
+    return NULL;
+  r->machine = g_strdup (str (o, "Berth"));
+  r->endpoint = g_strdup (str (o, "Endpoint"));
+  r->type = g_strdup (str (o, "Hull"));
+  r->zone = g_strdup (str (o, "Harbor"));
+  r->spot = truth (o, "Driftwood");
+  r->session = uint_of (o, "Watch");
+  r->seq = uint_of (o, "Log");
+  r->token = uint_of (o, "Helm");
+  r->notice_s = is_null (o, "RecallS") ? NAN : num (o, "RecallS");
+  json_array_foreach (tasks, i, t)
+  {
+    const char *name = str (t, "Shift");
+    const char *slash = name ? strrchr (name, '/') : NULL;
+    guint64 index;
+    if (!slash || !g_ascii_string_to_unsigned (slash + 1, 10, 0, G_MAXUINT, &index, NULL))
+      return NULL;
+    KrTaskReport k = {g_strndup (name, slash - name), (guint)index, uint_of (t, "Launch"),
+                      task_state (str (t, "Bearing")), why (str (t, "Wreck"))};
+    g_array_append_val (r->tasks, k);
+  }
+  return g_steal_pointer (&r);
+}
+
+json_t *
+kr_wire_orders_new (guint64 token)
+{
+  return json_pack ("{sI s[]}", "Helm", (json_int_t)token, "Orders");
+}
+
+json_t *
+kr_wire_commands_new (guint64 token, guint64 session)
+{
+  json_t *o = kr_wire_orders_new (token);
+  json_object_set_new (o, "Watch", json_integer ((json_int_t)session));
+  return o;
+}
+
+static json_t *
+order (json_t *orders, const char *word, const char *job, guint index, guint64 attempt)
+{
+  g_autofree char *shift = g_strdup_printf ("%s/%u", job, index);
+  json_t *o =
+      json_pack ("{ss ss sI}", "Order", word, "Shift", shift, "Launch", (json_int_t)attempt);
+  json_array_append_new (json_object_get (orders, "Orders"), o);
+  return o;
+}
+
+void
+kr_wire_order_run (json_t *orders, const char *job, guint index, guint64 attempt)
+{
+  order (orders, "run", job, index, attempt);
+}
+
+void
+kr_wire_order_kill (json_t *orders, const char *job, guint index, guint64 attempt, double slack_s)
+{
+  json_object_set_new (order (orders, "kill", job, index, attempt), "SlackS", json_real (slack_s));
+}
+
+void
+kr_wire_order_clear (json_t *orders, const char *job, guint index, guint64 attempt)
+{
+  order (orders, "clear", job, index, attempt);
+}
+
+guint
+kr_wire_orders_count (json_t *orders)
+{
+  return (guint)json_array_size (json_object_get (orders, "Orders"));
+}
+
+json_t *
+kr_wire_redirect (const char *node)
+{
+  return node ? json_pack ("{ss}", "Harbormaster", node) : json_object ();
+}
+
+/* --- cloud --------------------------------------------------------------------------------- */
+void
+kr_type_free (gpointer p)
+{
+  KrType *t = p;
+  g_free (t->name);
+  g_strfreev (t->zones);
+  g_free (t);
+}
+
+GPtrArray *
+kr_wire_types_parse (json_t *body)
+{
+  json_t *a = json_object_get (body, "Hulls"), *o, *z;
+  size_t i, k;
+  if (!json_is_array (a))
+    return NULL;
+  g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func (kr_type_free);
+  json_array_foreach (a, i, o)
+  {
+    json_t *zones = json_object_get (o, "Harbors");
+    if (!str (o, "Name") || !json_is_array (zones))
+      return NULL;
+    KrType *t = g_new0 (KrType, 1);
+    g_ptr_array_add (out, t);
+    t->name = g_strdup (str (o, "Name"));
+    t->cpus = num (o, "Cores");
+    t->gpus = num (o, "Accelerators");
+    t->mem_gb = num (o, "MemGb");
+    t->cache_gb = num (o, "CacheGb");
+    t->pull_gb_s = num (o, "PullGbPerS");
+    t->price = num (o, "Rate");
+    t->spot_price = num (o, "MarketPrice");
+    t->boot_s = num (o, "ReadyS");
+    t->zones = g_new0 (char *, json_array_size (zones) + 1);
+    json_array_foreach (zones, k, z) t->zones[k] = g_strdup (json_string_value (z));
+  }
+  return g_steal_pointer (&out);
+}
+
+void
+kr_machine_free (gpointer p)
+{
+  KrMachine *m = p;
+  g_free (m->id);
+  g_free (m->endpoint);
+  g_free (m->type);
+  g_free (m->zone);
+  g_free (m);
+}
+
+json_t *
+kr_wire_rental (const char *request, const char *type, const char *zone, gboolean spot, guint count)
+{
+  return json_pack ("{ss ss ss sb sI}", "Charter", request, "Hull", type, "Harbor", zone,
+                    "Driftwood", spot, "Number", (json_int_t)count);
+}
+
+char **
+kr_wire_rental_machines (json_t *body)
+{
+  json_t *a = json_object_get (body, "Berths"), *v;
+  size_t i;
+  if (!json_is_array (a))
+    return NULL;
+  char **ids = g_new0 (char *, json_array_size (a) + 1);
+  json_array_foreach (a, i, v) ids[i] = g_strdup (json_is_string (v) ? json_string_value (v) : "");
+  return ids;
+}
+
+json_t *
+kr_wire_deletion (char **ids)
+{
+  json_t *a = json_array ();
+  for (; *ids; ids++)
+    json_array_append_new (a, json_string (*ids));
+  return json_pack ("{so}", "Berths", a);
+}
+
+char *
+kr_wire_list_path (const char *after, guint limit)
+{
+  return g_strdup_printf ("/rentals?%s%s%sPage=%u", after ? "From=" : "", after ? after : "",
+                          after ? "&" : "", limit);
+}
+
+gboolean
+kr_wire_list_parse (json_t *body, GPtrArray *out, gboolean *more)
+{
+  json_t *a = json_object_get (body, "Berths"), *o;
+  size_t i;
+  if (!json_is_array (a))
+    return FALSE;
+  json_array_foreach (a, i, o)
+  {
+    if (!str (o, "Id") || !str (o, "Hull") || !str (o, "Harbor"))
+      return FALSE;
+    const char *s = str (o, "Bearing");
+    KrMachine *m = g_new0 (KrMachine, 1);
+    g_ptr_array_add (out, m);
+    m->id = g_strdup (str (o, "Id"));
+    m->endpoint = g_strdup (str (o, "Endpoint"));
+    m->type = g_strdup (str (o, "Hull"));
+    m->zone = g_strdup (str (o, "Harbor"));
+    m->spot = truth (o, "Driftwood");
+    m->state = g_strcmp0 (s, "starting") == 0 ? KR_MACHINE_STARTING
+               : g_strcmp0 (s, "failed") == 0 ? KR_MACHINE_FAILED
+                                              : KR_MACHINE_RUNNING;
+    m->held_s = num (o, "HeldS");
+  }
+  *more = truth (body, "More");
+  return TRUE;
+}
+
+/* --- state service ------------------------------------------------------------------------- */
+KrTxn *
+kr_txn_new (void)
+{
+  KrTxn *t = g_new0 (KrTxn, 1);
+  t->when = json_array ();
+  t->writes = json_array ();
+  return t;
+}
+
+void
+kr_txn_free (KrTxn *t)
+{
+  json_decref (t->when);
+  json_decref (t->writes);
+  g_free (t);
+}
+
+void
+kr_txn_when (KrTxn *t, const char *key, guint64 mark)
+{
+  json_array_append_new (t->when, json_pack ("{ss sI}", "Key", key, "Mark", (json_int_t)mark));
+}
+
+void
+kr_txn_put (KrTxn *t, const char *key, json_t *value, guint64 lease)
+{
+  json_t *o = json_pack ("{ss so}", "Put", key, "Value", value);
+  if (lease)
+    json_object_set_new (o, "Permit", json_integer ((json_int_t)lease));
+  json_array_append_new (t->writes, o);
+}
+
+void
+kr_txn_remove (KrTxn *t, const char *key)
+{
+  json_array_append_new (t->writes, json_pack ("{ss}", "Remove", key));
+}
+
+guint
+kr_txn_ops (KrTxn *t)
+{
+  return (guint)json_array_size (t->writes);
+}
+
+json_t *
+kr_txn_body (KrTxn *t)
+{
+  return json_pack ("{sO sO}", "When", t->when, "Writes", t->writes);
+}
+
+char *
+kr_wire_key_path (const char *key)
+{
+  return g_strconcat ("/store/", key, NULL);
+}
+
+char *
+kr_wire_scan_path (const char *prefix, const char *after, guint limit)
+{
+  return g_strdup_printf ("/store?Prefix=%s%s%s&Page=%u", prefix, after ? "&From=" : "",
+                          after ? after : "", limit);
+}
+
+char *
+kr_wire_follow_path (const char *prefix, guint64 after, guint hold_ms)
+{
+  return g_strdup_printf ("/follow?Prefix=%s&From=%" G_GUINT64_FORMAT "&HoldMs=%u", prefix, after,
+                          hold_ms);
+}
+
+json_t *
+kr_wire_lease_body (guint life_ms)
+{
+  return json_pack ("{sI}", "LifeMs", (json_int_t)life_ms);
+}
+
+char *
+kr_wire_lease_extend_path (guint64 lease)
+{
+  return g_strdup_printf ("/leases/%" G_GUINT64_FORMAT "/extend", lease);
+}
+
+guint64
+kr_wire_lease_parse (json_t *body)
+{
+  return uint_of (body, "Permit");
+}
+
+guint64
+kr_wire_revision (json_t *body)
+{
+  return uint_of (body, "Ledger");
+}
+
+gboolean
+kr_wire_item_parse (json_t *o, KrItem *item)
+{
+  item->key = str (o, "Key");
+  item->value = json_object_get (o, "Value");
+  item->mark = uint_of (o, "Mark");
+  return item->key != NULL;
+}
+
+json_t *
+kr_wire_items (json_t *body, gboolean *more)
+{
+  *more = truth (body, "More");
+  return json_object_get (body, "Items");
+}
+
+json_t *
+kr_wire_events (json_t *body)
+{
+  return json_object_get (body, "Events");
+}
+
+gboolean
+kr_wire_event_parse (json_t *o, KrItem *item)
+{
+  item->key = str (o, "Put");
+  item->value = item->key ? json_object_get (o, "Value") : NULL;
+  if (!item->key)
+    item->key = str (o, "Remove");
+  item->mark = uint_of (o, "Mark");
+  return item->key != NULL;
+}
+
+gboolean
+kr_wire_failed_has (json_t *body, const char *key)
+{
+  json_t *v;
+  size_t i;
+  json_array_foreach (json_object_get (body, "failed"), i,
+                      v) if (g_strcmp0 (json_string_value (v), key) == 0) return TRUE;
+  return FALSE;
+}
