--- a/src/agent.c
+++ b/src/agent.c
@@ -6,7 +6,7 @@
 gint64
 kr_seconds (double s)
 {
-  return (gint64)(s * G_USEC_PER_SEC);
+  return (gint64) (s * G_USEC_PER_SEC);
 }
 
 void
@@ -123,6 +123,8 @@
       continue;
     /* Not there. In doubt, only a later beat proves it: an answer of /commands or /show may have
      * been written before the worker took the response with the run. */
+    if (l->planned)
+      continue;
     if (l->state == KR_TASK_DOUBT && !(beat && r->seq > l->doubt_seq))
       continue;
     l = g_ptr_array_steal_index (b->launches, i);
@@ -164,6 +166,6 @@
 {
   guint n = 0;
   for (guint i = 0; i < b->launches->len; i++)
-    n += ((KrLaunch *)b->launches->pdata[i])->state != KR_TASK_EXITED;
+    n += ((KrLaunch *) b->launches->pdata[i])->state != KR_TASK_EXITED;
   return n;
 }
--- a/src/agent.h
+++ b/src/agent.h
@@ -16,6 +16,7 @@
   gint64 since;      /* monotonic us: when it was seen running first; 0: not yet */
   gboolean adopted;  /* found on the machine: its start time is unknown */
   KrKill kill;
+  gboolean planned; /* place held, `run` goes out with the machine's next report */
   gboolean counted; /* part: it counts as active of its job */
 } KrLaunch;
 
--- a/src/api.c
+++ b/src/api.c
@@ -61,7 +61,7 @@
     g_hash_table_remove (a->finals, oldest);
   }
   Final *f = g_new (Final, 1);
-  *f = (Final){state, done};
+  *f = (Final){ state, done };
   g_hash_table_insert (a->finals, g_strdup (id), f);
   g_queue_push_tail (&a->order, g_strdup (id));
 }
@@ -74,7 +74,7 @@
   v->request = request;
   v->route = route;
   v->id = g_strdup (id);
-  v->deadline = g_get_monotonic_time () + (gint64)ms * 1000;
+  v->deadline = g_get_monotonic_time () + (gint64) ms * 1000;
   a->pending++;
   return v;
 }
@@ -100,11 +100,10 @@
 left_ms (Visit *v, guint most)
 {
   gint64 ms = (v->deadline - g_get_monotonic_time ()) / 1000;
-  return (guint)CLAMP (ms, 1, most);
+  return (guint) CLAMP (ms, 1, most);
 }
 
-/* --- looking a job up: live first, then ended; it only ever moves that way ----------------------
- */
+/* --- looking a job up: live first, then ended; it only ever moves that way ----------- */
 static void look (Visit *v, Found found);
 
 static void
@@ -226,7 +225,6 @@
 never (KrApi *a, const KrSpec *s)
 {
   const KrTeam *team = kr_settings_team (a->node->settings, s->team);
-  KrRoom nothing = {0, 0, 0};
   gboolean fits = FALSE;
   if (!team)
     return "unknown team";
@@ -234,8 +232,8 @@
     fits |= kr_place_fits_type (s, a->node->types->pdata[i]);
   if (!fits)
     return "a task fits no allowed machine type";
-  if (!kr_place_team_ok (team, &nothing, s))
-    return "a task needs more than the team's limit";
+  if (!kr_place_job_ok (team, s))
+    return "the job needs more than the team's limit";
   return NULL;
 }
 
@@ -260,7 +258,7 @@
     return;
   else if (kr_state_write_wait (state) > KR_USER_WRITE_MS / 2000.0)
     kr_request_reply (request, 429, kr_wire_error ("too many writes"),
-                      (guint)kr_state_write_wait (state));
+                      (guint) kr_state_write_wait (state));
   else {
     Visit *v = visit_new (a, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_MS);
     g_autofree char *key = kr_job_key (spec->id), *end = kr_job_end_key (spec->id);
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -63,7 +63,7 @@
        GCancellable *cancel, KrReply reply, gpointer data)
 {
   Op *op = g_new (Op, 1);
-  *op = (Op){c, method, path, body, cancel ? g_object_ref (cancel) : NULL, reply, data};
+  *op = (Op){ c, method, path, body, cancel ? g_object_ref (cancel) : NULL, reply, data };
   kr_bucket_take (c->requests, 1, first, op_send, op);
 }
 
@@ -87,7 +87,7 @@
   start (c, "POST", g_strdup (KR_PATH_DELETE), kr_wire_deletion (ids), TRUE, cancel, reply, data);
 }
 
-/* --- the list, page by page ------------------------------------------------------------------ */
+/* --- the list, page by page ---------------------------------------------------------- */
 typedef struct {
   KrCloud *cloud;
   GPtrArray *machines;
@@ -118,7 +118,7 @@
 next_page (Listing *l)
 {
   const char *after =
-      l->machines->len ? ((KrMachine *)l->machines->pdata[l->machines->len - 1])->id : NULL;
+      l->machines->len ? ((KrMachine *) l->machines->pdata[l->machines->len - 1])->id : NULL;
   start (l->cloud, "GET", kr_wire_list_path (after, 500), NULL, FALSE, l->cancel, page_done, l);
 }
 
@@ -126,7 +126,7 @@
 kr_cloud_list (KrCloud *c, GCancellable *cancel, KrCloudListed listed, gpointer data)
 {
   Listing *l = g_new (Listing, 1);
-  *l = (Listing){c, g_ptr_array_new_with_free_func (kr_machine_free),
-                 cancel ? g_object_ref (cancel) : NULL, listed, data};
+  *l = (Listing){ c, g_ptr_array_new_with_free_func (kr_machine_free),
+                  cancel ? g_object_ref (cancel) : NULL, listed, data };
   next_page (l);
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -2,7 +2,7 @@
  * rates, leases) is told by the settings file and never stands here. */
 #pragma once
 
-/* --- HTTP ------------------------------------------------------------------------------- */
+/* --- HTTP ---------------------------------------------------------------------------- */
 #define KR_BODY_MAX 65536          /* bytes; largest request body by the protocol */
 #define KR_CLIENT_IDLE_S 40        /* s; a user's or worker's silent connection is closed then */
 #define KR_CLIENT_SOCKET_SHARE 0.6 /* of `sockets`: for users and workers; the rest is ours */
@@ -22,7 +22,7 @@
 #define KR_WORKER_IDLE_S 15        /* s; direct connections to workers are rare */
 #define KR_QUEUE_MAX 128           /* calls waiting for a rate limit; beyond: refused at once */
 
-/* --- State service ---------------------------------------------------------------------- */
+/* --- State service ------------------------------------------------------------------- */
 #define KR_FOLLOW_HOLD_MS 10000 /* ms; long enough to be cheap, short enough to see a cut */
 #define KR_FOLLOW_SLACK_MS 4000 /* ms beyond the hold before a watch counts as lost */
 #define KR_FOLLOW_PAUSE_MS 100  /* ms between watches: changes of one moment come together */
@@ -36,7 +36,7 @@
 #define KR_FLUSH_MS 5000        /* ms; progress is written this often (design: ours) */
 #define KR_FINAL_CACHE 4096     /* jobs whose final answer a node remembers */
 
-/* --- Ownership -------------------------------------------------------------------------- */
+/* --- Ownership ----------------------------------------------------------------------- */
 #define KR_FOREIGN_WAIT_MS 1500  /* ms a part must be free before a node not its home takes it */
 #define KR_FOREIGN_STEP_MS 800   /* ms more for each part already held: the idlest goes first */
 #define KR_HOME_HEALTHY_MS 8000  /* ms the home node must be present before it gets parts back */
@@ -49,7 +49,7 @@
 #define KR_LOST_DELETE_S 25.0    /* s of silence beyond the lease before a machine is returned */
 #define KR_LAUNCH_BITS 20        /* bits of an attempt number below the token */
 
-/* --- Scheduling ------------------------------------------------------------------------- */
+/* --- Scheduling ---------------------------------------------------------------------- */
 #define KR_TICK_MS 1000            /* ms; the part's periodic duties */
 #define KR_TIME_TO_GOAL_MIN_S 1.0  /* s; floor of goal minus now: slots needed stay finite */
 #define KR_DEFAULT_GOAL_S 600.0    /* s; goal of a job with neither deadline nor objective */
@@ -62,7 +62,7 @@
 #define KR_DEFAULT_SLACK_S 1.0     /* s over StowS granted to a task that saves */
 #define KR_CANCEL_DELETE_SHARE 0.6 /* of cancel_s: then an unreachable machine is deleted */
 
-/* --- Renting ---------------------------------------------------------------------------- */
+/* --- Renting ------------------------------------------------------------------------- */
 #define KR_TYPES_MS 30000       /* ms between reads of machine types (spot prices move) */
 #define KR_LIST_MS 5000         /* ms between reads of the machine list */
 #define KR_SYNC_MS 2000         /* ms between the leader's rounds with the parts */
--- a/src/estimate.h
+++ b/src/estimate.h
@@ -11,6 +11,7 @@
   const double *elapsed; /* s, one a running task; may be NULL (all zero) */
   double now, goal;      /* s on one clock */
   double submitted;      /* s on that clock */
+  gboolean held;         /* a service: held at size before ranking */
   double guess_s;        /* the owner's estimate, used only where no task has completed */
 } KrEstimateInput;
 
--- a/src/http.c
+++ b/src/http.c
@@ -4,7 +4,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-/* --- cancellables -------------------------------------------------------------------------- */
+/* --- cancellables -------------------------------------------------------------------- */
 static void
 cancel_child (GCancellable *parent, gpointer child)
 {
@@ -20,7 +20,7 @@
   return child;
 }
 
-/* --- bucket -------------------------------------------------------------------------------- */
+/* --- bucket -------------------------------------------------------------------------- */
 typedef struct {
   double cost;
   KrBucketGo go;
@@ -77,7 +77,7 @@
     return;
   /* A call dearer than the burst waits for a full bucket and leaves a debt. */
   double missing = MIN (w->cost, b->burst) - b->tokens;
-  b->timer = g_timeout_add (MAX (1, (guint)(missing / b->rate * 1000) + 1), serve, b);
+  b->timer = g_timeout_add (MAX (1, (guint) (missing / b->rate * 1000) + 1), serve, b);
 }
 
 static gboolean
@@ -111,7 +111,7 @@
     return;
   }
   Waiter *w = g_new (Waiter, 1);
-  *w = (Waiter){cost, go, data};
+  *w = (Waiter){ cost, go, data };
   if (first)
     g_queue_push_head (&b->queue, w);
   else
@@ -120,7 +120,7 @@
   arm (b);
 }
 
-/* --- calls --------------------------------------------------------------------------------- */
+/* --- calls --------------------------------------------------------------------------- */
 struct KrClient {
   SoupSession *session;
 };
@@ -222,7 +222,7 @@
                                     call_done, call);
 }
 
-/* --- server -------------------------------------------------------------------------------- */
+/* --- server -------------------------------------------------------------------------- */
 struct KrServer {
   SoupServer *soup;
   GSocketListener *listener;
@@ -245,7 +245,7 @@
 static void
 request_finished (SoupServerMessage *message, gpointer data)
 {
-  ((KrRequest *)data)->gone = TRUE;
+  ((KrRequest *) data)->gone = TRUE;
 }
 
 static void
--- a/src/http.h
+++ b/src/http.h
@@ -8,7 +8,7 @@
 /* A cancellable that is cancelled together with its parent. */
 GCancellable *kr_cancellable_child (GCancellable *parent);
 
-/* --- rate limit with a small queue ------------------------------------------------------- */
+/* --- rate limit with a small queue --------------------------------------------------- */
 typedef struct KrBucket KrBucket;
 typedef void (*KrBucketGo) (gboolean granted, gpointer data);
 /* `rate` a second, bursts worth `burst_s` seconds. */
@@ -19,7 +19,7 @@
 void kr_bucket_take (KrBucket *self, double cost, gboolean first, KrBucketGo go, gpointer data);
 guint kr_bucket_waiting (KrBucket *self);
 
-/* --- calls --------------------------------------------------------------------------------- */
+/* --- calls --------------------------------------------------------------------------- */
 typedef struct KrClient KrClient;
 /* status 0: no response, the outcome is unknown. `body` is borrowed, NULL if not JSON. */
 typedef void (*KrReply) (guint status, json_t *body, gpointer data);
@@ -31,7 +31,7 @@
                      json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply,
                      gpointer data);
 
-/* --- server -------------------------------------------------------------------------------- */
+/* --- server -------------------------------------------------------------------------- */
 typedef struct KrServer KrServer;
 typedef struct KrRequest KrRequest;
 typedef void (*KrHandler) (KrRequest *request, gpointer data);
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -62,8 +62,8 @@
 static gsize
 chunk_range (const KrJob *j, guint chunk, gsize *length)
 {
-  gsize from = (gsize)chunk * (KR_CHUNK_BITS / 8), all = kr_job_bytes (j);
-  *length = from < all ? MIN ((gsize)KR_CHUNK_BITS / 8, all - from) : 0;
+  gsize from = (gsize) chunk * (KR_CHUNK_BITS / 8), all = kr_job_bytes (j);
+  *length = from < all ? MIN ((gsize) KR_CHUNK_BITS / 8, all - from) : 0;
   return from;
 }
 
@@ -84,10 +84,10 @@
   g_autofree guchar *bytes = g_base64_decode (json_string_value (text), &got);
   for (gsize i = 0; i < MIN (n, got); i++)
     for (guint b = 0; b < 8; b++) {
-      guint task = (guint)((from + i) * 8 + b);
+      guint task = (guint) ((from + i) * 8 + b);
       if ((bytes[i] >> b & 1) && task < j->spec->tasks) {
         kr_job_set_done (j, task);
-        j->durable[from + i] |= (guint8)(1u << b);
+        j->durable[from + i] |= (guint8) (1u << b);
       }
     }
 }
@@ -99,8 +99,8 @@
   for (guint t = 0; t < j->spec->tasks; t++)
     n += done[t / 8] >> (t % 8) & 1;
   return json_pack ("{so sf sI sb sf sI sI sI so}", "Spec", kr_wire_spec_build (j->spec), "At",
-                    j->at, "Part", (json_int_t)j->part, "Cancelled", j->cancelled, "Sum", j->sum,
-                    "Count", (json_int_t)j->count, "N", (json_int_t)n, "R", (json_int_t)running,
+                    j->at, "Part", (json_int_t) j->part, "Cancelled", j->cancelled, "Sum", j->sum,
+                    "Count", (json_int_t) j->count, "N", (json_int_t) n, "R", (json_int_t) running,
                     "Done", kr_job_chunk_encode (j, done, 0));
 }
 
@@ -111,11 +111,11 @@
   if (!spec)
     return NULL;
   KrJob *j = kr_job_new (spec, json_number_value (json_object_get (value, "At")),
-                         (guint)json_integer_value (json_object_get (value, "Part")));
+                         (guint) json_integer_value (json_object_get (value, "Part")));
   j->mark = mark;
   j->cancelled = json_is_true (json_object_get (value, "Cancelled"));
   j->sum = json_number_value (json_object_get (value, "Sum"));
-  j->count = (guint)json_integer_value (json_object_get (value, "Count"));
+  j->count = (guint) json_integer_value (json_object_get (value, "Count"));
   kr_job_chunk_merge (j, 0, json_object_get (value, "Done"));
   j->chunks_missing = kr_job_chunks (j) - 1;
   return j;
@@ -124,14 +124,14 @@
 json_t *
 kr_job_end_value (KrJobState state, guint done)
 {
-  return json_pack ("{ss sI}", "End", kr_wire_job_state (state), "N", (json_int_t)done);
+  return json_pack ("{ss sI}", "End", kr_wire_job_state (state), "N", (json_int_t) done);
 }
 
 gboolean
 kr_job_peek (json_t *value, KrJobState *state, guint *done, guint *running)
 {
   const char *end = json_string_value (json_object_get (value, "End"));
-  *done = (guint)json_integer_value (json_object_get (value, "N"));
+  *done = (guint) json_integer_value (json_object_get (value, "N"));
   *running = 0;
   if (end) {
     *state = g_str_equal (end, kr_wire_job_state (KR_JOB_DONE)) ? KR_JOB_DONE : KR_JOB_CANCELLED;
@@ -139,7 +139,7 @@
   }
   if (!json_is_object (json_object_get (value, "Spec")))
     return FALSE;
-  *running = (guint)json_integer_value (json_object_get (value, "R"));
+  *running = (guint) json_integer_value (json_object_get (value, "R"));
   *state = json_is_true (json_object_get (value, "Cancelled")) ? KR_JOB_CANCELLED
            : *running                                          ? KR_JOB_RUNNING
                                                                : KR_JOB_PENDING;
@@ -162,7 +162,7 @@
 kr_job_set_done (KrJob *j, guint t)
 {
   if (t < j->spec->tasks && !kr_job_is_done (j, t)) {
-    j->done[t / 8] |= (guint8)(1u << (t % 8));
+    j->done[t / 8] |= (guint8) (1u << (t % 8));
     j->n_done++;
   }
 }
--- a/src/log.c
+++ b/src/log.c
@@ -29,7 +29,7 @@
   else if (level == G_LOG_LEVEL_DEBUG)
     word = "debug";
   gint64 t = g_get_real_time ();
-  fprintf (stderr, "%" G_GINT64_FORMAT ".%03d %s %s\n", t / G_USEC_PER_SEC, (int)(t / 1000 % 1000),
+  fprintf (stderr, "%" G_GINT64_FORMAT ".%03d %s %s\n", t / G_USEC_PER_SEC, (int) (t / 1000 % 1000),
            word, message ? message : "");
   return G_LOG_WRITER_HANDLED;
 }
--- a/src/main.c
+++ b/src/main.c
@@ -11,10 +11,11 @@
   g_autofree char *config = NULL;
   gboolean check = FALSE, version = FALSE;
   const GOptionEntry entries[] = {
-      {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Settings file (TOML)", "FILE"},
-      {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings file and exit", NULL},
-      {"version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version and exit", NULL},
-      {NULL}};
+    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Settings file (TOML)", "FILE" },
+    { "check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings file and exit", NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version and exit", NULL },
+    { NULL }
+  };
   g_autoptr (GError) error = NULL;
   g_autoptr (GOptionContext) options = g_option_context_new ("- a cluster scheduler's controller");
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -95,7 +95,7 @@
   return mine (m, &m->holders[m->settings->size]);
 }
 
-/* --- what the watch shows -------------------------------------------------------------------- */
+/* --- what the watch shows ------------------------------------------------------------ */
 static void
 set_holder (KrMembership *m, guint which, json_t *value, guint64 mark)
 {
@@ -111,7 +111,7 @@
   if (node) {
     h->node = g_strdup (node);
     h->incarnation = g_strdup (json_string_value (json_object_get (value, "Inc")));
-    h->from = (guint64)json_integer_value (json_object_get (value, "From"));
+    h->from = (guint64) json_integer_value (json_object_get (value, "From"));
   } else
     h->free_since = g_get_monotonic_time ();
   if (which == m->settings->size) {
@@ -159,11 +159,11 @@
   else if (g_str_equal (k, KR_LEADER_KEY))
     set_holder (m, size, item->value, item->mark);
   else if (g_str_has_prefix (k, "c/owner/")) {
-    guint p = (guint)atoi (k + strlen ("c/owner/"));
+    guint p = (guint) atoi (k + strlen ("c/owner/"));
     if (p < size)
       set_holder (m, p, item->value, item->mark);
   } else if (g_str_has_prefix (k, "c/berths/")) {
-    guint p = (guint)atoi (k + strlen ("c/berths/"));
+    guint p = (guint) atoi (k + strlen ("c/berths/"));
     if (p < size && item->value)
       kr_membership_note_record (m, p, item->value, item->mark);
   }
@@ -185,7 +185,7 @@
     if (!kr_wire_item_parse (o, &item))
       continue;
     if (g_str_has_prefix (item.key, "c/node/"))
-      g_hash_table_add (nodes, (char *)item.key + strlen ("c/node/"));
+      g_hash_table_add (nodes, (char *) item.key + strlen ("c/node/"));
     for (guint p = 0; p <= size; p++) {
       g_autofree char *key = holder_key (m, p);
       if (g_str_equal (key, item.key))
@@ -205,7 +205,7 @@
   m->seen = TRUE;
 }
 
-/* --- taking and giving ----------------------------------------------------------------------- */
+/* --- taking and giving --------------------------------------------------------------- */
 static void
 change_done (guint status, json_t *body, gpointer data)
 {
@@ -230,12 +230,12 @@
   KrTxn *txn = kr_txn_new ();
   Change *c = g_new (Change, 1);
 
-  *c = (Change){m, which, FALSE};
+  *c = (Change){ m, which, FALSE };
   h->busy = TRUE;
   kr_txn_when (txn, key, expect);
   kr_txn_put (txn, key,
               json_pack ("{ss ss sI}", "Node", m->settings->node_name, "Inc", m->incarnation,
-                         "From", (json_int_t)expect),
+                         "From", (json_int_t) expect),
               m->lease);
   kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
 }
@@ -259,9 +259,9 @@
   KrTxn *txn = kr_txn_new ();
   Change *c = g_new (Change, 1);
 
-  *c = (Change){m, part, TRUE};
+  *c = (Change){ m, part, TRUE };
   h->busy = TRUE;
-  h->keep_off = g_get_monotonic_time () + (gint64)keep_off_ms * 1000;
+  h->keep_off = g_get_monotonic_time () + (gint64) keep_off_ms * 1000;
   kr_txn_when (txn, key, h->mark);
   kr_txn_remove (txn, key);
   kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
@@ -287,7 +287,7 @@
     return FALSE;
   if (which < s->size && which == s->self)
     return TRUE;
-  gint64 wait = KR_FOREIGN_STEP_MS * (gint64)parts_held (m);
+  gint64 wait = KR_FOREIGN_STEP_MS * (gint64) parts_held (m);
   if (which < s->size)
     wait += KR_FOREIGN_WAIT_MS;
   return now - h->free_since >= wait * 1000;
@@ -315,7 +315,7 @@
     } else if (p < s->size && mine (m, h) && p != s->self && p < s->names->len) {
       gint64 *since = g_hash_table_lookup (m->present, s->names->pdata[p]);
       if (since && now - *since > KR_HOME_HEALTHY_MS * G_GINT64_CONSTANT (1000)) {
-        kr_info ("part %u: handing it back to %s", p, (char *)s->names->pdata[p]);
+        kr_info ("part %u: handing it back to %s", p, (char *) s->names->pdata[p]);
         kr_membership_release (m, p, KR_HOME_HEALTHY_MS);
       }
     }
@@ -323,7 +323,7 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* --- the lease ------------------------------------------------------------------------------- */
+/* --- the lease ----------------------------------------------------------------------- */
 static void
 node_key_done (guint status, json_t *body, gpointer data)
 {
--- a/src/node.c
+++ b/src/node.c
@@ -23,12 +23,11 @@
   for (guint p = 0; p < n->settings->size; p++)
     if (json_object_get (json_object_get (kr_membership_record (n->membership, p)->value, "Berths"),
                          id))
-      return (gint)p;
+      return (gint) p;
   return -1;
 }
 
-/* --- membership's events -------------------------------------------------------------------------
- */
+/* --- membership's events ------------------------------------------------------------- */
 static void
 holder_changed (guint part, gpointer data)
 {
@@ -99,7 +98,7 @@
     kr_part_beat (n->parts[part], request, r);
     return;
   }
-  const KrHolder *h = part >= 0 ? kr_membership_holder (n->membership, (guint)part)
+  const KrHolder *h = part >= 0 ? kr_membership_holder (n->membership, (guint) part)
                                 : kr_membership_leader (n->membership);
   gboolean self = h->node && g_str_equal (h->node, n->settings->node_name);
   if (part < 0 && self)
@@ -158,9 +157,9 @@
 KrNode *
 kr_node_new (const KrSettings *s, GError **error)
 {
-  const KrMembershipEvents events = {holder_changed, record_changed, leader_changed};
+  const KrMembershipEvents events = { holder_changed, record_changed, leader_changed };
   KrNode *n = g_new0 (KrNode, 1);
-  guint conns = (guint)(s->sockets * KR_CLIENT_SOCKET_SHARE);
+  guint conns = (guint) (s->sockets * KR_CLIENT_SOCKET_SHARE);
 
   n->settings = s;
   n->loop = g_main_loop_new (NULL, FALSE);
--- a/src/part.c
+++ b/src/part.c
@@ -70,7 +70,7 @@
   return g_hash_table_lookup (p->jobs, id);
 }
 
-/* --- what reports show ----------------------------------------------------------------------- */
+/* --- what reports show --------------------------------------------------------------- */
 static void
 count_launch (KrPart *p, KrBerth *b, KrLaunch *l)
 {
@@ -149,10 +149,11 @@
       break;
     if (l->why == KR_WHY_DONE) {
       if (!kr_job_is_done (j, l->index)) {
-        kr_job_set_done (j, l->index);
+        if (j->spec->form != KR_FORM_SERVICE) /* a service's task starts again */
+          kr_job_set_done (j, l->index);
         j->dirty = TRUE;
         if (l->since && !l->adopted) {
-          j->sum += (double)(now - l->since) / G_USEC_PER_SEC;
+          j->sum += (double) (now - l->since) / G_USEC_PER_SEC;
           j->count++;
         }
       }
@@ -180,8 +181,7 @@
   }
 }
 
-/* --- the durable record of machines ------------------------------------------------------------
- */
+/* --- the durable record of machines -------------------------------------------------- */
 typedef struct {
   KrPart *part;
   json_t *value;
@@ -295,7 +295,7 @@
     change = TRUE;
   }
   if (p->phase == OPEN && !p->settled_written) {
-    json_object_set_new (v, "Settled", json_integer ((json_int_t)p->token));
+    json_object_set_new (v, "Settled", json_integer ((json_int_t) p->token));
     change = TRUE;
   }
   if (!change) {
@@ -318,7 +318,7 @@
 static void
 move_berth (KrPart *p, KrBerth *b)
 {
-  guint to = (guint)b->leaving_to;
+  guint to = (guint) b->leaving_to;
   if (p->record_busy || b->launches->len || b->deleting)
     return;
   json_t *from_v = record_copy (p, p->index), *to_v = record_copy (p, to);
@@ -383,12 +383,11 @@
     }
   }
   p->settled_written =
-      (guint64)json_integer_value (json_object_get (r->value, "Settled")) == p->token;
+      (guint64) json_integer_value (json_object_get (r->value, "Settled")) == p->token;
   write_record (p);
 }
 
-/* --- progress ----------------------------------------------------------------------------------
- */
+/* --- progress ------------------------------------------------------------------------ */
 typedef struct {
   char *id;
   guint8 *bits;
@@ -436,7 +435,7 @@
 {
   g_autofree char *key = kr_job_key (id);
   JobRead *r = g_new (JobRead, 1);
-  *r = (JobRead){ref (p), g_strdup (id)};
+  *r = (JobRead){ ref (p), g_strdup (id) };
   kr_state_get (p->node->state, key, KR_STATE_TIMEOUT_MS, p->cancel, job_read, r);
 }
 
@@ -511,7 +510,7 @@
   Batch *batch = g_new (Batch, 1);
   gsize bytes = 0;
   guint most = p->node->settings->state_txn_ops;
-  *batch = (Batch){ref (p), g_ptr_array_new_with_free_func (written_free)};
+  *batch = (Batch){ ref (p), g_ptr_array_new_with_free_func (written_free) };
 
   for (guint pass = 0; pass < 2; pass++) {
     if (pass == 1 && (finals || !due))
@@ -547,7 +546,7 @@
       }
       bytes += size;
       Written *w = g_new (Written, 1);
-      *w = (Written){g_strdup (j->spec->id), g_memdup2 (j->done, kr_job_bytes (j)), final};
+      *w = (Written){ g_strdup (j->spec->id), g_memdup2 (j->done, kr_job_bytes (j)), final };
       g_ptr_array_add (batch->items, w);
       j->writing = TRUE;
       j->dirty = FALSE;
@@ -566,8 +565,7 @@
   kr_state_commit (p->node->state, txn, finals, KR_STATE_TIMEOUT_MS, p->cancel, flushed, batch);
 }
 
-/* --- jobs --------------------------------------------------------------------------------------
- */
+/* --- jobs ---------------------------------------------------------------------------- */
 typedef struct {
   KrPart *part;
   char *id;
@@ -648,7 +646,7 @@
   KrJob *j = job (p, id);
   if (j && item->mark <= j->mark)
     return;
-  if ((guint)json_integer_value (json_object_get (item->value, "Part")) != p->index)
+  if ((guint) json_integer_value (json_object_get (item->value, "Part")) != p->index)
     return;
   if (j) {
     j->mark = item->mark;
@@ -665,7 +663,7 @@
            j->spec->tasks, j->spec->cpus, p->index);
   for (guint c = 1; c <= j->chunks_missing; c++) {
     ChunkRead *r = g_new (ChunkRead, 1);
-    *r = (ChunkRead){ref (p), g_strdup (id), c};
+    *r = (ChunkRead){ ref (p), g_strdup (id), c };
     read_chunk (r);
   }
   if (p->have_jobs && is_final (j))
@@ -700,7 +698,7 @@
       KrJob *j = job (p, l->job);
       count_launch (p, b, l);
       if (j && l->state == KR_TASK_EXITED && l->why == KR_WHY_DONE &&
-          !kr_job_is_done (j, l->index)) {
+          j->spec->form != KR_FORM_SERVICE && !kr_job_is_done (j, l->index)) {
         kr_job_set_done (j, l->index);
         j->dirty = TRUE;
       }
@@ -723,8 +721,7 @@
   return TRUE;
 }
 
-/* --- orders ------------------------------------------------------------------------------------
- */
+/* --- orders -------------------------------------------------------------------------- */
 static double
 slack (KrPart *p, const KrLaunch *l)
 {
@@ -742,8 +739,8 @@
     KrJob *j = job (p, l->job);
     if (l->state == KR_TASK_EXITED) {
       /* Cleared only once the outcome is durable: until then the worker is the only witness. */
-      if (l->why != KR_WHY_DONE || (p->have_jobs && !j) || (j && kr_job_is_durable (j, l->index)) ||
-          (j && j->cancelled))
+      if (l->why != KR_WHY_DONE || (j && j->spec->form == KR_FORM_SERVICE) ||
+          (p->have_jobs && !j) || (j && kr_job_is_durable (j, l->index)) || (j && j->cancelled))
         kr_wire_order_clear (orders, l->job, l->index, l->attempt);
     } else {
       if (p->have_jobs && !j)
@@ -765,7 +762,7 @@
 contact_new (KrPart *p, KrBerth *b)
 {
   Contact *c = g_new (Contact, 1);
-  *c = (Contact){ref (p), g_strdup (b->id), b->session};
+  *c = (Contact){ ref (p), g_strdup (b->id), b->session };
   return c;
 }
 
@@ -820,8 +817,7 @@
                      contact_new (p, b));
 }
 
-/* --- fencing ------------------------------------------------------------------------------------
- */
+/* --- fencing ------------------------------------------------------------------------- */
 static void
 shown (guint status, KrReport *report, gpointer data)
 {
@@ -850,7 +846,7 @@
 {
   GHashTableIter it;
   gpointer value;
-  double age = (double)(now - p->taken_at) / G_USEC_PER_SEC;
+  double age = (double) (now - p->taken_at) / G_USEC_PER_SEC;
 
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
@@ -890,13 +886,12 @@
       return;
   p->phase = OPEN;
   kr_info ("part %u: open, %.1f s after the takeover", p->index,
-           (double)(g_get_monotonic_time () - p->taken_at) / G_USEC_PER_SEC);
+           (double) (g_get_monotonic_time () - p->taken_at) / G_USEC_PER_SEC);
   write_record (p);
   flush (p);
 }
 
-/* --- deletion ------------------------------------------------------------------------------------
- */
+/* --- deletion ------------------------------------------------------------------------ */
 static void
 deleted (guint status, json_t *body, gpointer data)
 {
@@ -918,7 +913,7 @@
 static void
 delete_berth (KrPart *p, KrBerth *b, const char *why)
 {
-  char *ids[] = {b->id, NULL};
+  char *ids[] = { b->id, NULL };
   if (b->deleting)
     return;
   b->deleting = b->drain = TRUE;
@@ -940,7 +935,7 @@
   KrBerth *b = berth (p, id);
   if (b && p->phase == OPEN && !b->drain && b->leaving_to < 0 && to != p->index &&
       to < p->node->settings->size) {
-    b->leaving_to = (gint)to;
+    b->leaving_to = (gint) to;
     move_berth (p, b);
   }
 }
@@ -984,8 +979,7 @@
   }
 }
 
-/* --- scheduling ----------------------------------------------------------------------------------
- */
+/* --- scheduling ---------------------------------------------------------------------- */
 /* A job as the paper's functions see it, for one round. */
 typedef struct {
   KrJob *job;
@@ -1007,7 +1001,7 @@
 static void
 rerank (Candidate *c)
 {
-  c->in.elapsed = (const double *)(gpointer)c->elapsed->data;
+  c->in.elapsed = (const double *) (gpointer) c->elapsed->data;
   c->in.running = c->elapsed->len;
   c->in.unstarted = kr_job_unstarted (c->job);
   c->key = kr_rank_key (&c->in, c->job->spec->id);
@@ -1037,16 +1031,17 @@
     c->job = j;
     c->team = kr_settings_team (p->node->settings, j->spec->team);
     c->elapsed = g_array_new (FALSE, FALSE, sizeof (double));
-    c->in = (KrEstimateInput){.sum = j->sum,
-                              .count = j->count,
-                              .now = real,
-                              .goal = goal_of (p, j),
-                              .submitted = j->at,
-                              .guess_s = j->spec->estimate_s};
+    c->in = (KrEstimateInput){ .sum = j->sum,
+                               .count = j->count,
+                               .now = real,
+                               .goal = goal_of (p, j),
+                               .submitted = j->at,
+                               .held = j->spec->form == KR_FORM_SERVICE,
+                               .guess_s = j->spec->estimate_s };
     g_ptr_array_add (out, c);
     g_hash_table_insert (by_id, j->spec->id, c);
     if (c->team && !g_hash_table_contains (teams, c->team))
-      g_hash_table_insert (teams, (gpointer)c->team, g_new0 (KrRoom, 1));
+      g_hash_table_insert (teams, (gpointer) c->team, g_new0 (KrRoom, 1));
   }
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
@@ -1056,7 +1051,7 @@
       Candidate *c = g_hash_table_lookup (by_id, l->job);
       if (!c || l->state == KR_TASK_EXITED)
         continue;
-      double e = l->since ? (double)(now - l->since) / G_USEC_PER_SEC : 0;
+      double e = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
       g_array_append_val (c->elapsed, e);
       if (c->team)
         kr_place_give (g_hash_table_lookup (teams, c->team), c->job->spec);
@@ -1073,7 +1068,7 @@
   const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
   if (!t)
     return FALSE;
-  *room = (KrRoom){t->cpus, t->gpus, t->mem_gb};
+  *room = (KrRoom){ t->cpus, t->gpus, t->mem_gb };
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
     if (l->state == KR_TASK_EXITED)
@@ -1089,7 +1084,7 @@
 static gboolean
 spread_ok (KrPart *p, const KrBerth *b, const KrJob *j)
 {
-  KrSpread w = {0, 0};
+  KrSpread w = { 0, 0 };
   GHashTableIter it;
   gpointer value;
   if (!j->spec->one_zone && !j->spec->apart)
@@ -1123,6 +1118,22 @@
   return kr_place_allowed (j->spec, b->type, b->zone, b->spot) && spread_ok (p, b, j);
 }
 
+static KrLaunch *
+launch (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, guint task)
+{
+  KrJob *j = c->job;
+  KrLaunch *l =
+      kr_berth_launch (b, j->spec->id, task, (p->token << KR_LAUNCH_BITS) + ++p->launches);
+  double zero = 0;
+
+  kr_job_add_active (j, task);
+  l->counted = TRUE;
+  kr_place_give (g_hash_table_lookup (teams, c->team), j->spec);
+  g_array_append_val (c->elapsed, zero);
+  rerank (c);
+  return l;
+}
+
 static gboolean
 usable (KrPart *p, const KrBerth *b, gint64 now)
 {
@@ -1130,6 +1141,66 @@
          b->leaving_to < 0 && !b->notice_at && now >= b->pause_until;
 }
 
+/* A gang is granted only whole: places are held on as many machines as it takes, and each machine's
+ * next report brings its tasks there. A gang with some tasks lost is stopped and starts again. */
+static void
+plan_gang (KrPart *p, Candidate *c, GHashTable *teams, gint64 now)
+{
+  KrJob *j = c->job;
+  KrRoom *used = g_hash_table_lookup (teams, c->team), after = *used;
+  g_autoptr (GPtrArray) places = g_ptr_array_new ();
+  guint want = kr_job_unstarted (j);
+  GHashTableIter it;
+  gpointer value;
+
+  if (j->n_active) {
+    cancel_launches (p, j);
+    return;
+  }
+  for (guint i = 0; i < want; i++) {
+    if (!kr_place_team_ok (c->team, &after, j->spec))
+      return;
+    kr_place_give (&after, j->spec);
+  }
+  g_hash_table_iter_init (&it, p->berths);
+  while (places->len < want && g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    KrRoom room;
+    if (!usable (p, b, now) || !may_run_here (p, b, c, now) || !free_room (p, b, &room))
+      continue;
+    KrBerth *first = places->len ? places->pdata[0] : b;
+    if (j->spec->one_zone && g_strcmp0 (first->zone, b->zone) != 0)
+      continue;
+    guint here = 0;
+    for (guint i = 0; i < places->len; i++)
+      here += g_strcmp0 (((KrBerth *) places->pdata[i])->zone, b->zone) == 0;
+    while (places->len < want && kr_place_has_room (&room, j->spec) &&
+           (!j->spec->apart || here + 1 <= (j->spec->tasks + 1) / 2)) {
+      kr_place_take (&room, j->spec);
+      g_ptr_array_add (places, b);
+      here++;
+    }
+  }
+  if (places->len < want)
+    return;
+  kr_info ("job %s: a gang of %u gets its places", j->spec->id, want);
+  for (guint i = 0; i < want; i++)
+    launch (p, places->pdata[i], c, teams, (guint) kr_job_next (j))->planned = TRUE;
+}
+
+static void
+run_planned (KrBerth *b, json_t *orders)
+{
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    if (!l->planned)
+      continue;
+    l->planned = FALSE;
+    l->doubt_seq = b->seq;
+    kr_wire_order_run (orders, l->job, l->index, l->attempt);
+  }
+}
+
 /* The paper's allocation, max variant, triggered by a machine's report: its free room goes out one
  * task at a time, to the first in rank that fits, and all are ranked anew after each grant. */
 static void
@@ -1159,25 +1230,24 @@
     if (!best)
       return;
     KrJob *j = best->job;
-    guint task = (guint)kr_job_next (j);
-    guint64 attempt = (p->token << KR_LAUNCH_BITS) + ++p->launches;
-    KrLaunch *l = kr_berth_launch (b, j->spec->id, task, attempt);
-    double zero = 0;
+    if (j->spec->form == KR_FORM_GANG) {
+      plan_gang (p, best, teams, now);
+      best->skip = TRUE;
+      if (!free_room (p, b, &room))
+        return;
+      continue;
+    }
+    KrLaunch *l = launch (p, b, best, teams, (guint) kr_job_next (j));
+    guint task = l->index;
     l->doubt_seq = b->seq;
-    kr_job_add_active (j, task);
-    l->counted = TRUE;
     kr_place_take (&room, j->spec);
-    kr_place_give (g_hash_table_lookup (teams, best->team), j->spec);
-    g_array_append_val (best->elapsed, zero);
-    rerank (best);
     b->idle_since = now;
-    kr_wire_order_run (orders, j->spec->id, task, attempt);
+    kr_wire_order_run (orders, j->spec->id, task, l->attempt);
     kr_debug ("task %s/%u: to %s", j->spec->id, task, b->id);
   }
 }
 
-/* --- preemption ----------------------------------------------------------------------------------
- */
+/* --- preemption ---------------------------------------------------------------------- */
 /* Makes room for one task of `c`: the machine and victims that lose least. */
 static gboolean
 preempt_for (KrPart *p, Candidate *c, GPtrArray *all, GHashTable *teams, gint64 now)
@@ -1211,7 +1281,7 @@
             !kr_place_may_stop (c->job->spec, c->team, g_hash_table_lookup (teams, c->team),
                                 v->spec, vt, g_hash_table_lookup (teams, vt)))
           continue;
-        double ran = l->since ? (double)(now - l->since) / G_USEC_PER_SEC : 0;
+        double ran = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
         if (v->spec->checkpoint_s > 0)
           ran = MIN (ran, v->spec->save_s);
         double x = ran * v->spec->cpus;
@@ -1283,6 +1353,20 @@
   }
 }
 
+/* Places held for tasks that shall not start any more. */
+static void
+drop_planned (KrPart *p, KrBerth *b)
+{
+  for (guint i = b->launches->len; i-- > 0;) {
+    KrLaunch *l = b->launches->pdata[i];
+    if (!l->planned || (!l->kill && usable (p, b, g_get_monotonic_time ())))
+      continue;
+    l = g_ptr_array_steal_index (b->launches, i);
+    saw (b, l, KR_SAW_GONE, p);
+    kr_launch_free (l);
+  }
+}
+
 /* --- reports
  * -------------------------------------------------------------------------------------- */
 void
@@ -1315,8 +1399,11 @@
     }
     if (kr_berth_busy (b))
       b->idle_since = now;
+    drop_planned (p, b);
     add_kills_and_clears (p, b, orders);
     grant (p, b, orders, now);
+    if (usable (p, b, now))
+      run_planned (b, orders);
   }
   kr_request_reply (request, 200, orders, 0);
 }
@@ -1381,7 +1468,7 @@
   if (p->have_record) {
     g_autoptr (GList) all = g_hash_table_get_values (p->berths);
     for (GList *l = all; l; l = l->next) {
-      heard += ((KrBerth *)l->data)->answered != 0;
+      heard += ((KrBerth *) l->data)->answered != 0;
       watch_berth (p, l->data, now);
     }
   }
@@ -1450,13 +1537,13 @@
     KrBerth *b = value;
     double idle = b->launches->len || !b->known || p->phase != OPEN
                       ? -1
-                      : (double)(now - b->idle_since) / G_USEC_PER_SEC;
+                      : (double) (now - b->idle_since) / G_USEC_PER_SEC;
     json_array_append_new (
         berths, json_pack ("{ss ss* sb sb sf sb}", "Id", b->id, "Type", b->type, "Spot", b->spot,
                            "Up", b->known, "Idle", idle, "Going",
                            b->drain || b->deleting || b->leaving_to >= 0 || b->notice_at != 0));
   }
-  return json_pack ("{sI so so}", "Part", (json_int_t)p->index, "Needs", needs, "Berths", berths);
+  return json_pack ("{sI so so}", "Part", (json_int_t) p->index, "Needs", needs, "Berths", berths);
 }
 
 /* --- taking over and letting go
@@ -1501,7 +1588,7 @@
   }
   /* The key that ours replaced was our own earlier one, and under it every machine was fenced. */
   p->quiet_before =
-      p->from && (guint64)json_integer_value (json_object_get (r->value, "Settled")) == p->from;
+      p->from && (guint64) json_integer_value (json_object_get (r->value, "Settled")) == p->from;
   kr_follow_rescan (p->node->jobs);
   unref (p);
 }
@@ -1523,7 +1610,7 @@
   p->token = token;
   p->from = from;
   p->cancel = kr_cancellable_child (node->cancel);
-  p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)kr_job_free);
+  p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) kr_job_free);
   p->berths = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_berth_free);
   p->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->taken_at = p->last_beat = g_get_monotonic_time ();
--- a/src/place.c
+++ b/src/place.c
@@ -12,10 +12,10 @@
 gboolean
 kr_place_fits_type (const KrSpec *s, const KrType *t)
 {
-  KrRoom whole = {t->cpus, t->gpus, t->mem_gb};
-  if (s->types && !g_strv_contains ((const char *const *)s->types, t->name))
+  KrRoom whole = { t->cpus, t->gpus, t->mem_gb };
+  if (s->types && !g_strv_contains ((const char *const *) s->types, t->name))
     return FALSE;
-  if (s->zone && !g_strv_contains ((const char *const *)t->zones, s->zone))
+  if (s->zone && !g_strv_contains ((const char *const *) t->zones, s->zone))
     return FALSE;
   return kr_place_has_room (&whole, s);
 }
@@ -23,7 +23,7 @@
 gboolean
 kr_place_allowed (const KrSpec *s, const char *type, const char *zone, gboolean spot)
 {
-  return (!s->types || g_strv_contains ((const char *const *)s->types, type)) &&
+  return (!s->types || g_strv_contains ((const char *const *) s->types, type)) &&
          (!s->zone || g_str_equal (s->zone, zone)) && (!spot || s->spot);
 }
 
@@ -58,6 +58,14 @@
          (t->gpus_max <= 0 || used->gpus + s->gpus <= t->gpus_max + SLACK);
 }
 
+gboolean
+kr_place_job_ok (const KrTeam *t, const KrSpec *s)
+{
+  double n = s->form == KR_FORM_ARRAY ? 1 : s->tasks;
+  return (t->cpus_max <= 0 || n * s->cpus <= t->cpus_max + SLACK) &&
+         (t->gpus_max <= 0 || n * s->gpus <= t->gpus_max + SLACK);
+}
+
 static gboolean
 within_guarantee (const KrTeam *t, const KrRoom *used, double cpus, double gpus)
 {
--- a/src/place.h
+++ b/src/place.h
@@ -18,6 +18,8 @@
 gboolean kr_place_has_room (const KrRoom *free, const KrSpec *spec);
 void kr_place_take (KrRoom *room, const KrSpec *spec);
 void kr_place_give (KrRoom *room, const KrSpec *spec);
+/* Whether the whole job (array: one task) stays within the team's limit. */
+gboolean kr_place_job_ok (const KrTeam *team, const KrSpec *spec);
 /* Whether a team that uses `used` may start one more such task. */
 gboolean kr_place_team_ok (const KrTeam *team, const KrRoom *used, const KrSpec *spec);
 /* Whether `victim` of a team may be stopped for `spec`: lower Rank; or the victim's team is over
--- a/src/rank.c
+++ b/src/rank.c
@@ -4,6 +4,8 @@
 static KrClass
 klass (const KrEstimateInput *in)
 {
+  if (in->held)
+    return KR_CLASS_HELD;
   if (in->now > in->goal)
     return KR_CLASS_LATE;
   return in->count ? KR_CLASS_ADJUST : KR_CLASS_NODATA;
@@ -12,11 +14,12 @@
 KrRankKey
 kr_rank_key (const KrEstimateInput *in, const char *id)
 {
-  KrRankKey k = {klass (in), 0, id};
+  KrRankKey k = { klass (in), 0, id };
   switch (k.klass) {
   case KR_CLASS_LATE:
     k.key = kr_estimate_lateness (in);
     break;
+  case KR_CLASS_HELD:
   case KR_CLASS_NODATA:
     k.key = -in->submitted;
     break;
@@ -42,5 +45,5 @@
 {
   if (klass (in) != KR_CLASS_ADJUST)
     return in->unstarted;
-  return CLAMP (kr_estimate_slots (in), 0, (double)in->unstarted);
+  return CLAMP (kr_estimate_slots (in), 0, (double) in->unstarted);
 }
--- a/src/rank.h
+++ b/src/rank.h
@@ -1,9 +1,10 @@
-/* The order in which jobs get free room: late jobs first, evened out by expected completion against
- * goals; then jobs without data, oldest first; then by slots needed. Pure. */
+/* The order in which jobs get free room: services are held at size before all; late jobs first,
+ * evened out by expected completion against goals; then jobs without data, oldest first; then by
+ * slots needed. Pure. */
 #pragma once
 #include "estimate.h"
 
-typedef enum { KR_CLASS_LATE, KR_CLASS_NODATA, KR_CLASS_ADJUST } KrClass;
+typedef enum { KR_CLASS_HELD, KR_CLASS_LATE, KR_CLASS_NODATA, KR_CLASS_ADJUST } KrClass;
 
 typedef struct {
   KrClass klass;
--- a/src/rent.c
+++ b/src/rent.c
@@ -61,7 +61,7 @@
   return m;
 }
 
-/* --- records ---------------------------------------------------------------------------------- */
+/* --- records ------------------------------------------------------------------------- */
 void
 kr_rent_records_changed (KrRent *r)
 {
@@ -107,12 +107,11 @@
   return m ? m : g_hash_table_lookup (r->fresh, id);
 }
 
-/* --- the exchange with owners ------------------------------------------------------------------
- */
+/* --- the exchange with owners -------------------------------------------------------- */
 static void
 take_summary (KrRent *r, json_t *s)
 {
-  guint p = (guint)json_integer_value (json_object_get (s, "Part"));
+  guint p = (guint) json_integer_value (json_object_get (s, "Part"));
   if (p >= r->node->settings->size)
     return;
   json_decref (r->summaries[p].value);
@@ -128,14 +127,14 @@
 
   json_array_foreach (wishes, i, o)
   {
-    guint p = (guint)json_integer_value (json_object_get (o, "Part"));
+    guint p = (guint) json_integer_value (json_object_get (o, "Part"));
     const char *id = json_string_value (json_object_get (o, "Id"));
     KrPart *part = p < r->node->settings->size ? r->node->parts[p] : NULL;
     json_t *to = json_object_get (o, "To");
     if (!part || !id)
       continue;
     if (json_is_integer (to))
-      kr_part_give (part, id, (guint)json_integer_value (to));
+      kr_part_give (part, id, (guint) json_integer_value (to));
     else
       kr_part_return (part, id);
   }
@@ -191,14 +190,13 @@
 {
   if (!r->wishes[part])
     r->wishes[part] = json_array ();
-  json_t *o = json_pack ("{sI ss}", "Part", (json_int_t)part, "Id", id);
+  json_t *o = json_pack ("{sI ss}", "Part", (json_int_t) part, "Id", id);
   if (to >= 0)
     json_object_set_new (o, "To", json_integer (to));
   json_array_append_new (r->wishes[part], o);
 }
 
-/* --- giving new machines to parts ---------------------------------------------------------------
- */
+/* --- giving new machines to parts ---------------------------------------------------- */
 typedef struct {
   KrRent *rent;
   guint part;
@@ -222,7 +220,7 @@
 {
   GPtrArray *out = g_ptr_array_new ();
   gint64 stale = kr_seconds (4 * r->node->settings->cloud_list_lag_s + 40);
-  GHashTable *sources[] = {r->fresh, r->listed};
+  GHashTable *sources[] = { r->fresh, r->listed };
   GHashTableIter it;
   gpointer id, value;
 
@@ -256,13 +254,13 @@
   double sum = 0;
   for (guint p = 0; p < s->size; p++)
     sum += MAX (lack[p], 0.01);
-  guint n = (guint)ceil (machines->len * MAX (lack[best], 0.01) / sum);
+  guint n = (guint) ceil (machines->len * MAX (lack[best], 0.01) / sum);
   Assign *a = g_new (Assign, 1);
   KrRecord *rec = kr_membership_record (r->node->membership, best);
   json_t *v = rec->value ? json_deep_copy (rec->value) : json_pack ("{s{}}", "Berths");
   KrTxn *txn = kr_txn_new ();
 
-  *a = (Assign){r, best, v};
+  *a = (Assign){ r, best, v };
   for (guint i = 0; i < MIN (n, machines->len); i++) {
     const KrMachine *m = machines->pdata[i];
     json_object_set_new (json_object_get (v, "Berths"), m->id, json_pack ("{sI}", "U", 0LL));
@@ -278,8 +276,7 @@
   kr_state_commit (r->node->state, txn, FALSE, KR_STATE_TIMEOUT_MS, r->cancel, assigned, a);
 }
 
-/* --- renting -------------------------------------------------------------------------------------
- */
+/* --- renting ------------------------------------------------------------------------- */
 static Pool *
 pool (KrRent *r, const char *type, const char *zone, gboolean spot)
 {
@@ -317,7 +314,7 @@
   kr_info ("rent: %u of %u %s %s in %s%s%s", n, o->count, o->spot ? "spot" : "ordinary", o->type,
            o->zone, n ? ", first " : "", n ? ids[0] : "");
   if (n < o->count) {
-    o->closed_until = now + (gint64)(o->pause_ms * 1000);
+    o->closed_until = now + (gint64) (o->pause_ms * 1000);
     o->pause_ms = MIN (o->pause_ms * 2, KR_BACKOFF_MAX_MS);
   } else
     o->pause_ms = KR_BACKOFF_MS;
@@ -347,7 +344,7 @@
 static int
 by_price (gconstpointer a, gconstpointer b)
 {
-  double d = ((const Offer *)a)->price - ((const Offer *)b)->price;
+  double d = ((const Offer *) a)->price - ((const Offer *) b)->price;
   return d < 0 ? -1 : d > 0;
 }
 
@@ -367,8 +364,8 @@
   }
   for (guint i = 0; i < r->node->types->len; i++) {
     const KrType *t = r->node->types->pdata[i];
-    Offer spot = {t, TRUE, t->spot_price / MAX (t->cpus, 1)};
-    Offer ordinary = {t, FALSE, t->price / MAX (t->cpus, 1)};
+    Offer spot = { t, TRUE, t->spot_price / MAX (t->cpus, 1) };
+    Offer ordinary = { t, FALSE, t->price / MAX (t->cpus, 1) };
     if (t->spot_price > 0)
       g_array_append_val (offers, spot);
     g_array_append_val (offers, ordinary);
@@ -398,7 +395,7 @@
         n->unmet -= slots;
       }
       if (machines > 0.05)
-        ask (r, o, (guint)ceil (machines));
+        ask (r, o, (guint) ceil (machines));
     }
   }
 }
@@ -443,7 +440,7 @@
     json_array_foreach (json_object_get (s->value, "Needs"), i, o)
         g_ptr_array_add (needs, need_parse (o, p));
     json_array_foreach (json_object_get (s->value, "Berths"), i, o)
-        g_hash_table_insert (berths, (gpointer)json_string_value (json_object_get (o, "Id")), o);
+        g_hash_table_insert (berths, (gpointer) json_string_value (json_object_get (o, "Id")), o);
   }
   g_hash_table_iter_init (&it, r->recorded);
   while (g_hash_table_iter_next (&it, &id, &value)) {
@@ -452,7 +449,7 @@
     const char *type = m ? m->type : json_string_value (json_object_get (b, "Type"));
     KrSupply *s = g_new0 (KrSupply, 1);
     s->id = g_strdup (id);
-    s->part = (gint)GPOINTER_TO_UINT (value) - 1;
+    s->part = (gint) GPOINTER_TO_UINT (value) - 1;
     s->type = type ? kr_node_type (r->node, type) : NULL;
     s->zone = m ? m->zone : NULL;
     s->spot = m ? m->spot : json_is_true (json_object_get (b, "Spot"));
@@ -503,11 +500,11 @@
       KrSupply *s = supplies->pdata[i];
       if (s->part < 0 || s->going || s->idle_s < 0 || !s->type)
         continue;
-      if (lack[most] > 0.1 && (guint)s->part != most && lack[s->part] <= 0.1) {
-        wish (r, (guint)s->part, s->id, (gint)most);
+      if (lack[most] > 0.1 && (guint) s->part != most && lack[s->part] <= 0.1) {
+        wish (r, (guint) s->part, s->id, (gint) most);
         lack[most] -= 1;
       } else if (s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S)
-        wish (r, (guint)s->part, s->id, -1);
+        wish (r, (guint) s->part, s->id, -1);
       for (guint p = 0; p < size; p++)
         if (lack[p] > lack[most])
           most = p;
--- a/src/settings.c
+++ b/src/settings.c
@@ -118,14 +118,14 @@
 static int
 by_name (gconstpointer a, gconstpointer b)
 {
-  return strcmp (*(char *const *)a, *(char *const *)b);
+  return strcmp (*(char *const *) a, *(char *const *) b);
 }
 
 KrSettings *
 kr_settings_from_json (json_t *root, GError **error)
 {
   g_autoptr (KrSettings) s = g_new0 (KrSettings, 1);
-  Reader r = {"", NULL};
+  Reader r = { "", NULL };
   json_t *t, *facts;
   size_t i;
 
@@ -160,7 +160,7 @@
   r.where = "";
   facts = table (&r, root, "facts");
   r.where = "facts";
-  s->size = (guint)number (&r, facts, "size", 1, 64, NAN);
+  s->size = (guint) number (&r, facts, "size", 1, 64, NAN);
   s->clock_error_s = number (&r, facts, "clock_error_ms", 0, 1e6, 0) / 1000;
   json_t *teams = json_object_get (facts, "teams");
   if (!json_is_array (teams) || json_array_size (teams) == 0)
@@ -198,7 +198,7 @@
   s->state_rps = number (&r, t, "rps", 0.1, 1e9, NAN);
   s->state_write_rps = number (&r, t, "write_rps", 0.1, 1e9, NAN);
   s->state_value_kb = number (&r, t, "value_kb", 7, 1e6, NAN);
-  s->state_txn_ops = (guint)number (&r, t, "txn_ops", 6, 1e6, NAN);
+  s->state_txn_ops = (guint) number (&r, t, "txn_ops", 6, 1e6, NAN);
   r.where = "facts";
   t = table (&r, facts, "cloud");
   r.where = "facts.cloud";
@@ -209,7 +209,7 @@
   r.where = "facts.resources";
   s->core_share = number (&r, t, "core_share", 0.001, 1e6, 1);
   s->ram_mb = number (&r, t, "ram_mb", 1, 1e9, 256);
-  s->sockets = (guint)number (&r, t, "sockets", 64, 1e9, 1024);
+  s->sockets = (guint) number (&r, t, "sockets", 64, 1e9, 1024);
 
   if (r.fault) {
     g_propagate_error (error, r.fault);
@@ -220,7 +220,7 @@
   for (guint k = 0; k < s->names->len; k++) {
     if (k && g_str_equal (s->names->pdata[k - 1], s->names->pdata[k])) {
       g_set_error (error, KR_SETTINGS_ERROR, 0, "others.node_name: '%s' stands twice",
-                   (char *)s->names->pdata[k]);
+                   (char *) s->names->pdata[k]);
       return NULL;
     }
     if (s->names->pdata[k] == s->node_name)
@@ -258,7 +258,7 @@
 kr_settings_part_of_team (const KrSettings *s, const char *name)
 {
   for (guint i = 0; i < s->teams->len; i++)
-    if (g_str_equal (((KrTeam *)s->teams->pdata[i])->name, name))
+    if (g_str_equal (((KrTeam *) s->teams->pdata[i])->name, name))
       return i % s->size;
   return 0;
 }
--- a/src/shares.c
+++ b/src/shares.c
@@ -19,7 +19,7 @@
 static int
 cheap_first (gconstpointer a, gconstpointer b)
 {
-  const KrSupply *x = *(KrSupply *const *)a, *y = *(KrSupply *const *)b;
+  const KrSupply *x = *(KrSupply *const *) a, *y = *(KrSupply *const *) b;
   if (x->spot != y->spot)
     return x->spot ? -1 : 1;
   /* Busy ones first, so that idle ones are left over. */
@@ -50,13 +50,13 @@
     n->unmet = n->slots;
   }
   for (guint i = 0; i < supplies->len; i++)
-    ((KrSupply *)supplies->pdata[i])->left = 1;
+    ((KrSupply *) supplies->pdata[i])->left = 1;
   for (guint own = 1; own <= 1; own--) {
     for (guint i = 0; i < supplies->len; i++)
       for (guint k = 0; k < needs->len; k++) {
         KrSupply *s = supplies->pdata[i];
         KrNeed *n = needs->pdata[k];
-        if (!own || s->part == (gint)n->part)
+        if (!own || s->part == (gint) n->part)
           serve (s, n);
       }
     if (own)
--- a/src/state.c
+++ b/src/state.c
@@ -55,7 +55,7 @@
 double
 kr_state_silence (KrState *st)
 {
-  return (double)(g_get_monotonic_time () - st->heard) / G_USEC_PER_SEC;
+  return (double) (g_get_monotonic_time () - st->heard) / G_USEC_PER_SEC;
 }
 
 static void
@@ -105,9 +105,9 @@
        guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
 {
   Op *op = g_new (Op, 1);
-  *op = (Op){st,    method, path,       body,
-             puts,  first,  timeout_ms, cancel ? g_object_ref (cancel) : NULL,
-             reply, data};
+  *op = (Op){ st,    method, path,       body,
+              puts,  first,  timeout_ms, cancel ? g_object_ref (cancel) : NULL,
+              reply, data };
   if (puts > 0)
     kr_bucket_take (st->writes, puts, first, op_request, op);
   else
@@ -138,7 +138,7 @@
          kr_wire_lease_body (life_ms), 0, TRUE, KR_STATE_TIMEOUT_MS, cancel, reply, data);
 }
 
-/* --- follower ------------------------------------------------------------------------------ */
+/* --- follower ------------------------------------------------------------------------ */
 struct KrFollow {
   KrState *state;
   char *prefix;
@@ -261,14 +261,14 @@
     path = kr_wire_follow_path (f->prefix, f->from, KR_FOLLOW_HOLD_MS);
     timeout = KR_FOLLOW_HOLD_MS + KR_FOLLOW_SLACK_MS;
   } else {
-    KrItem last = {0};
+    KrItem last = { 0 };
     size_t n = json_array_size (f->items);
     if (n)
       kr_wire_item_parse (json_array_get (f->items, n - 1), &last);
     path = kr_wire_scan_path (f->prefix, last.key, KR_SCAN_PAGE);
   }
   f->cancel = kr_cancellable_child (f->parent);
-  *turn = (Turn){f, g_object_ref (f->cancel)};
+  *turn = (Turn){ f, g_object_ref (f->cancel) };
   start (f->state, "GET", path, NULL, 0, TRUE, timeout, f->cancel, step_done, turn);
 }
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -2,7 +2,7 @@
 #include <math.h>
 #include <string.h>
 
-/* --- reading fields ------------------------------------------------------------------------ */
+/* --- reading fields ------------------------------------------------------------------ */
 static const char *
 str (json_t *o, const char *field)
 {
@@ -20,7 +20,7 @@
 uint_of (json_t *o, const char *field)
 {
   json_t *v = json_object_get (o, field);
-  return json_is_integer (v) && json_integer_value (v) >= 0 ? (guint64)json_integer_value (v) : 0;
+  return json_is_integer (v) && json_integer_value (v) >= 0 ? (guint64) json_integer_value (v) : 0;
 }
 
 static double
@@ -35,10 +35,11 @@
   return json_is_true (json_object_get (o, field));
 }
 
-/* --- users --------------------------------------------------------------------------------- */
+/* --- users --------------------------------------------------------------------------- */
 #define JOB_PREFIX "wk-"
-static const char *const rank_words[] = {"idle", "normal", "urgent", "critical"};
-static const char *const job_words[] = {"pending", "running", "done", "cancelled"};
+static const char *const rank_words[] = { "idle", "normal", "urgent", "critical" };
+static const char *const form_words[] = { "array", "gang", "service" };
+static const char *const job_words[] = { "pending", "running", "done", "cancelled" };
 
 void
 kr_spec_free (KrSpec *s)
@@ -115,12 +116,22 @@
   return json_is_true (v);
 }
 
+static guint
+word_of (json_t *o, const char *field, const char *const *words, guint n, GError **error)
+{
+  const char *s = str (o, field);
+  for (guint i = 0; s && i < n; i++)
+    if (g_str_equal (s, words[i]))
+      return i;
+  bad (error, field);
+  return 0;
+}
+
 KrSpec *
 kr_wire_spec_parse (json_t *o, GError **error)
 {
   g_autoptr (KrSpec) s = g_new0 (KrSpec, 1);
   GError *fault = NULL;
-  const char *word;
 
   if (!json_is_object (o)) {
     bad (error, "the body");
@@ -131,19 +142,11 @@
     bad (&fault, "Id");
   s->lane = need_str (o, "Lane", &fault);
   s->team = need_str (o, "Crew", &fault);
-  word = str (o, "Form");
-  if (!word || !g_str_equal (word, "array"))
-    bad (&fault, "Form");
-  word = str (o, "Rank");
-  s->rank = G_N_ELEMENTS (rank_words);
-  for (guint i = 0; word && i < G_N_ELEMENTS (rank_words); i++)
-    if (g_str_equal (word, rank_words[i]))
-      s->rank = i;
-  if (s->rank == G_N_ELEMENTS (rank_words))
-    bad (&fault, "Rank");
+  s->form = word_of (o, "Form", form_words, G_N_ELEMENTS (form_words), &fault);
+  s->rank = word_of (o, "Rank", rank_words, G_N_ELEMENTS (rank_words), &fault);
   if (!json_is_integer (json_object_get (o, "Shifts")))
     bad (&fault, "Shifts");
-  s->tasks = (guint)need_num (o, "Shifts", 1, 100000, &fault);
+  s->tasks = (guint) need_num (o, "Shifts", 1, 100000, &fault);
   s->cpus = need_num (o, "Cores", 0, 1e6, &fault);
   s->gpus = is_null (o, "Accelerators") ? 0 : need_num (o, "Accelerators", 0, 1e6, &fault);
   s->mem_gb = need_num (o, "MemGb", 0, 1e7, &fault);
@@ -197,12 +200,12 @@
       json_array_append_new (types, json_string (*t));
   }
   return json_pack ("{ss ss ss ss ss sI sf sf sf so sf so so sb sb sb sf sf sf so}", "Id", s->id,
-                    "Lane", s->lane, "Crew", s->team, "Form", "array", "Rank", rank_words[s->rank],
-                    "Shifts", (json_int_t)s->tasks, "Cores", s->cpus, "Accelerators", s->gpus,
-                    "MemGb", s->mem_gb, "Cargo", string_or_null (s->image), "PullGb", s->image_gb,
-                    "Hulls", types, "Harbor", string_or_null (s->zone), "OneZone", s->one_zone,
-                    "Apart", s->apart, "Driftwood", s->spot, "SailS", s->estimate_s, "MooringS",
-                    s->checkpoint_s, "StowS", s->save_s, "TideS",
+                    "Lane", s->lane, "Crew", s->team, "Form", form_words[s->form], "Rank",
+                    rank_words[s->rank], "Shifts", (json_int_t) s->tasks, "Cores", s->cpus,
+                    "Accelerators", s->gpus, "MemGb", s->mem_gb, "Cargo", string_or_null (s->image),
+                    "PullGb", s->image_gb, "Hulls", types, "Harbor", string_or_null (s->zone),
+                    "OneZone", s->one_zone, "Apart", s->apart, "Driftwood", s->spot, "SailS",
+                    s->estimate_s, "MooringS", s->checkpoint_s, "StowS", s->save_s, "TideS",
                     isnan (s->deadline_s) ? json_null () : json_real (s->deadline_s));
 }
 
@@ -252,7 +255,7 @@
   return slash ? KR_ROUTE_ABORT : KR_ROUTE_POLL;
 }
 
-/* --- workers ------------------------------------------------------------------------------- */
+/* --- workers ------------------------------------------------------------------------- */
 void
 kr_report_free (KrReport *r)
 {
@@ -269,7 +272,7 @@
 static KrTaskState
 task_state (const char *s)
 {
-  if (g_strcmp0 (s, "pulling") == 0)
+  if (g_strcmp0 (s, "pulling") == 0 || g_strcmp0 (s, "gathering") == 0)
     return KR_TASK_PULLING;
   if (g_strcmp0 (s, "saving") == 0)
     return KR_TASK_SAVING;
@@ -285,7 +288,8 @@
     return KR_WHY_NONE;
   if (g_str_equal (s, "done"))
     return KR_WHY_DONE;
-  if (g_str_equal (s, "stopped"))
+  /* A gang's tasks end by themselves when others are missing: no failure of theirs. */
+  if (g_str_equal (s, "stopped") || g_str_equal (s, "peers") || g_str_equal (s, "alone"))
     return KR_WHY_STOPPED;
   if (g_str_equal (s, "no_room") || g_str_equal (s, "in_use"))
     return KR_WHY_REFUSED;
@@ -321,8 +325,8 @@
     guint64 index;
     if (!slash || !g_ascii_string_to_unsigned (slash + 1, 10, 0, G_MAXUINT, &index, NULL))
       return NULL;
-    KrTaskReport k = {g_strndup (name, slash - name), (guint)index, uint_of (t, "Launch"),
-                      task_state (str (t, "Bearing")), why (str (t, "Wreck"))};
+    KrTaskReport k = { g_strndup (name, slash - name), (guint) index, uint_of (t, "Launch"),
+                       task_state (str (t, "Bearing")), why (str (t, "Wreck")) };
     g_array_append_val (r->tasks, k);
   }
   return g_steal_pointer (&r);
@@ -331,14 +335,14 @@
 json_t *
 kr_wire_orders_new (guint64 token)
 {
-  return json_pack ("{sI s[]}", "Helm", (json_int_t)token, "Orders");
+  return json_pack ("{sI s[]}", "Helm", (json_int_t) token, "Orders");
 }
 
 json_t *
 kr_wire_commands_new (guint64 token, guint64 session)
 {
   json_t *o = kr_wire_orders_new (token);
-  json_object_set_new (o, "Watch", json_integer ((json_int_t)session));
+  json_object_set_new (o, "Watch", json_integer ((json_int_t) session));
   return o;
 }
 
@@ -347,7 +351,7 @@
 {
   g_autofree char *shift = g_strdup_printf ("%s/%u", job, index);
   json_t *o =
-      json_pack ("{ss ss sI}", "Order", word, "Shift", shift, "Launch", (json_int_t)attempt);
+      json_pack ("{ss ss sI}", "Order", word, "Shift", shift, "Launch", (json_int_t) attempt);
   json_array_append_new (json_object_get (orders, "Orders"), o);
   return o;
 }
@@ -373,7 +377,7 @@
 guint
 kr_wire_orders_count (json_t *orders)
 {
-  return (guint)json_array_size (json_object_get (orders, "Orders"));
+  return (guint) json_array_size (json_object_get (orders, "Orders"));
 }
 
 json_t *
@@ -382,7 +386,7 @@
   return node ? json_pack ("{ss}", "Harbormaster", node) : json_object ();
 }
 
-/* --- cloud --------------------------------------------------------------------------------- */
+/* --- cloud --------------------------------------------------------------------------- */
 void
 kr_type_free (gpointer p)
 {
@@ -437,7 +441,7 @@
 kr_wire_rental (const char *request, const char *type, const char *zone, gboolean spot, guint count)
 {
   return json_pack ("{ss ss ss sb sI}", "Charter", request, "Hull", type, "Harbor", zone,
-                    "Driftwood", spot, "Number", (json_int_t)count);
+                    "Driftwood", spot, "Number", (json_int_t) count);
 }
 
 char **
@@ -496,7 +500,7 @@
   return TRUE;
 }
 
-/* --- state service ------------------------------------------------------------------------- */
+/* --- state service ------------------------------------------------------------------- */
 KrTxn *
 kr_txn_new (void)
 {
@@ -517,7 +521,7 @@
 void
 kr_txn_when (KrTxn *t, const char *key, guint64 mark)
 {
-  json_array_append_new (t->when, json_pack ("{ss sI}", "Key", key, "Mark", (json_int_t)mark));
+  json_array_append_new (t->when, json_pack ("{ss sI}", "Key", key, "Mark", (json_int_t) mark));
 }
 
 void
@@ -525,7 +529,7 @@
 {
   json_t *o = json_pack ("{ss so}", "Put", key, "Value", value);
   if (lease)
-    json_object_set_new (o, "Permit", json_integer ((json_int_t)lease));
+    json_object_set_new (o, "Permit", json_integer ((json_int_t) lease));
   json_array_append_new (t->writes, o);
 }
 
@@ -538,7 +542,7 @@
 guint
 kr_txn_ops (KrTxn *t)
 {
-  return (guint)json_array_size (t->writes);
+  return (guint) json_array_size (t->writes);
 }
 
 json_t *
@@ -570,7 +574,7 @@
 json_t *
 kr_wire_lease_body (guint life_ms)
 {
-  return json_pack ("{sI}", "LifeMs", (json_int_t)life_ms);
+  return json_pack ("{sI}", "LifeMs", (json_int_t) life_ms);
 }
 
 char *
--- a/src/wire.h
+++ b/src/wire.h
@@ -4,13 +4,20 @@
 #include <glib.h>
 #include <jansson.h>
 
-/* --- users --------------------------------------------------------------------------------- */
+/* --- users --------------------------------------------------------------------------- */
 typedef enum { KR_RANK_IDLE, KR_RANK_NORMAL, KR_RANK_URGENT, KR_RANK_CRITICAL } KrRank;
 
+typedef enum {
+  KR_FORM_ARRAY,  /* independent tasks */
+  KR_FORM_GANG,   /* all tasks at once */
+  KR_FORM_SERVICE /* tasks run until the user cancels the job */
+} KrForm;
+
 /* What a user submitted. */
 typedef struct {
   char *id, *lane, *team, *image, *zone; /* zone NULL: any; image NULL: none */
   char **types;                          /* NULL: any */
+  KrForm form;
   KrRank rank;
   guint tasks;
   double cpus, gpus, mem_gb, image_gb;
@@ -44,7 +51,7 @@
 /* For POLL and ABORT, *id is the job's id (free it). */
 KrRoute kr_wire_route (const char *method, const char *path, char **id);
 
-/* --- workers ------------------------------------------------------------------------------- */
+/* --- workers ------------------------------------------------------------------------- */
 typedef enum {
   KR_TASK_PULLING,
   KR_TASK_RUNNING,
@@ -91,7 +98,7 @@
 guint kr_wire_orders_count (json_t *orders);
 json_t *kr_wire_redirect (const char *node); /* NULL: nobody known */
 
-/* --- cloud --------------------------------------------------------------------------------- */
+/* --- cloud --------------------------------------------------------------------------- */
 typedef struct {
   char *name;
   double cpus, gpus, mem_gb, cache_gb, pull_gb_s, price, spot_price, boot_s;
@@ -124,7 +131,7 @@
 #define KR_PATH_COMMANDS "/commands"
 #define KR_PATH_SHOW "/show"
 
-/* --- state service ------------------------------------------------------------------------- */
+/* --- state service ------------------------------------------------------------------- */
 #define KR_PATH_COMMIT "/commit"
 #define KR_PATH_LEASES "/leases"
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -19,7 +19,7 @@
 op_new (KrWorkerReply reply, gpointer data)
 {
   Op *op = g_new (Op, 1);
-  *op = (Op){reply, data};
+  *op = (Op){ reply, data };
   return op;
 }
 
--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -9,14 +9,14 @@
 static KrEstimateInput
 random_input (double *elapsed, guint room)
 {
-  KrEstimateInput in = {0};
-  in.running = (guint)g_rand_int_range (rng, 0, (gint32)room);
+  KrEstimateInput in = { 0 };
+  in.running = (guint) g_rand_int_range (rng, 0, (gint32) room);
   for (guint i = 0; i < in.running; i++)
     elapsed[i] = g_rand_double_range (rng, 0, 200);
   in.elapsed = elapsed;
-  in.count = g_rand_boolean (rng) ? (guint)g_rand_int_range (rng, 1, 50) : 0;
+  in.count = g_rand_boolean (rng) ? (guint) g_rand_int_range (rng, 1, 50) : 0;
   in.sum = in.count * g_rand_double_range (rng, 1, 100);
-  in.unstarted = (guint)g_rand_int_range (rng, 0, 100);
+  in.unstarted = (guint) g_rand_int_range (rng, 0, 100);
   in.submitted = g_rand_double_range (rng, 1000, 2000);
   in.now = in.submitted + g_rand_double_range (rng, 0, 500);
   in.goal = in.submitted + g_rand_double_range (rng, 1, 600);
@@ -54,8 +54,8 @@
 static void
 test_overdue_task_counts_as_zero (void)
 {
-  double elapsed[] = {500};
-  KrEstimateInput in = {.sum = 10, .count = 1, .running = 1, .elapsed = elapsed, .goal = 100};
+  double elapsed[] = { 500 };
+  KrEstimateInput in = { .sum = 10, .count = 1, .running = 1, .elapsed = elapsed, .goal = 100 };
   g_assert_cmpfloat (kr_estimate_remaining (&in), ==, 0);
 }
 
@@ -91,7 +91,7 @@
 static void
 test_want (void)
 {
-  KrEstimateInput in = {.unstarted = 9, .goal = 100, .now = 0, .guess_s = 10};
+  KrEstimateInput in = { .unstarted = 9, .goal = 100, .now = 0, .guess_s = 10 };
   g_assert_cmpfloat (kr_rank_want (&in), ==, 9); /* no data: all of them */
   in.count = 1;
   in.sum = 10;
@@ -105,10 +105,10 @@
 static void
 test_place (void)
 {
-  KrSpec s = {.tasks = 5, .cpus = 2, .mem_gb = 4};
-  KrTeam team = {.cpus_max = 4};
-  KrRoom used = {2, 0, 0};
-  KrSpread w = {0, 0};
+  KrSpec s = { .tasks = 5, .cpus = 2, .mem_gb = 4 };
+  KrTeam team = { .cpus_max = 4 };
+  KrRoom used = { 2, 0, 0 };
+  KrSpread w = { 0, 0 };
   g_assert_true (kr_place_team_ok (&team, &used, &s));
   used.cpus = 3;
   g_assert_false (kr_place_team_ok (&team, &used, &s));
@@ -129,7 +129,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  guint32 seed = (guint32)g_test_rand_int ();
+  guint32 seed = (guint32) g_test_rand_int ();
   g_test_message ("seed %u", seed);
   rng = g_rand_new_with_seed (seed);
   g_test_add_func ("/estimate/slots", test_slots);
