--- a/src/log.c
+++ b/src/log.c
@@ -13,7 +13,7 @@
 static GLogWriterOutput
 writer (GLogLevelFlags level, const GLogField *fields, gsize n_fields, gpointer data)
 {
-  const char *message = NULL, *word = "info";
+  const char *message = NULL, *domain = "", *word = "info";
   g_autoptr (GDateTime) now = NULL;
 
   level &= G_LOG_LEVEL_MASK;
@@ -22,6 +22,10 @@
   for (gsize i = 0; i < n_fields; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
       message = fields[i].value;
+    else if (strcmp (fields[i].key, "GLIB_DOMAIN") == 0)
+      domain = fields[i].value;
+  if (level >= G_LOG_LEVEL_DEBUG && strcmp (domain, G_LOG_DOMAIN) != 0)
+    return G_LOG_WRITER_HANDLED; /* GLib's own chatter */
   if (level <= G_LOG_LEVEL_CRITICAL)
     word = "error";
   else if (level == G_LOG_LEVEL_WARNING)
--- a/src/part.c
+++ b/src/part.c
@@ -138,12 +138,14 @@
       count_launch (p, b, l);
     break;
   case KR_SAW_RUNNING:
+    kr_debug ("task %s/%u: runs on %s", l->job, l->index, b->id);
     if (j && j->spec->image)
       g_hash_table_add (b->images, g_strdup (j->spec->image));
     if (j)
       j->dirty = TRUE;
     break;
   case KR_SAW_EXITED:
+    kr_debug ("task %s/%u: exited on %s (%d)", l->job, l->index, b->id, l->why);
     uncount_launch (p, l);
     if (!j)
       break;
@@ -1184,8 +1186,12 @@
   if (places->len < want)
     return;
   kr_info ("job %s: a gang of %u gets its places", j->spec->id, want);
-  for (guint i = 0; i < want; i++)
-    launch (p, places->pdata[i], c, teams, (guint) kr_job_next (j))->planned = TRUE;
+  guint64 attempt = 0; /* one for all: its tasks gather by it (docs/questions.md) */
+  for (guint i = 0; i < want; i++) {
+    KrLaunch *l = launch (p, places->pdata[i], c, teams, (guint) kr_job_next (j));
+    l->planned = TRUE;
+    attempt = l->attempt = attempt ? attempt : l->attempt;
+  }
 }
 
 static void
