--- a/src/api.c
+++ b/src/api.c
@@ -1,4 +1,5 @@
 #include "api.h"
+#include "clock.h"
 #include "constants.h"
 #include "ledger.h"
 #include "log.h"
@@ -74,7 +75,7 @@
   v->request = request;
   v->route = route;
   v->id = g_strdup (id);
-  v->deadline = g_get_monotonic_time () + (gint64) ms * 1000;
+  v->deadline = kr_now () + (gint64) ms * 1000;
   a->pending++;
   return v;
 }
@@ -99,7 +100,7 @@
 static guint
 left_ms (Visit *v, guint most)
 {
-  gint64 ms = (v->deadline - g_get_monotonic_time ()) / 1000;
+  gint64 ms = (v->deadline - kr_now ()) / 1000;
   return (guint) CLAMP (ms, 1, most);
 }
 
@@ -264,7 +265,7 @@
     g_autofree char *key = kr_job_key (spec->id), *end = kr_job_end_key (spec->id);
     KrTxn *txn = kr_txn_new ();
     guint part = kr_settings_part_of_team (a->node->settings, spec->team);
-    g_autoptr (KrJob) j = kr_job_new (g_steal_pointer (&spec), g_get_real_time () / 1e6, part);
+    g_autoptr (KrJob) j = kr_job_new (g_steal_pointer (&spec), kr_time_of_day (), part);
     kr_txn_when (txn, key, 0);
     kr_txn_when (txn, end, 0);
     kr_txn_put (txn, key, kr_job_encode (j, j->done, 0), 0);
@@ -283,7 +284,7 @@
   if (status == 200) {
     remember (v->api, v->id, KR_JOB_CANCELLED, 0);
     answer (v, 200, kr_wire_job_answer (v->id, KR_JOB_CANCELLED, FALSE, 0, 0), 0);
-  } else if ((status == 409 || status == 0) && g_get_monotonic_time () < v->deadline)
+  } else if ((status == 409 || status == 0) && kr_now () < v->deadline)
     look (v, abort_found);
   else
     cannot_know (v);
--- /dev/null
+++ b/src/clock.h
@@ -0,0 +1,10 @@
+/* Time and timers in one place, so that tests can run whole nodes in simulated time. */
+#pragma once
+#include <glib.h>
+
+gint64 kr_now (void);         /* us, steady */
+double kr_time_of_day (void); /* s since the epoch */
+/* As g_timeout_add, and its end. */
+guint kr_timer_add (guint ms, GSourceFunc func, gpointer data);
+void kr_timer_remove (guint id);
+void kr_timer_clear (guint *id); /* removes it if set, and unsets it */
--- /dev/null
+++ b/src/flow.c
@@ -0,0 +1,119 @@
+#include "flow.h"
+#include "clock.h"
+#include "constants.h"
+
+/* --- cancellables -------------------------------------------------------------------- */
+static void
+cancel_child (GCancellable *parent, gpointer child)
+{
+  g_cancellable_cancel (child);
+}
+
+GCancellable *
+kr_cancellable_child (GCancellable *parent)
+{
+  GCancellable *child = g_cancellable_new ();
+  if (parent)
+    g_signal_connect_object (parent, "cancelled", G_CALLBACK (cancel_child), child, 0);
+  return child;
+}
+
+/* --- bucket -------------------------------------------------------------------------- */
+typedef struct {
+  double cost;
+  KrBucketGo go;
+  gpointer data;
+} Waiter;
+
+struct KrBucket {
+  double rate, burst, tokens;
+  gint64 at;
+  GQueue queue;
+  guint timer;
+};
+
+KrBucket *
+kr_bucket_new (double rate, double burst_s)
+{
+  KrBucket *b = g_new0 (KrBucket, 1);
+  b->rate = rate;
+  b->burst = b->tokens = MAX (1.0, rate * burst_s);
+  b->at = kr_now ();
+  g_queue_init (&b->queue);
+  return b;
+}
+
+void
+kr_bucket_free (KrBucket *b)
+{
+  kr_timer_clear (&b->timer);
+  g_queue_clear_full (&b->queue, g_free);
+  g_free (b);
+}
+
+guint
+kr_bucket_waiting (KrBucket *b)
+{
+  return b->queue.length;
+}
+
+static void
+refill (KrBucket *b)
+{
+  gint64 now = kr_now ();
+  b->tokens = MIN (b->burst, b->tokens + b->rate * (now - b->at) / G_USEC_PER_SEC);
+  b->at = now;
+}
+
+static gboolean serve (gpointer data);
+
+static void
+arm (KrBucket *b)
+{
+  Waiter *w = g_queue_peek_head (&b->queue);
+  if (!w || b->timer)
+    return;
+  /* A call dearer than the burst waits for a full bucket and leaves a debt. */
+  double missing = MIN (w->cost, b->burst) - b->tokens;
+  b->timer = kr_timer_add (MAX (1, (guint) (missing / b->rate * 1000) + 1), serve, b);
+}
+
+static gboolean
+serve (gpointer data)
+{
+  KrBucket *b = data;
+  Waiter *w;
+  b->timer = 0;
+  refill (b);
+  while ((w = g_queue_peek_head (&b->queue)) && b->tokens >= MIN (w->cost, b->burst)) {
+    g_queue_pop_head (&b->queue);
+    b->tokens -= w->cost;
+    w->go (TRUE, w->data);
+    g_free (w);
+  }
+  arm (b);
+  return G_SOURCE_REMOVE;
+}
+
+void
+kr_bucket_take (KrBucket *b, double cost, gboolean first, KrBucketGo go, gpointer data)
+{
+  refill (b);
+  if ((first || b->queue.length == 0) && b->tokens >= MIN (cost, b->burst)) {
+    b->tokens -= cost;
+    go (TRUE, data);
+    return;
+  }
+  if (b->queue.length >= KR_QUEUE_MAX && !first) {
+    go (FALSE, data);
+    return;
+  }
+  Waiter *w = g_new (Waiter, 1);
+  *w = (Waiter){ cost, go, data };
+  if (first)
+    g_queue_push_head (&b->queue, w);
+  else
+    g_queue_push_tail (&b->queue, w);
+  kr_timer_clear (&b->timer);
+  arm (b);
+}
--- a/src/http.c
+++ b/src/http.c
@@ -1,125 +1,10 @@
 #include "http.h"
+#include "clock.h"
 #include "constants.h"
 #include "log.h"
 #include <libsoup/soup.h>
 #include <string.h>
 
-/* --- cancellables -------------------------------------------------------------------- */
-static void
-cancel_child (GCancellable *parent, gpointer child)
-{
-  g_cancellable_cancel (child);
-}
-
-GCancellable *
-kr_cancellable_child (GCancellable *parent)
-{
-  GCancellable *child = g_cancellable_new ();
-  if (parent)
-    g_signal_connect_object (parent, "cancelled", G_CALLBACK (cancel_child), child, 0);
-  return child;
-}
-
-/* --- bucket -------------------------------------------------------------------------- */
-typedef struct {
-  double cost;
-  KrBucketGo go;
-  gpointer data;
-} Waiter;
-
-struct KrBucket {
-  double rate, burst, tokens;
-  gint64 at;
-  GQueue queue;
-  guint timer;
-};
-
-KrBucket *
-kr_bucket_new (double rate, double burst_s)
-{
-  KrBucket *b = g_new0 (KrBucket, 1);
-  b->rate = rate;
-  b->burst = b->tokens = MAX (1.0, rate * burst_s);
-  b->at = g_get_monotonic_time ();
-  g_queue_init (&b->queue);
-  return b;
-}
-
-void
-kr_bucket_free (KrBucket *b)
-{
-  g_clear_handle_id (&b->timer, g_source_remove);
-  g_queue_clear_full (&b->queue, g_free);
-  g_free (b);
-}
-
-guint
-kr_bucket_waiting (KrBucket *b)
-{
-  return b->queue.length;
-}
-
-static void
-refill (KrBucket *b)
-{
-  gint64 now = g_get_monotonic_time ();
-  b->tokens = MIN (b->burst, b->tokens + b->rate * (now - b->at) / G_USEC_PER_SEC);
-  b->at = now;
-}
-
-static gboolean serve (gpointer data);
-
-static void
-arm (KrBucket *b)
-{
-  Waiter *w = g_queue_peek_head (&b->queue);
-  if (!w || b->timer)
-    return;
-  /* A call dearer than the burst waits for a full bucket and leaves a debt. */
-  double missing = MIN (w->cost, b->burst) - b->tokens;
-  b->timer = g_timeout_add (MAX (1, (guint) (missing / b->rate * 1000) + 1), serve, b);
-}
-
-static gboolean
-serve (gpointer data)
-{
-  KrBucket *b = data;
-  Waiter *w;
-  b->timer = 0;
-  refill (b);
-  while ((w = g_queue_peek_head (&b->queue)) && b->tokens >= MIN (w->cost, b->burst)) {
-    g_queue_pop_head (&b->queue);
-    b->tokens -= w->cost;
-    w->go (TRUE, w->data);
-    g_free (w);
-  }
-  arm (b);
-  return G_SOURCE_REMOVE;
-}
-
-void
-kr_bucket_take (KrBucket *b, double cost, gboolean first, KrBucketGo go, gpointer data)
-{
-  refill (b);
-  if ((first || b->queue.length == 0) && b->tokens >= MIN (cost, b->burst)) {
-    b->tokens -= cost;
-    go (TRUE, data);
-    return;
-  }
-  if (b->queue.length >= KR_QUEUE_MAX && !first) {
-    go (FALSE, data);
-    return;
-  }
-  Waiter *w = g_new (Waiter, 1);
-  *w = (Waiter){ cost, go, data };
-  if (first)
-    g_queue_push_head (&b->queue, w);
-  else
-    g_queue_push_tail (&b->queue, w);
-  g_clear_handle_id (&b->timer, g_source_remove);
-  arm (b);
-}
-
 /* --- calls --------------------------------------------------------------------------- */
 struct KrClient {
   SoupSession *session;
@@ -173,7 +58,7 @@
   guint status = bytes ? soup_message_get_status (call->message) : 0;
   json_t *body = NULL;
 
-  g_clear_handle_id (&call->timer, g_source_remove);
+  kr_timer_clear (&call->timer);
   if (bytes && g_bytes_get_size (bytes) > 0)
     body = json_loadb (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), JSON_DECODE_ANY,
                        NULL);
@@ -217,7 +102,7 @@
     soup_message_set_request_body_from_bytes (call->message, "application/json", bytes);
     json_decref (body);
   }
-  call->timer = g_timeout_add (timeout_ms, call_late, call);
+  call->timer = kr_timer_add (timeout_ms, call_late, call);
   soup_session_send_and_read_async (c->session, call->message, G_PRIORITY_DEFAULT, call->cancel,
                                     call_done, call);
 }
@@ -330,7 +215,7 @@
 
   if (!c) {
     if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
-      g_timeout_add (KR_ACCEPT_PAUSE_MS, accept_again, s);
+      kr_timer_add (KR_ACCEPT_PAUSE_MS, accept_again, s);
     return;
   }
   g_socket_set_timeout (g_socket_connection_get_socket (c), s->idle_s);
--- a/src/membership.c
+++ b/src/membership.c
@@ -1,4 +1,5 @@
 #include "membership.h"
+#include "clock.h"
 #include "constants.h"
 #include "log.h"
 #include <stdlib.h>
@@ -113,7 +114,7 @@
     h->incarnation = g_strdup (json_string_value (json_object_get (value, "Inc")));
     h->from = (guint64) json_integer_value (json_object_get (value, "From"));
   } else
-    h->free_since = g_get_monotonic_time ();
+    h->free_since = kr_now ();
   if (which == m->settings->size) {
     kr_info ("leader: %s (token %" G_GUINT64_FORMAT ")", node ? node : "none", mark);
     m->events.leader_changed (m->data);
@@ -140,7 +141,7 @@
 {
   if (there && !g_hash_table_contains (m->present, name)) {
     gint64 *since = g_new (gint64, 1);
-    *since = g_get_monotonic_time ();
+    *since = kr_now ();
     g_hash_table_insert (m->present, g_strdup (name), since);
     kr_info ("node %s: present", name);
   } else if (!there && g_hash_table_remove (m->present, name))
@@ -261,7 +262,7 @@
 
   *c = (Change){ m, part, TRUE };
   h->busy = TRUE;
-  h->keep_off = g_get_monotonic_time () + (gint64) keep_off_ms * 1000;
+  h->keep_off = kr_now () + (gint64) keep_off_ms * 1000;
   kr_txn_when (txn, key, h->mark);
   kr_txn_remove (txn, key);
   kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
@@ -298,7 +299,7 @@
 {
   KrMembership *m = data;
   const KrSettings *s = m->settings;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
 
   if (!m->seen || !m->lease)
     return G_SOURCE_CONTINUE;
@@ -372,22 +373,22 @@
   m->incarnation = g_strdup_printf ("%08x%08x", g_random_int (), g_random_int ());
   m->holders = g_new0 (KrHolder, settings->size + 1);
   for (guint p = 0; p <= settings->size; p++)
-    m->holders[p].free_since = g_get_monotonic_time ();
+    m->holders[p].free_since = kr_now ();
   m->records = g_new0 (KrRecord, settings->size);
   m->present = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->follow = kr_follow_new (state, "c/", m->cancel, on_scan, on_event, m);
   kr_follow_rescan (m->follow);
   renew (m);
-  m->lease_timer = g_timeout_add (KR_NODE_RENEW_MS, renew, m);
-  m->duty_timer = g_timeout_add (300, duty, m);
+  m->lease_timer = kr_timer_add (KR_NODE_RENEW_MS, renew, m);
+  m->duty_timer = kr_timer_add (300, duty, m);
   return m;
 }
 
 void
 kr_membership_free (KrMembership *m)
 {
-  g_source_remove (m->lease_timer);
-  g_source_remove (m->duty_timer);
+  kr_timer_remove (m->lease_timer);
+  kr_timer_remove (m->duty_timer);
   g_cancellable_cancel (m->cancel);
   kr_follow_stop (m->follow);
 }
--- a/src/part.c
+++ b/src/part.c
@@ -1,4 +1,5 @@
 #include "part.h"
+#include "clock.h"
 #include "constants.h"
 #include "log.h"
 #include "place.h"
@@ -130,7 +131,7 @@
 {
   KrPart *p = data;
   KrJob *j = job (p, l->job);
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
 
   switch (what) {
   case KR_SAW_NEW:
@@ -357,7 +358,7 @@
   const char *id;
   GHashTableIter it;
   gpointer value;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
 
   if (!p->have_record)
     return;
@@ -470,7 +471,7 @@
       memcpy (j->durable, w->bits, kr_job_bytes (j));
       if (w->final) {
         kr_info ("job %s: %s, %u tasks, %.1f s after submission", w->id,
-                 j->cancelled ? "cancelled" : "done", j->n_done, g_get_real_time () / 1e6 - j->at);
+                 j->cancelled ? "cancelled" : "done", j->n_done, kr_time_of_day () - j->at);
         g_hash_table_remove (p->jobs, w->id);
       }
     } else {
@@ -480,7 +481,7 @@
     }
   }
   if (!p->gone) {
-    g_timeout_add (status == 200 ? 10 : KR_RETRY_MS, flush_again, ref (p));
+    kr_timer_add (status == 200 ? 10 : KR_RETRY_MS, flush_again, ref (p));
     if (status && status != 200)
       kr_debug ("part %u: write of progress refused (%u)", p->index, status);
   }
@@ -499,7 +500,7 @@
 static void
 flush (KrPart *p)
 {
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
   gboolean due = now >= p->next_flush, left = FALSE, finals = FALSE;
   GHashTableIter it;
   gpointer value;
@@ -585,7 +586,7 @@
   KrItem item;
 
   if (j && status != 200 && status != 404) {
-    g_timeout_add (KR_RETRY_MS, read_chunk, r);
+    kr_timer_add (KR_RETRY_MS, read_chunk, r);
     return;
   }
   if (j) {
@@ -659,7 +660,7 @@
   j = kr_job_decode (item->value, item->mark);
   if (!j)
     return;
-  j->waiting_since = g_get_monotonic_time ();
+  j->waiting_since = kr_now ();
   g_hash_table_insert (p->jobs, j->spec->id, j);
   kr_info ("job %s: %s, %s, %u tasks of %g CPUs, part %u", id, j->spec->lane, j->spec->team,
            j->spec->tasks, j->spec->cpus, p->index);
@@ -779,7 +780,7 @@
 static void
 take_report (KrPart *p, KrBerth *b, const KrReport *r)
 {
-  kr_berth_apply (b, r, FALSE, p->token, g_get_monotonic_time (), saw, p);
+  kr_berth_apply (b, r, FALSE, p->token, kr_now (), saw, p);
   if (r->token > p->token)
     kr_membership_renew_token (p->node->membership, p->index);
   check_open (p);
@@ -888,7 +889,7 @@
       return;
   p->phase = OPEN;
   kr_info ("part %u: open, %.1f s after the takeover", p->index,
-           (double) (g_get_monotonic_time () - p->taken_at) / G_USEC_PER_SEC);
+           (double) (kr_now () - p->taken_at) / G_USEC_PER_SEC);
   write_record (p);
   flush (p);
 }
@@ -947,7 +948,7 @@
 {
   GHashTableIter it;
   gpointer value;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
   double lag = p->node->settings->cloud_list_lag_s;
 
   g_hash_table_iter_init (&it, p->berths);
@@ -1024,7 +1025,7 @@
   g_autoptr (GHashTable) by_id = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter it;
   gpointer value;
-  double real = g_get_real_time () / 1e6;
+  double real = kr_time_of_day ();
 
   g_hash_table_iter_init (&it, p->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
@@ -1365,7 +1366,7 @@
 {
   for (guint i = b->launches->len; i-- > 0;) {
     KrLaunch *l = b->launches->pdata[i];
-    if (!l->planned || (!l->kill && usable (p, b, g_get_monotonic_time ())))
+    if (!l->planned || (!l->kill && usable (p, b, kr_now ())))
       continue;
     l = g_ptr_array_steal_index (b->launches, i);
     saw (b, l, KR_SAW_GONE, p);
@@ -1379,7 +1380,7 @@
 kr_part_beat (KrPart *p, KrRequest *request, const KrReport *r)
 {
   KrBerth *b = berth (p, r->machine);
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
 
   if (!b || b->deleting) {
     kr_request_reply (request, b || !p->have_record ? 503 : 421, kr_wire_redirect (NULL), 0);
@@ -1468,7 +1469,7 @@
 {
   KrPart *p = data;
   const KrSettings *s = p->node->settings;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
   guint heard = 0;
 
   if (p->have_record) {
@@ -1500,7 +1501,7 @@
 json_t *
 kr_part_summary (KrPart *p)
 {
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
   g_autoptr (GHashTable) teams =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   g_autoptr (GPtrArray) all = candidates (p, now, teams);
@@ -1580,7 +1581,7 @@
     return;
   }
   if (status != 200 && status != 404) {
-    g_timeout_add (KR_RETRY_MS, load_again, p);
+    kr_timer_add (KR_RETRY_MS, load_again, p);
     return;
   }
   if (status == 200 && kr_wire_item_parse (body, &item))
@@ -1619,8 +1620,8 @@
   p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) kr_job_free);
   p->berths = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_berth_free);
   p->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  p->taken_at = p->last_beat = g_get_monotonic_time ();
-  p->tick = g_timeout_add (KR_TICK_MS, tick, p);
+  p->taken_at = p->last_beat = kr_now ();
+  p->tick = kr_timer_add (KR_TICK_MS, tick, p);
   kr_info ("part %u: taking over with token %" G_GUINT64_FORMAT, index, token);
   load (p);
   return p;
@@ -1650,7 +1651,7 @@
 {
   kr_info ("part %u: no longer ours", p->index);
   p->gone = TRUE;
-  g_source_remove (p->tick);
+  kr_timer_remove (p->tick);
   g_cancellable_cancel (p->cancel);
   unref (p);
 }
--- a/src/rent.c
+++ b/src/rent.c
@@ -1,4 +1,5 @@
 #include "rent.h"
+#include "clock.h"
 #include "constants.h"
 #include "http.h"
 #include "log.h"
@@ -79,7 +80,7 @@
   while (g_hash_table_iter_next (&it, &id, NULL))
     if (!g_hash_table_contains (now, id)) {
       gint64 *at = g_new (gint64, 1);
-      *at = g_get_monotonic_time ();
+      *at = kr_now ();
       g_hash_table_insert (r->left, g_strdup (id), at);
       g_hash_table_remove (r->fresh, id);
     }
@@ -116,7 +117,7 @@
     return;
   json_decref (r->summaries[p].value);
   r->summaries[p].value = json_incref (s);
-  r->summaries[p].at = g_get_monotonic_time ();
+  r->summaries[p].at = kr_now ();
 }
 
 json_t *
@@ -299,7 +300,7 @@
 {
   Pool *o = data;
   KrRent *r = o->rent;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
   g_auto (GStrv) ids = status == 200 ? kr_wire_rental_machines (body) : NULL;
   guint n = ids ? g_strv_length (ids) : 0;
 
@@ -526,7 +527,7 @@
   r->types_busy = FALSE;
   if (!types)
     return;
-  r->next_types = g_get_monotonic_time () + KR_TYPES_MS * 1000;
+  r->next_types = kr_now () + KR_TYPES_MS * 1000;
   if (!r->node->types)
     kr_info ("cloud: %u machine types", types->len);
   g_clear_pointer (&r->node->types, g_ptr_array_unref);
@@ -557,7 +558,7 @@
 tick (gpointer data)
 {
   KrRent *r = data;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = kr_now ();
   gboolean leads = kr_membership_leads (r->node->membership), owns = FALSE;
 
   for (guint p = 0; p < r->node->settings->size; p++)
@@ -595,7 +596,7 @@
   r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
   r->summaries = g_new0 (Summary, node->settings->size);
   r->wishes = g_new0 (json_t *, node->settings->size);
-  r->timer = g_timeout_add (KR_SYNC_MS, tick, r);
+  r->timer = kr_timer_add (KR_SYNC_MS, tick, r);
   tick (r);
   return r;
 }
@@ -603,6 +604,6 @@
 void
 kr_rent_free (KrRent *r)
 {
-  g_source_remove (r->timer);
+  kr_timer_remove (r->timer);
   g_cancellable_cancel (r->cancel);
 }
--- a/src/state.c
+++ b/src/state.c
@@ -1,4 +1,5 @@
 #include "state.h"
+#include "clock.h"
 #include "constants.h"
 #include "log.h"
 
@@ -32,7 +33,7 @@
   st->requests = kr_bucket_new (s->state_rps / s->size, 1);
   st->writes = kr_bucket_new (s->state_write_rps / s->size, 1);
   st->write_rate = s->state_write_rps / s->size;
-  st->heard = g_get_monotonic_time ();
+  st->heard = kr_now ();
   return st;
 }
 
@@ -55,7 +56,7 @@
 double
 kr_state_silence (KrState *st)
 {
-  return (double) (g_get_monotonic_time () - st->heard) / G_USEC_PER_SEC;
+  return (double) (kr_now () - st->heard) / G_USEC_PER_SEC;
 }
 
 static void
@@ -72,7 +73,7 @@
 {
   Op *op = data;
   if (status && status != 503)
-    op->state->heard = g_get_monotonic_time ();
+    op->state->heard = kr_now ();
   op->reply (status, body, op->data);
   op_free (op);
 }
@@ -173,8 +174,8 @@
 static void
 step_later (KrFollow *f, guint ms)
 {
-  g_clear_handle_id (&f->timer, g_source_remove);
-  f->timer = g_timeout_add (ms, step_again, f);
+  kr_timer_clear (&f->timer);
+  f->timer = kr_timer_add (ms, step_again, f);
 }
 
 static void
@@ -290,7 +291,7 @@
 kr_follow_stop (KrFollow *f)
 {
   GCancellable *c = g_steal_pointer (&f->cancel);
-  g_clear_handle_id (&f->timer, g_source_remove);
+  kr_timer_clear (&f->timer);
   g_clear_pointer (&f->items, json_decref);
   f->scanned = FALSE;
   if (c) {
--- /dev/null
+++ b/tests/sim.c
@@ -0,0 +1,1353 @@
+#include "sim.h"
+#include "clock.h"
+#include "constants.h"
+#include "http.h"
+#include "wire.h"
+#include <math.h>
+#include <string.h>
+
+#define MAX_NODES 8
+
+/* --- events ---------------------------------------------------------------------------- */
+typedef struct {
+  gint64 at;
+  guint64 order;
+  guint id;   /* timers */
+  gint owner; /* node on whose behalf; -1: the world */
+  guint life; /* of that node */
+  GSourceFunc func;
+  gpointer data;
+  guint every_ms; /* timers repeat while func says so */
+} Event;
+
+typedef struct {
+  KrNode *node;
+  KrSettings *settings;
+  gboolean alive;
+  guint life;
+} Node;
+
+static struct {
+  SimOptions o;
+  GRand *rng;
+  GSequence *queue;
+  gint64 now;
+  guint64 order;
+  guint next_id;
+  gint current; /* node whose code runs */
+  Node nodes[MAX_NODES];
+  GHashTable *servers; /* address -> KrServer */
+  GHashTable *cuts;    /* "a>b" -> SimCut */
+  GPtrArray *held;     /* Message */
+  /* state */
+  GHashTable *store;  /* key -> Entry */
+  GHashTable *leases; /* id -> Lease */
+  GPtrArray *follows; /* Follow */
+  GArray *changes;    /* Change */
+  guint64 revision, next_lease;
+  gboolean outage, refuse[MAX_NODES];
+  guint lose_commits;
+  /* cloud */
+  GHashTable *machines; /* id -> Machine */
+  GHashTable *charters;
+  guint next_machine;
+  /* users */
+  GHashTable *jobs; /* id -> User */
+  GString *broken;
+  guint started;
+} S;
+
+static int
+event_order (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const Event *x = a, *y = b;
+  if (x->at != y->at)
+    return x->at < y->at ? -1 : 1;
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+static Event *
+push (gint64 at, gint owner, GSourceFunc func, gpointer data)
+{
+  Event *e = g_new0 (Event, 1);
+  e->at = at;
+  e->order = ++S.order;
+  e->owner = owner;
+  e->life = owner >= 0 ? S.nodes[owner].life : 0;
+  e->func = func;
+  e->data = data;
+  g_sequence_insert_sorted (S.queue, e, event_order, NULL);
+  return e;
+}
+
+static void
+later (double s, GSourceFunc func, gpointer data)
+{
+  push (S.now + (gint64) (s * 1e6), -1, func, data);
+}
+
+gint64
+kr_now (void)
+{
+  return S.now + 1000000;
+}
+
+double
+kr_time_of_day (void)
+{
+  return 1790000000.0 + S.now / 1e6;
+}
+
+guint
+kr_timer_add (guint ms, GSourceFunc func, gpointer data)
+{
+  Event *e = push (S.now + (gint64) ms * 1000, S.current, func, data);
+  e->id = ++S.next_id;
+  e->every_ms = MAX (1, ms);
+  return e->id;
+}
+
+void
+kr_timer_remove (guint id)
+{
+  for (GSequenceIter *i = g_sequence_get_begin_iter (S.queue); !g_sequence_iter_is_end (i);
+       i = g_sequence_iter_next (i))
+    if (((Event *) g_sequence_get (i))->id == id) {
+      g_sequence_remove (i);
+      return;
+    }
+}
+
+void
+kr_timer_clear (guint *id)
+{
+  if (*id)
+    kr_timer_remove (*id);
+  *id = 0;
+}
+
+static gboolean
+alive (gint owner, guint life)
+{
+  return owner < 0 || (S.nodes[owner].alive && S.nodes[owner].life == life);
+}
+
+void
+sim_run (double seconds)
+{
+  gint64 end = S.now + (gint64) (seconds * 1e6);
+  for (;;) {
+    GSequenceIter *i = g_sequence_get_begin_iter (S.queue);
+    Event *e = g_sequence_iter_is_end (i) ? NULL : g_sequence_get (i);
+    if (!e || e->at > end)
+      break;
+    /* Out of the queue first, so that func may remove its own timer. */
+    Event copy = *e;
+    S.now = MAX (S.now, e->at);
+    e->at = e->at + MAX (1, (gint64) copy.every_ms * 1000);
+    if (!copy.every_ms)
+      g_sequence_remove (i);
+    else
+      g_sequence_sort_changed (i, event_order, NULL);
+    if (!alive (copy.owner, copy.life)) {
+      if (copy.every_ms)
+        kr_timer_remove (copy.id);
+      continue;
+    }
+    S.current = copy.owner;
+    gboolean again = copy.func (copy.data);
+    S.current = -1;
+    if (copy.every_ms && !again)
+      kr_timer_remove (copy.id);
+  }
+  S.now = end;
+}
+
+double
+sim_now (void)
+{
+  return S.now / 1e6;
+}
+
+static void
+broken (const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  g_string_append_printf (S.broken, "%.3f ", sim_now ());
+  g_string_append_vprintf (S.broken, format, args);
+  g_string_append_c (S.broken, '\n');
+  va_end (args);
+}
+
+/* --- network ---------------------------------------------------------------------------- */
+typedef struct {
+  char *from, *to;
+  GSourceFunc func;
+  gpointer data;
+} Message;
+
+static SimCut
+cut_between (const char *from, const char *to)
+{
+  g_autofree char *key = g_strdup_printf ("%s>%s", from, to);
+  return GPOINTER_TO_INT (g_hash_table_lookup (S.cuts, key));
+}
+
+static void
+deliver (const char *from, const char *to, GSourceFunc func, gpointer data)
+{
+  SimCut c = cut_between (from, to);
+  if (c == SIM_DROP)
+    return;
+  if (c == SIM_HOLD) {
+    Message *m = g_new (Message, 1);
+    *m = (Message){ g_strdup (from), g_strdup (to), func, data };
+    g_ptr_array_add (S.held, m);
+    return;
+  }
+  later (g_rand_double_range (S.rng, 0.0003, 0.004), func, data);
+}
+
+void
+sim_cut (const char *from, const char *to, SimCut how)
+{
+  g_hash_table_replace (S.cuts, g_strdup_printf ("%s>%s", from, to), GINT_TO_POINTER (how));
+  if (how != SIM_OPEN)
+    return;
+  g_autoptr (GPtrArray) old = g_steal_pointer (&S.held);
+  S.held = g_ptr_array_new ();
+  for (guint i = 0; i < old->len; i++) {
+    Message *m = old->pdata[i];
+    deliver (m->from, m->to, m->func, m->data);
+    g_free (m->from);
+    g_free (m->to);
+    g_free (m);
+  }
+}
+
+void
+sim_cut_both (const char *a, const char *b, SimCut how)
+{
+  sim_cut (a, b, how);
+  sim_cut (b, a, how);
+}
+
+/* --- http: calls -------------------------------------------------------------------------- */
+struct KrClient {
+  gint owner;
+};
+
+struct KrServer {
+  KrHandler handler;
+  gpointer data;
+  gint owner;
+  guint life;
+};
+
+typedef struct {
+  char *from, *to, *host, *method, *path;
+  json_t *body;
+  gint owner;
+  guint life;
+  gboolean over;
+  GCancellable *cancel;
+  KrReply reply;
+  gpointer data;
+  guint status;
+  json_t *answer;
+} Call;
+
+struct KrRequest {
+  Call *call;
+  gint owner;
+  guint life;
+};
+
+static void world_answer (Call *c);
+
+static void
+call_end (Call *c, guint status, json_t *body)
+{
+  if (c->over)
+    return;
+  c->over = TRUE;
+  if (!alive (c->owner, c->life))
+    return;
+  gint before = S.current;
+  S.current = c->owner;
+  c->reply (status, body, c->data);
+  S.current = before;
+}
+
+static gboolean
+call_late (gpointer data)
+{
+  call_end (data, 0, NULL);
+  return FALSE;
+}
+
+static gboolean
+answer_arrives (gpointer data)
+{
+  Call *c = data;
+  call_end (c, c->status, c->answer);
+  return FALSE;
+}
+
+static void
+answer_call (Call *c, guint status, json_t *body)
+{
+  c->status = status;
+  c->answer = body;
+  deliver (c->to, c->from, answer_arrives, c);
+}
+
+static gboolean
+call_arrives (gpointer data)
+{
+  Call *c = data;
+  KrServer *s = g_hash_table_lookup (S.servers, c->host);
+  if (!s) {
+    world_answer (c);
+    return FALSE;
+  }
+  if (!alive (s->owner, s->life))
+    return FALSE;
+  KrRequest *r = g_new0 (KrRequest, 1);
+  r->call = c;
+  r->owner = s->owner;
+  r->life = s->life;
+  S.current = s->owner;
+  s->handler (r, s->data);
+  S.current = -1;
+  return FALSE;
+}
+
+static char *
+host_name (const char *address)
+{
+  if (g_str_equal (address, "10.2.0.1:2379"))
+    return g_strdup ("state");
+  if (g_str_equal (address, "10.2.0.2:8443"))
+    return g_strdup ("cloud");
+  if (g_str_has_prefix (address, "10.0.0."))
+    return g_strdup_printf ("n%d", atoi (address + 7) - 1);
+  return g_strdup_printf ("host-%06d", atoi (address + strlen ("10.1.0.")));
+}
+
+static Call *
+call_new (const char *from, const char *method, const char *address, const char *path, json_t *body,
+          double timeout_s, KrReply reply, gpointer data)
+{
+  Call *c = g_new0 (Call, 1);
+  c->from = g_strdup (from);
+  c->to = host_name (address);
+  c->host = g_strdup (address);
+  c->method = g_strdup (method);
+  c->path = g_strdup (path);
+  c->body = body;
+  c->owner = S.current;
+  c->life = c->owner >= 0 ? S.nodes[c->owner].life : 0;
+  c->reply = reply;
+  c->data = data;
+  later (timeout_s, call_late, c);
+  deliver (c->from, c->to, call_arrives, c);
+  return c;
+}
+
+static gboolean
+call_cancelled_now (gpointer data)
+{
+  call_end (data, 0, NULL);
+  return FALSE;
+}
+
+static void
+call_cancelled (GCancellable *cancel, gpointer data)
+{
+  later (0, call_cancelled_now, data);
+}
+
+KrClient *
+kr_client_new (guint conns, guint conns_per_host, guint idle_s)
+{
+  KrClient *c = g_new0 (KrClient, 1);
+  c->owner = S.current;
+  return c;
+}
+
+void
+kr_client_free (KrClient *c)
+{
+  g_free (c);
+}
+
+void
+kr_client_call (KrClient *client, const char *method, const char *host, const char *path,
+                json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
+{
+  g_autofree char *from = g_strdup_printf ("n%d", S.current);
+  Call *c = call_new (from, method, host, path, body, timeout_ms / 1000.0, reply, data);
+  if (cancel && g_cancellable_is_cancelled (cancel))
+    later (0, call_cancelled_now, c);
+  else if (cancel)
+    g_signal_connect (cancel, "cancelled", G_CALLBACK (call_cancelled), c);
+}
+
+KrServer *
+kr_server_new (const char *address, guint conns, guint idle_s, GCancellable *cancel,
+               KrHandler handler, gpointer data, GError **error)
+{
+  KrServer *s = g_new0 (KrServer, 1);
+  *s = (KrServer){ handler, data, S.current, S.nodes[S.current].life };
+  g_hash_table_replace (S.servers, g_strdup (address), s);
+  return s;
+}
+
+void
+kr_server_free (KrServer *s)
+{
+}
+
+const char *
+kr_request_method (KrRequest *r)
+{
+  return r->call->method;
+}
+
+const char *
+kr_request_path (KrRequest *r)
+{
+  return r->call->path;
+}
+
+json_t *
+kr_request_json (KrRequest *r)
+{
+  return r->call->body;
+}
+
+gboolean
+kr_request_gone (KrRequest *r)
+{
+  return r->call->over;
+}
+
+void
+kr_request_reply (KrRequest *r, guint status, json_t *body, guint retry_after_s)
+{
+  answer_call (r->call, status, body ? body : json_object ());
+  g_free (r);
+}
+
+/* --- the state service ---------------------------------------------------------------------- */
+typedef struct {
+  json_t *value;
+  guint64 mark, lease;
+} Entry;
+
+typedef struct {
+  gint64 until;
+  guint life_ms;
+} Lease;
+
+typedef struct {
+  char *key;
+  json_t *value; /* NULL: removed */
+  guint64 mark;
+} Change;
+
+typedef struct {
+  Call *call;
+  char *prefix;
+  guint64 from;
+  gint64 until;
+} Follow;
+
+static void
+entry_free (gpointer p)
+{
+  json_decref (((Entry *) p)->value);
+  g_free (p);
+}
+
+static json_t *
+changes_after (const char *prefix, guint64 from)
+{
+  json_t *a = json_array ();
+  for (guint i = 0; i < S.changes->len; i++) {
+    Change *c = &g_array_index (S.changes, Change, i);
+    if (c->mark <= from || !g_str_has_prefix (c->key, prefix))
+      continue;
+    json_array_append_new (
+        a, c->value ? json_pack ("{ss sO sI}", "Put", c->key, "Value", c->value, "Mark",
+                                 (json_int_t) c->mark)
+                    : json_pack ("{ss sI}", "Remove", c->key, "Mark", (json_int_t) c->mark));
+  }
+  return a;
+}
+
+static gboolean
+refused (const char *from)
+{
+  return S.outage || (from[0] == 'n' && S.refuse[atoi (from + 1)]);
+}
+
+static void
+wake_follows (void)
+{
+  for (guint i = S.follows->len; i-- > 0;) {
+    Follow *f = S.follows->pdata[i];
+    if (refused (f->call->from))
+      continue;
+    json_t *a = changes_after (f->prefix, f->from);
+    if (json_array_size (a) == 0 && S.now < f->until) {
+      json_decref (a);
+      continue;
+    }
+    answer_call (f->call, 200,
+                 json_pack ("{sI so}", "Ledger", (json_int_t) S.revision, "Events", a));
+    g_ptr_array_remove_index (S.follows, i);
+  }
+}
+
+static gboolean
+wake_later (gpointer data)
+{
+  wake_follows ();
+  return FALSE;
+}
+
+static void
+change (const char *key, json_t *value, guint64 lease)
+{
+  Change c = { g_strdup (key), json_incref (value), S.revision };
+  g_array_append_val (S.changes, c);
+  if (value) {
+    Entry *e = g_new (Entry, 1);
+    *e = (Entry){ json_incref (value), S.revision, lease };
+    g_hash_table_replace (S.store, g_strdup (key), e);
+  } else
+    g_hash_table_remove (S.store, key);
+}
+
+static gboolean
+expire_leases (gpointer data)
+{
+  GHashTableIter it;
+  gpointer id, value;
+  g_hash_table_iter_init (&it, S.leases);
+  while (!S.outage && g_hash_table_iter_next (&it, &id, &value)) {
+    if (((Lease *) value)->until > S.now)
+      continue;
+    g_autoptr (GList) keys = g_hash_table_get_keys (S.store);
+    S.revision++;
+    for (GList *l = keys; l; l = l->next) {
+      Entry *e = g_hash_table_lookup (S.store, l->data);
+      if (e->lease == *(guint64 *) id) {
+        g_autofree char *key = g_strdup (l->data);
+        change (key, NULL, 0);
+      }
+    }
+    g_hash_table_iter_remove (&it);
+  }
+  wake_follows ();
+  later (0.05, expire_leases, NULL);
+  return FALSE;
+}
+
+void
+sim_state_outage (gboolean on)
+{
+  GHashTableIter it;
+  gpointer value;
+  S.outage = on;
+  g_hash_table_iter_init (&it, S.leases);
+  while (!on && g_hash_table_iter_next (&it, NULL, &value))
+    ((Lease *) value)->until = S.now + (gint64) ((Lease *) value)->life_ms * 1000;
+}
+
+void
+sim_state_refuse (guint node, gboolean on)
+{
+  S.refuse[node] = on;
+}
+
+void
+sim_lose_commit_answers (guint n)
+{
+  S.lose_commits = n;
+}
+
+static void
+commit (Call *c)
+{
+  json_t *w = json_object_get (c->body, "When"), *t = json_object_get (c->body, "Writes"), *o;
+  json_t *failed = json_array ();
+  size_t i;
+
+  g_assert_cmpuint (json_array_size (t), <=, 12); /* the limits that the settings tell */
+  g_assert_cmpuint (json_array_size (w), <=, 48);
+  json_array_foreach (t, i, o)
+  {
+    guint64 lease = (guint64) json_integer_value (json_object_get (o, "Permit"));
+    if (lease && !g_hash_table_contains (S.leases, &lease)) {
+      answer_call (c, 400, json_pack ("{ss}", "error", "no such lease"));
+      json_decref (failed);
+      return;
+    }
+  }
+  json_array_foreach (w, i, o)
+  {
+    const char *key = json_string_value (json_object_get (o, "Key"));
+    Entry *e = g_hash_table_lookup (S.store, key);
+    if ((guint64) json_integer_value (json_object_get (o, "Mark")) != (e ? e->mark : 0))
+      json_array_append_new (failed, json_string (key));
+  }
+  if (json_array_size (failed)) {
+    answer_call (c, 409,
+                 json_pack ("{so sI}", "failed", failed, "Ledger", (json_int_t) S.revision));
+    return;
+  }
+  json_decref (failed);
+  S.revision++;
+  json_array_foreach (t, i, o)
+  {
+    const char *put = json_string_value (json_object_get (o, "Put"));
+    if (put)
+      change (put, json_object_get (o, "Value"),
+              (guint64) json_integer_value (json_object_get (o, "Permit")));
+    else
+      change (json_string_value (json_object_get (o, "Remove")), NULL, 0);
+  }
+  if (S.lose_commits)
+    S.lose_commits--;
+  else
+    answer_call (c, 200, json_pack ("{sI}", "Ledger", (json_int_t) S.revision));
+  later (0, wake_later, NULL);
+}
+
+static char *
+query (const char *path, const char *name)
+{
+  g_autofree char *want = g_strconcat (name, "=", NULL);
+  const char *q = strchr (path, '?');
+  g_auto (GStrv) parts = g_strsplit (q ? q + 1 : "", "&", -1);
+  for (char **p = parts; *p; p++)
+    if (g_str_has_prefix (*p, want))
+      return g_strdup (*p + strlen (want));
+  return NULL;
+}
+
+static int
+by_text (gconstpointer a, gconstpointer b)
+{
+  return strcmp (a, b);
+}
+
+static void
+scan (Call *c)
+{
+  g_autofree char *prefix = query (c->path, "Prefix"), *after = query (c->path, "From");
+  g_autoptr (GList) keys = g_list_sort (g_hash_table_get_keys (S.store), by_text);
+  json_t *items = json_array ();
+  for (GList *l = keys; l; l = l->next) {
+    Entry *e = g_hash_table_lookup (S.store, l->data);
+    if (g_str_has_prefix (l->data, prefix) && (!after || strcmp (l->data, after) > 0))
+      json_array_append_new (items, json_pack ("{ss sO sI}", "Key", l->data, "Value", e->value,
+                                               "Mark", (json_int_t) e->mark));
+  }
+  answer_call (
+      c, 200,
+      json_pack ("{so sb sI}", "Items", items, "More", 0, "Ledger", (json_int_t) S.revision));
+}
+
+static void
+state_answer (Call *c)
+{
+  if (refused (c->from) && !g_str_has_prefix (c->path, "/follow")) {
+    answer_call (c, 503, NULL);
+  } else if (g_str_has_prefix (c->path, "/store?"))
+    scan (c);
+  else if (g_str_has_prefix (c->path, "/store/")) {
+    Entry *e = g_hash_table_lookup (S.store, c->path + strlen ("/store/"));
+    if (e)
+      answer_call (c, 200,
+                   json_pack ("{ss sO sI}", "Key", c->path + strlen ("/store/"), "Value", e->value,
+                              "Mark", (json_int_t) e->mark));
+    else
+      answer_call (c, 404, json_pack ("{sI}", "Ledger", (json_int_t) S.revision));
+  } else if (g_str_equal (c->path, "/commit"))
+    commit (c);
+  else if (g_str_has_prefix (c->path, "/follow")) {
+    Follow *f = g_new (Follow, 1);
+    g_autofree char *from = query (c->path, "From"), *hold = query (c->path, "HoldMs");
+    *f = (Follow){ c, query (c->path, "Prefix"), g_ascii_strtoull (from, NULL, 10),
+                   S.now + (gint64) atoi (hold) * 1000 };
+    g_ptr_array_add (S.follows, f);
+    wake_follows ();
+  } else if (g_str_has_prefix (c->path, "/leases")) {
+    guint64 id = g_ascii_strtoull (c->path + strlen ("/leases") + (c->path[7] == '/'), NULL, 10);
+    guint ms = (guint) json_integer_value (json_object_get (c->body, "LifeMs"));
+    if (id && !g_hash_table_contains (S.leases, &id)) {
+      answer_call (c, 404, NULL);
+      return;
+    }
+    if (!id)
+      id = ++S.next_lease;
+    Lease *l = g_new (Lease, 1);
+    *l = (Lease){ S.now + (gint64) ms * 1000, ms };
+    g_hash_table_replace (S.leases, g_memdup2 (&id, sizeof id), l);
+    answer_call (c, 200, json_pack ("{sI}", "Permit", (json_int_t) id));
+  } else
+    answer_call (c, 400, NULL);
+}
+
+/* --- machines --------------------------------------------------------------------------------- */
+typedef struct {
+  char *job;
+  guint index;
+  guint64 attempt;
+  const char *state, *why; /* running, exited */
+  gint64 ends;
+} Task;
+
+typedef struct {
+  char *id, *address;
+  gint64 rented, up_at;
+  gboolean up, dead, sick, busy; /* busy: a report is under way */
+  guint64 session, seq, token, changed_token;
+  gint64 last_ok, next_beat, last_beat, sent;
+  guint node; /* reports to */
+  GPtrArray *tasks;
+} Machine;
+
+/* A user's job and what the checker knows of it. */
+typedef struct {
+  char *id, *team;
+  guint tasks;
+  double cpus, run_s;
+  json_t *body;
+  gboolean accepted, aborting;
+  char *told;
+  gint64 cancelled_at;
+  guint8 *completed;
+  guint n_completed;
+  gint64 complete_at;
+  guint polls_failed;
+} User;
+
+static void
+task_free (gpointer p)
+{
+  g_free (((Task *) p)->job);
+  g_free (p);
+}
+
+static Task *
+task_find (Machine *m, const char *job, guint index, guint64 attempt)
+{
+  for (guint i = 0; i < m->tasks->len; i++) {
+    Task *t = m->tasks->pdata[i];
+    if (t->index == index && t->attempt == attempt && g_str_equal (t->job, job))
+      return t;
+  }
+  return NULL;
+}
+
+/* What the rules forbid at a start: a second copy, a limit passed, a cancelled job. */
+static void
+check_start (Machine *m, Task *t)
+{
+  User *u = g_hash_table_lookup (S.jobs, t->job);
+  GHashTableIter it;
+  gpointer value;
+  double used = 0;
+
+  S.started++;
+  g_hash_table_iter_init (&it, S.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    Machine *o = value;
+    for (guint i = 0; i < o->tasks->len; i++) {
+      Task *x = o->tasks->pdata[i];
+      User *v = g_hash_table_lookup (S.jobs, x->job);
+      if (g_str_equal (x->state, "exited"))
+        continue;
+      if (v && u && g_str_equal (v->team, u->team))
+        used += v->cpus;
+      if (o != m && x->index == t->index && g_str_equal (x->job, t->job))
+        broken ("ran_twice: %s/%u on %s and %s", t->job, t->index, o->id, m->id);
+    }
+  }
+  if (S.o.team_limit > 0 && used > S.o.team_limit + 1e-6)
+    broken ("quota: %s uses %g", u->team, used);
+  if (u && u->cancelled_at && S.now - u->cancelled_at > (gint64) (S.o.cancel_s * 1e6))
+    broken ("ran_cancelled: %s/%u starts on %s", t->job, t->index, m->id);
+}
+
+static json_t *
+report (Machine *m)
+{
+  json_t *a = json_array ();
+  for (guint i = 0; i < m->tasks->len; i++) {
+    Task *t = m->tasks->pdata[i];
+    json_t *o = json_pack ("{so sI ss}", "Shift", json_sprintf ("%s/%u", t->job, t->index),
+                           "Launch", (json_int_t) t->attempt, "Bearing", t->state);
+    if (t->why)
+      json_object_set_new (o, "Wreck", json_string (t->why));
+    json_array_append_new (a, o);
+  }
+  return json_pack ("{ss ss ss ss sb sI sI sI sn so}", "Berth", m->id, "Endpoint", m->address,
+                    "Hull", "t8", "Harbor", "z", "Driftwood", 1, "Watch", (json_int_t) m->session,
+                    "Log", (json_int_t) ++m->seq, "Helm", (json_int_t) m->token, "RecallS",
+                    "Shifts", a);
+}
+
+static void
+beat_soon (Machine *m)
+{
+  m->next_beat = MIN (m->next_beat, MAX (S.now, m->last_beat + 500000));
+}
+
+static void
+execute (Machine *m, json_t *orders)
+{
+  json_t *o;
+  size_t i;
+  json_array_foreach (orders, i, o)
+  {
+    const char *word = json_string_value (json_object_get (o, "Order"));
+    const char *shift = json_string_value (json_object_get (o, "Shift"));
+    const char *slash = strrchr (shift, '/');
+    g_autofree char *job = g_strndup (shift, slash - shift);
+    guint index = (guint) atoi (slash + 1);
+    guint64 attempt = (guint64) json_integer_value (json_object_get (o, "Launch"));
+    Task *t = task_find (m, job, index, attempt);
+    User *u = g_hash_table_lookup (S.jobs, job);
+    if (g_str_equal (word, "run") && !t) {
+      double used = 0;
+      gboolean here = FALSE;
+      for (guint k = 0; k < m->tasks->len; k++) {
+        Task *x = m->tasks->pdata[k];
+        User *v = g_hash_table_lookup (S.jobs, x->job);
+        if (g_str_equal (x->state, "exited"))
+          continue;
+        used += v ? v->cpus : 0;
+        here |= x->index == index && g_str_equal (x->job, job);
+      }
+      t = g_new0 (Task, 1);
+      *t = (Task){ g_strdup (job), index, attempt, "running", NULL, 0 };
+      g_ptr_array_add (m->tasks, t);
+      if (!u || here || used + u->cpus > S.o.machine_cpus + 1e-6) {
+        t->state = "exited";
+        t->why = !u ? "unknown" : here ? "in_use" : "no_room";
+      } else {
+        t->ends = S.now + (gint64) ((m->sick ? 0.2 : u->run_s) * 1e6);
+        check_start (m, t);
+      }
+    } else if (g_str_equal (word, "kill") && t && g_str_equal (t->state, "running")) {
+      t->state = "exited";
+      t->why = "stopped";
+    } else if (g_str_equal (word, "clear") && t && g_str_equal (t->state, "exited"))
+      g_ptr_array_remove (m->tasks, t);
+    else
+      continue;
+    beat_soon (m);
+  }
+}
+
+static void
+see_token (Machine *m, guint64 token)
+{
+  if (token > m->token) {
+    m->token = token;
+    beat_soon (m);
+  }
+}
+
+typedef struct {
+  Machine *m;
+  guint64 session;
+} Beat;
+
+static void
+beat_done (guint status, json_t *body, gpointer data)
+{
+  Beat *b = data;
+  Machine *m = b->m;
+  guint64 token = (guint64) json_integer_value (json_object_get (body, "Helm"));
+
+  m->busy = FALSE;
+  if (status == 200 && b->session == m->session) {
+    if (token >= m->token && token) {
+      m->last_ok = m->sent;
+      see_token (m, token);
+      execute (m, json_object_get (body, "Orders"));
+    }
+  } else if (status != 200) {
+    const char *to = json_string_value (json_object_get (body, "Harbormaster"));
+    m->next_beat = S.now + 1000000;
+    if (status == 421 && to && atoi (to + strlen ("berth-")) != (int) m->node) {
+      m->node = (guint) atoi (to + strlen ("berth-"));
+      m->next_beat = S.now + 100000;
+    } else
+      m->node = (m->node + 1) % S.o.nodes;
+  }
+  g_free (b);
+}
+
+static gboolean
+machine_step (gpointer data)
+{
+  Machine *m = data;
+  if (m->dead)
+    return FALSE;
+  later (0.05, machine_step, m);
+  if (S.now < m->up_at)
+    return FALSE;
+  if (!m->up) {
+    m->up = TRUE;
+    m->session = 1;
+    m->last_ok = m->next_beat = S.now;
+  }
+  if (S.now - m->last_ok > (gint64) (S.o.lease_s * 1e6)) {
+    g_ptr_array_set_size (m->tasks, 0);
+    m->session++;
+    m->last_ok = S.now;
+    beat_soon (m);
+  }
+  for (guint i = 0; i < m->tasks->len; i++) {
+    Task *t = m->tasks->pdata[i];
+    User *u = g_hash_table_lookup (S.jobs, t->job);
+    if (!g_str_equal (t->state, "running"))
+      continue;
+    if (u && u->cancelled_at && S.now - u->cancelled_at > (gint64) (S.o.cancel_s * 1e6)) {
+      broken ("ran_cancelled: %s/%u still on %s", t->job, t->index, m->id);
+      u->cancelled_at = G_MAXINT64 / 2; /* once */
+    }
+    if (S.now < t->ends)
+      continue;
+    t->state = "exited";
+    t->why = m->sick ? "error" : "done";
+    if (!m->sick && u && !u->completed[t->index]) {
+      u->completed[t->index] = 1;
+      u->n_completed++;
+      u->complete_at = S.now;
+    }
+    beat_soon (m);
+  }
+  if (!m->busy && S.now >= m->next_beat) {
+    g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", m->node + 1);
+    Beat *b = g_new (Beat, 1);
+    *b = (Beat){ m, m->session };
+    m->busy = TRUE;
+    m->sent = m->last_beat = S.now;
+    m->next_beat = S.now + (gint64) (S.o.report_s * g_rand_double_range (S.rng, 0.75, 1.25) * 1e6);
+    call_new (m->id, "POST", address, "/agent/beat", report (m), 4, beat_done, b);
+  }
+  return FALSE;
+}
+
+static void
+machine_answer (Call *c)
+{
+  Machine *m = g_hash_table_lookup (S.machines, c->to);
+  if (!m || m->dead || !m->up)
+    return;
+  if (g_str_equal (c->path, "/show")) {
+    answer_call (c, 200, report (m));
+    return;
+  }
+  guint64 token = (guint64) json_integer_value (json_object_get (c->body, "Helm"));
+  if (token < m->token ||
+      (guint64) json_integer_value (json_object_get (c->body, "Watch")) != m->session) {
+    answer_call (c, 409, report (m));
+    return;
+  }
+  see_token (m, token);
+  execute (m, json_object_get (c->body, "Orders"));
+  answer_call (c, 200, report (m));
+}
+
+static void
+machine_new (gboolean up)
+{
+  Machine *m = g_new0 (Machine, 1);
+  m->id = g_strdup_printf ("host-%06u", S.next_machine);
+  m->address = g_strdup_printf ("10.1.0.%u:9000", S.next_machine++);
+  m->rented = S.now;
+  m->up_at = S.now + (up ? 0 : g_rand_int_range (S.rng, 6000000, 15000000));
+  m->tasks = g_ptr_array_new_with_free_func (task_free);
+  m->node = (guint) g_rand_int_range (S.rng, 0, (gint32) S.o.nodes);
+  g_hash_table_insert (S.machines, m->id, m);
+  machine_step (m);
+}
+
+void
+sim_machine_kill (const char *id)
+{
+  Machine *m = g_hash_table_lookup (S.machines, id);
+  m->dead = TRUE;
+  g_ptr_array_set_size (m->tasks, 0);
+}
+
+void
+sim_machine_sick (const char *id, gboolean sick)
+{
+  ((Machine *) g_hash_table_lookup (S.machines, id))->sick = sick;
+}
+
+const char *
+sim_busiest_machine (void)
+{
+  GHashTableIter it;
+  gpointer value;
+  Machine *best = NULL;
+  g_hash_table_iter_init (&it, S.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    Machine *m = value;
+    if (!m->dead && m->tasks->len && (!best || m->tasks->len > best->tasks->len))
+      best = m;
+  }
+  return best ? best->id : NULL;
+}
+
+guint
+sim_machines (void)
+{
+  GHashTableIter it;
+  gpointer value;
+  guint n = 0;
+  g_hash_table_iter_init (&it, S.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    n += !((Machine *) value)->dead;
+  return n;
+}
+
+guint
+sim_tasks_running (const char *job)
+{
+  GHashTableIter it;
+  gpointer value;
+  guint n = 0;
+  g_hash_table_iter_init (&it, S.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    Machine *m = value;
+    for (guint i = 0; i < m->tasks->len; i++) {
+      Task *t = m->tasks->pdata[i];
+      n += g_str_equal (t->job, job) && g_str_equal (t->state, "running");
+    }
+  }
+  return n;
+}
+
+/* --- the cloud ---------------------------------------------------------------------------------
+ */
+static void
+cloud_answer (Call *c)
+{
+  json_t *o, *a = json_array ();
+  size_t i;
+
+  if (g_str_equal (c->path, "/machine_types")) {
+    answer_call (c, 200,
+                 json_pack ("{s[{ss sf sf sf sf sf sf sf sf s[s]}]}", "Hulls", "Name", "t8",
+                            "Cores", (double) S.o.machine_cpus, "Accelerators", 0.0, "MemGb", 64.0,
+                            "CacheGb", 50.0, "PullGbPerS", 1.0, "Rate", 1.0, "MarketPrice",
+                            S.o.spot_price, "ReadyS", 10.0, "Harbors", "z"));
+  } else if (g_str_equal (c->path, "/rentals/delete")) {
+    json_array_foreach (json_object_get (c->body, "Berths"), i, o)
+    {
+      Machine *m = g_hash_table_lookup (S.machines, json_string_value (o));
+      if (m && !m->dead)
+        sim_machine_kill (m->id);
+    }
+    answer_call (c, 200, json_object ());
+  } else if (g_str_equal (c->path, "/rentals")) {
+    const char *charter = json_string_value (json_object_get (c->body, "Charter"));
+    json_t *known = g_hash_table_lookup (S.charters, charter);
+    guint n = (guint) json_integer_value (json_object_get (c->body, "Number"));
+    if (!known) {
+      known = json_array ();
+      for (guint k = 0; k < n && sim_machines () < 8; k++) {
+        json_array_append_new (known, json_sprintf ("host-%06u", S.next_machine));
+        machine_new (FALSE);
+      }
+      if (json_array_size (known) == 0) {
+        answer_call (c, 503, json_pack ("{ss}", "error", "no capacity"));
+        return;
+      }
+      g_hash_table_insert (S.charters, g_strdup (charter), known);
+    }
+    answer_call (c, 200, json_pack ("{sO}", "Berths", known));
+  } else {
+    g_autoptr (GList) ids = g_list_sort (g_hash_table_get_keys (S.machines), by_text);
+    for (GList *l = ids; l; l = l->next) {
+      Machine *m = g_hash_table_lookup (S.machines, l->data);
+      /* Two seconds old: new ones are missing, and dead ones still there only for that long. */
+      if (!m->dead && S.now - m->rented > 2000000)
+        json_array_append_new (a, json_pack ("{ss ss ss ss sb ss sf}", "Id", m->id, "Endpoint",
+                                             m->address, "Hull", "t8", "Harbor", "z", "Driftwood",
+                                             1, "Bearing", m->up ? "running" : "starting", "HeldS",
+                                             (S.now - m->rented) / 1e6));
+    }
+    answer_call (c, 200, json_pack ("{sO sb}", "Berths", a, "More", 0));
+  }
+  json_decref (a);
+}
+
+static void
+world_answer (Call *c)
+{
+  if (g_str_equal (c->to, "state"))
+    state_answer (c);
+  else if (g_str_equal (c->to, "cloud"))
+    cloud_answer (c);
+  else if (g_str_has_prefix (c->to, "host-"))
+    machine_answer (c);
+}
+
+/* --- users --------------------------------------------------------------------------------------
+ */
+static gboolean user_step (gpointer data);
+
+/* Any node that lives, as the balancer would choose. */
+static char *
+some_node (void)
+{
+  guint n = (guint) g_rand_int_range (S.rng, 0, (gint32) S.o.nodes);
+  for (guint i = 0; i < S.o.nodes && !S.nodes[n].alive; i++)
+    n = (n + 1) % S.o.nodes;
+  return g_strdup_printf ("10.0.0.%u:8080", n + 1);
+}
+
+static void
+tell (User *u, const char *word)
+{
+  gboolean final = g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
+  if (final && !g_str_equal (u->told, word))
+    broken ("went_back: %s was %s, is %s", u->id, u->told, word);
+  if (g_str_equal (word, "done") && u->n_completed < u->tasks)
+    broken ("not_done: %s with %u of %u", u->id, u->n_completed, u->tasks);
+  if (g_str_equal (word, "cancelled") && !u->aborting)
+    broken ("went_back: %s was not cancelled by its user", u->id);
+  if (g_str_equal (word, "cancelled") && !u->cancelled_at)
+    u->cancelled_at = S.now;
+  g_free (u->told);
+  u->told = g_strdup (word);
+}
+
+static void
+polled (guint status, json_t *body, gpointer data)
+{
+  User *u = data;
+  const char *word = json_string_value (json_object_get (body, "Bearing"));
+  if (status == 200 && word)
+    tell (u, word);
+  else if (status == 404)
+    broken ("forgotten: %s gets 404", u->id);
+  later (5, user_step, u);
+}
+
+static void
+submitted (guint status, json_t *body, gpointer data)
+{
+  User *u = data;
+  if (status == 200 || status == 201)
+    u->accepted = TRUE;
+  else if (u->accepted && (status == 400 || status == 422))
+    broken ("forgotten: %s is refused", u->id);
+  later (u->accepted ? 5 : 1, user_step, u);
+}
+
+static void
+user_aborted (guint status, json_t *body, gpointer data)
+{
+  User *u = data;
+  const char *word = json_string_value (json_object_get (body, "Bearing"));
+  if (status == 200 && word)
+    tell (u, word);
+  later (1, user_step, u);
+}
+
+static gboolean
+user_step (gpointer data)
+{
+  User *u = data;
+  g_autofree char *node = some_node ();
+  g_autofree char *poll = g_strdup_printf ("/api/jobs/%s", u->id);
+  g_autofree char *abort = g_strdup_printf ("/api/jobs/%s/abort", u->id);
+  gboolean final = g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
+  if (!u->accepted)
+    call_new ("user", "POST", node, "/api/jobs", json_incref (u->body), 5, submitted, u);
+  else if (u->aborting && !final)
+    call_new ("user", "POST", node, abort, NULL, 5, user_aborted, u);
+  else
+    call_new ("user", "GET", node, poll, NULL, 2, polled, u);
+  return FALSE;
+}
+
+void
+sim_submit (const char *id, const char *team, const char *rank, guint tasks, double cpus,
+            double run_s, double deadline_s)
+{
+  User *u = g_new0 (User, 1);
+  u->id = g_strdup (id);
+  u->team = g_strdup (team);
+  u->tasks = tasks;
+  u->cpus = cpus;
+  u->run_s = run_s;
+  u->told = g_strdup ("");
+  u->completed = g_malloc0 (tasks);
+  u->body =
+      json_pack ("{ss ss ss ss ss sI sf sf sf sn sf sn sn sb sb sb sf sf sf sf}", "Id", id, "Lane",
+                 "l", "Crew", team, "Form", "array", "Rank", rank, "Shifts", (json_int_t) tasks,
+                 "Cores", cpus, "Accelerators", 0.0, "MemGb", 1.0, "Cargo", "PullGb", 0.0, "Hulls",
+                 "Harbor", "OneZone", 0, "Apart", 0, "Driftwood", 1, "SailS", run_s, "MooringS",
+                 0.0, "StowS", 0.0, "TideS", deadline_s);
+  g_hash_table_insert (S.jobs, u->id, u);
+  user_step (u);
+}
+
+void
+sim_abort (const char *id)
+{
+  ((User *) g_hash_table_lookup (S.jobs, id))->aborting = TRUE;
+}
+
+const char *
+sim_told (const char *id)
+{
+  return ((User *) g_hash_table_lookup (S.jobs, id))->told;
+}
+
+gboolean
+sim_all_over (void)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, S.jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    User *u = value;
+    if (!g_str_equal (u->told, "done") && !g_str_equal (u->told, "cancelled"))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+typedef struct {
+  gboolean over;
+  guint status;
+} Asked;
+
+static void
+asked (guint status, json_t *body, gpointer data)
+{
+  *(Asked *) data = (Asked){ TRUE, status };
+}
+
+guint
+sim_request (guint node, const char *method, const char *path, const char *body)
+{
+  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
+  Asked a = { FALSE, 0 };
+  call_new ("user", method, address, path, body ? json_loads (body, 0, NULL) : NULL, 5, asked, &a);
+  while (!a.over)
+    sim_run (0.01);
+  return a.status;
+}
+
+/* --- nodes and life
+ * -------------------------------------------------------------------------------- */
+static KrSettings *
+settings (guint i)
+{
+  json_t *others = json_array (), *teams = json_array ();
+  for (guint k = 0; k < S.o.nodes; k++) {
+    if (k != i)
+      json_array_append_new (
+          others, json_pack ("{so ss so}", "node_name", json_sprintf ("berth-%u", k), "zone", "z",
+                             "peer_addr", json_sprintf ("10.0.0.%u:8081", k + 1)));
+    json_array_append_new (teams, json_pack ("{so sf}", "name", json_sprintf ("team%u", k),
+                                             "cpus_max", S.o.team_limit));
+  }
+  json_t *root = json_pack (
+      "{so ss so so so s{ss ss} s{si sf so s{sf sf sf} s{sf sf sf si} s{sf sf} s{sf sf si}}}",
+      "node_name", json_sprintf ("berth-%u", i), "zone", "z", "client_listen",
+      json_sprintf ("10.0.0.%u:8080", i + 1), "internal_addr",
+      json_sprintf ("10.0.0.%u:8081", i + 1), "others", others, "external", "cloud",
+      "10.2.0.2:8443", "state", "10.2.0.1:2379", "facts", "size", (int) S.o.nodes, "clock_error_ms",
+      5.0, "teams", teams, "workers", "report_s", S.o.report_s, "lease_s", S.o.lease_s, "cancel_s",
+      S.o.cancel_s, "state", "rps", 150.0, "write_rps", 50.0, "value_kb", 16.0, "txn_ops", 12,
+      "cloud", "rps", 3.0, "list_lag_s", 2.0, "resources", "core_share", 0.1, "ram_mb", 60.0,
+      "sockets", 900);
+  g_autoptr (GError) error = NULL;
+  KrSettings *s = kr_settings_from_json (root, &error);
+  g_assert_no_error (error);
+  json_decref (root);
+  return s;
+}
+
+void
+sim_node_start (guint i)
+{
+  Node *n = &S.nodes[i];
+  n->alive = TRUE;
+  n->life++;
+  n->settings = settings (i);
+  S.current = (gint) i;
+  n->node = kr_node_new (n->settings, NULL);
+  S.current = -1;
+}
+
+/* As the platform does it: no signal, nothing is told to anyone. */
+void
+sim_node_kill (guint i)
+{
+  S.nodes[i].alive = FALSE;
+}
+
+void
+sim_start (guint32 seed, const SimOptions *options)
+{
+  memset (&S, 0, sizeof S);
+  S.o = *options;
+  S.rng = g_rand_new_with_seed (seed);
+  g_random_set_seed (seed);
+  S.queue = g_sequence_new (g_free);
+  S.current = -1;
+  S.servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  S.cuts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  S.held = g_ptr_array_new ();
+  S.store = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
+  S.leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  S.follows = g_ptr_array_new ();
+  S.changes = g_array_new (FALSE, FALSE, sizeof (Change));
+  S.machines = g_hash_table_new (g_str_hash, g_str_equal);
+  S.charters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  S.jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  S.broken = g_string_new (NULL);
+  later (0.05, expire_leases, NULL);
+  for (guint i = 0; i < S.o.nodes; i++)
+    sim_node_start (i);
+}
+
+void
+sim_stop (void)
+{
+  g_sequence_free (S.queue);
+  g_string_free (S.broken, TRUE);
+}
+
+const char *
+sim_broken (void)
+{
+  return S.broken->str;
+}
+
+guint
+sim_started (void)
+{
+  return S.started;
+}
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,50 @@
+/* A small world in simulated time for whole nodes: stand-ins of the state service, the cloud and
+ * the workers by the published protocol, a network that can fail, and a plain checker of the rules.
+ * It takes the place of clock.c and http.c: the nodes under test are otherwise the real thing. */
+#pragma once
+#include "node.h"
+
+typedef enum { SIM_OPEN, SIM_DROP, SIM_HOLD } SimCut;
+
+typedef struct {
+  guint nodes, machine_cpus;
+  double team_limit; /* cpus_max of every team; 0: none */
+  double report_s, lease_s, cancel_s;
+  double spot_price;
+} SimOptions;
+
+void sim_start (guint32 seed, const SimOptions *options);
+void sim_stop (void);
+double sim_now (void); /* s since the start */
+void sim_run (double seconds);
+
+/* Nodes are "n0", "n1", ...; the others "state", "cloud" and a machine's id. */
+void sim_node_start (guint i);
+void sim_node_kill (guint i);
+/* What passes from one host to another; SIM_OPEN also lets out what was held. */
+void sim_cut (const char *from, const char *to, SimCut how);
+void sim_cut_both (const char *a, const char *b, SimCut how);
+void sim_state_outage (gboolean on);
+void sim_state_refuse (guint node, gboolean on);
+/* The next n commits are executed, but their answers are lost. */
+void sim_lose_commit_answers (guint n);
+void sim_machine_kill (const char *id);
+void sim_machine_sick (const char *id, gboolean sick);
+/* The machine that runs most tasks, or NULL. */
+const char *sim_busiest_machine (void);
+guint sim_machines (void);
+guint sim_tasks_running (const char *job);
+
+/* A user: submits (and repeats until accepted), polls every 5 s, checks every answer. */
+void sim_submit (const char *id, const char *team, const char *rank, guint tasks, double cpus,
+                 double run_s, double deadline_s);
+void sim_abort (const char *id);
+/* What its user was told last: "", pending, running, done, cancelled. */
+const char *sim_told (const char *id);
+gboolean sim_all_over (void);
+/* One request to a node's public address; the answer's status (0: none) after up to 5 s. */
+guint sim_request (guint node, const char *method, const char *path, const char *body);
+
+/* Rules broken so far, as text; empty: none. */
+const char *sim_broken (void);
+guint sim_started (void);
--- /dev/null
+++ b/tests/test_service.c
@@ -0,0 +1,351 @@
+/* Whole nodes in simulated time against stand-ins; each test is one failure and what must hold. */
+#include "sim.h"
+#include <string.h>
+
+static const SimOptions usual = {
+  .nodes = 3, .machine_cpus = 8, .report_s = 2, .lease_s = 12, .cancel_s = 40, .spot_price = 0.2
+};
+static guint32 seed;
+
+static void
+begin (const SimOptions *o)
+{
+  sim_start (seed, o);
+  sim_run (3);
+}
+
+static void
+submit_some (guint tasks, double run_s)
+{
+  sim_submit ("wk-000001", "team0", "normal", tasks, 1, run_s, 600);
+  sim_submit ("wk-000002", "team1", "normal", tasks, 1, run_s, 600);
+  sim_submit ("wk-000003", "team2", "urgent", tasks, 2, run_s, 600);
+}
+
+/* Lets the work end; every rule has been watched meanwhile. */
+static void
+finish (double within_s)
+{
+  double end = sim_now () + within_s;
+  while (!sim_all_over () && sim_now () < end)
+    sim_run (5);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  g_assert_true (sim_all_over ());
+  g_assert_cmpuint (sim_started (), >, 0);
+  sim_stop ();
+}
+
+static void
+test_quiet (void)
+{
+  begin (&usual);
+  submit_some (20, 10);
+  finish (200);
+}
+
+/* Idle machines go back, and the last ones too. */
+static void
+test_machines_returned (void)
+{
+  begin (&usual);
+  submit_some (10, 10);
+  sim_run (150);
+  g_assert_true (sim_all_over ());
+  g_assert_cmpuint (sim_machines (), ==, 0);
+  finish (0);
+}
+
+/* An owner cut off from the state service goes on serving its machines while another takes over:
+ * fencing alone must keep a task from running twice. */
+static void
+test_takeover_with_owner_alive (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (40);
+  sim_cut_both ("n0", "state", SIM_DROP);
+  sim_run (40);
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  finish (400);
+}
+
+/* The same, with packets held back: transactions and reports arrive late. */
+static void
+test_delayed_messages (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (40);
+  sim_cut_both ("n1", "state", SIM_HOLD);
+  sim_run (10);
+  const char *m = sim_busiest_machine ();
+  g_assert_nonnull (m);
+  for (guint i = 0; i < 3; i++) {
+    char node[] = { 'n', (char) ('0' + i), 0 };
+    sim_cut_both (m, node, SIM_HOLD);
+  }
+  sim_run (25);
+  for (guint i = 0; i < 3; i++) {
+    char node[] = { 'n', (char) ('0' + i), 0 };
+    sim_cut_both (m, node, SIM_OPEN);
+  }
+  sim_cut_both ("n1", "state", SIM_OPEN);
+  finish (400);
+}
+
+static void
+test_lost_commit_answers (void)
+{
+  begin (&usual);
+  sim_lose_commit_answers (4);
+  submit_some (20, 10);
+  sim_run (30);
+  sim_abort ("wk-000001");
+  sim_lose_commit_answers (2);
+  finish (300);
+}
+
+static void
+test_state_outage (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (30);
+  sim_state_outage (TRUE);
+  sim_run (5);
+  /* In an outage nothing can be known: never a guess. */
+  g_assert_cmpuint (sim_request (0, "GET", "/api/jobs/wk-999999", NULL), ==, 503);
+  g_assert_cmpuint (sim_request (1, "GET", "/ready", NULL), ==, 200);
+  sim_run (25);
+  sim_state_outage (FALSE);
+  finish (400);
+}
+
+/* A single node is refused by the state service while the others are served. */
+static void
+test_state_refuses_one (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (30);
+  sim_state_refuse (2, TRUE);
+  sim_run (60);
+  sim_state_refuse (2, FALSE);
+  finish (400);
+}
+
+static void
+test_restart_at_once (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (30);
+  for (guint i = 0; i < 3; i++) {
+    sim_node_kill (i);
+    sim_run (0.2);
+    sim_node_start (i);
+    sim_run (3);
+  }
+  finish (300);
+}
+
+static void
+test_all_crash (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (30);
+  for (guint i = 0; i < 3; i++)
+    sim_node_kill (i);
+  sim_run (20);
+  for (guint i = 0; i < 3; i++)
+    sim_node_start (i);
+  finish (300);
+}
+
+/* One node stays away: its part goes to another. */
+static void
+test_node_lost (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (30);
+  sim_node_kill (0);
+  finish (400);
+}
+
+static void
+test_cancel_unreachable (void)
+{
+  begin (&usual);
+  submit_some (30, 300);
+  sim_run (40);
+  const char *m = sim_busiest_machine ();
+  g_assert_nonnull (m);
+  for (guint i = 0; i < 3; i++) {
+    char node[] = { 'n', (char) ('0' + i), 0 };
+    sim_cut_both (m, node, SIM_DROP);
+  }
+  sim_abort ("wk-000001");
+  sim_abort ("wk-000002");
+  sim_abort ("wk-000003");
+  sim_run (60);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  g_assert_cmpuint (sim_tasks_running ("wk-000001"), ==, 0);
+  g_assert_cmpuint (sim_tasks_running ("wk-000003"), ==, 0);
+  finish (60);
+}
+
+/* Launches in doubt count toward the limit: a machine goes silent right when it is given work. */
+static void
+test_limit_in_doubt (void)
+{
+  SimOptions o = usual;
+  o.team_limit = 10;
+  begin (&o);
+  submit_some (60, 4);
+  for (guint i = 0; i < 12; i++) {
+    sim_run (10);
+    const char *m = sim_busiest_machine ();
+    if (!m)
+      continue;
+    g_autofree char *id = g_strdup (m);
+    char node[] = { 'n', (char) ('0' + i % 3), 0 };
+    sim_cut (node, id, i % 2 ? SIM_DROP : SIM_HOLD); /* answers are lost, reports are not */
+    sim_run (3);
+    sim_cut (node, id, SIM_OPEN);
+  }
+  finish (600);
+}
+
+static void
+test_machine_lost (void)
+{
+  begin (&usual);
+  submit_some (30, 20);
+  sim_run (30);
+  sim_machine_kill (sim_busiest_machine ());
+  finish (300);
+}
+
+/* A machine that fails whatever it starts is drained; the jobs are not blamed for it. */
+static void
+test_sick_machine (void)
+{
+  begin (&usual);
+  submit_some (40, 10);
+  sim_run (30);
+  sim_machine_sick (sim_busiest_machine (), TRUE);
+  finish (400);
+}
+
+static void
+test_requests (void)
+{
+  const char *job = "{\"Id\":\"wk-7\",\"Lane\":\"l\",\"Crew\":\"%s\",\"Form\":\"array\",\"Rank\":"
+                    "\"normal\",\"Shifts\":%s,\"Cores\":%s,\"MemGb\":1,\"OneZone\":false,"
+                    "\"Apart\":false,\"Driftwood\":true,\"SailS\":1,\"TideS\":null}";
+  begin (&usual);
+  g_autofree char *good = g_strdup_printf (job, "team0", "1", "1.0");
+  g_autofree char *team = g_strdup_printf (job, "nobody", "1", "1.0");
+  g_autofree char *large = g_strdup_printf (job, "team0", "1", "9.0");
+  g_autofree char *none = g_strdup_printf (job, "team0", "0", "1.0");
+  g_autofree char *many = g_strdup_printf (job, "team0", "100001", "1.0");
+  g_autofree char *text = g_strdup_printf (job, "team0", "\"1\"", "1.0");
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", none), ==, 400);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", many), ==, 400);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", text), ==, 400);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", "[]"), ==, 400);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", NULL), ==, 400);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", team), ==, 422);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", large), ==, 422);
+  g_assert_cmpuint (sim_request (1, "GET", "/api/jobs/wk-7", NULL), ==, 404);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", good), ==, 201);
+  g_assert_cmpuint (sim_request (1, "POST", "/api/jobs", good), ==, 200);
+  g_assert_cmpuint (sim_request (2, "GET", "/api/jobs/wk-7", NULL), ==, 200);
+  g_assert_cmpuint (sim_request (2, "POST", "/api/jobs/wk-7/abort", NULL), ==, 200);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs/wk-8/abort", NULL), ==, 404);
+  g_assert_cmpuint (sim_request (0, "DELETE", "/api/jobs/wk-7", NULL), ==, 405);
+  g_assert_cmpuint (sim_request (0, "GET", "/api/jobs/../x", NULL), ==, 404);
+  sim_run (10);
+  g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", good), ==, 200); /* long over */
+  g_assert_cmpstr (sim_broken (), ==, "");
+  sim_stop ();
+}
+
+/* Troubles drawn at random, all at once: what is asserted is that no rule breaks and all ends. */
+static void
+test_storm (void)
+{
+  g_autoptr (GRand) r = g_rand_new_with_seed (seed);
+  begin (&usual);
+  submit_some (60, 8);
+  for (guint i = 0; i < 25; i++) {
+    guint n = (guint) g_rand_int_range (r, 0, 3);
+    char node[] = { 'n', (char) ('0' + n), 0 }, other[] = { 'n', (char) ('0' + (n + 1) % 3), 0 };
+    const char *m = sim_busiest_machine ();
+    g_autofree char *id = g_strdup (m ? m : "host-000000");
+    SimCut how = g_rand_boolean (r) ? SIM_HOLD : SIM_DROP;
+    switch (g_rand_int_range (r, 0, 6)) {
+    case 0:
+      sim_node_kill (n);
+      sim_run (g_rand_double_range (r, 0.1, 6));
+      sim_node_start (n);
+      break;
+    case 1:
+      sim_cut_both (node, "state", how);
+      sim_run (g_rand_double_range (r, 2, 20));
+      sim_cut_both (node, "state", SIM_OPEN);
+      break;
+    case 2:
+      sim_cut (node, id, how);
+      sim_run (g_rand_double_range (r, 1, 20));
+      sim_cut (node, id, SIM_OPEN);
+      break;
+    case 3:
+      sim_cut_both (node, other, how);
+      sim_run (g_rand_double_range (r, 1, 20));
+      sim_cut_both (node, other, SIM_OPEN);
+      break;
+    case 4:
+      sim_state_outage (TRUE);
+      sim_run (g_rand_double_range (r, 1, 15));
+      sim_state_outage (FALSE);
+      break;
+    default:
+      sim_lose_commit_answers (3);
+      sim_run (3);
+    }
+    sim_run (g_rand_double_range (r, 0, 6));
+    g_assert_cmpstr (sim_broken (), ==, "");
+  }
+  sim_submit ("wk-000009", "team0", "normal", 5, 1, 5, 600);
+  finish (600);
+}
+
+int
+main (int argc, char **argv)
+{
+  const char *fixed = g_getenv ("KR_TEST_SEED");
+  g_test_init (&argc, &argv, NULL);
+  /* Always the same verdict: the seed is fixed unless told otherwise. */
+  seed = fixed ? (guint32) g_ascii_strtoull (fixed, NULL, 10) : 20261201;
+  g_test_message ("seed %u", seed);
+  g_test_add_func ("/service/quiet", test_quiet);
+  g_test_add_func ("/service/machines-returned", test_machines_returned);
+  g_test_add_func ("/service/takeover-with-owner-alive", test_takeover_with_owner_alive);
+  g_test_add_func ("/service/delayed-messages", test_delayed_messages);
+  g_test_add_func ("/service/lost-commit-answers", test_lost_commit_answers);
+  g_test_add_func ("/service/state-outage", test_state_outage);
+  g_test_add_func ("/service/state-refuses-one", test_state_refuses_one);
+  g_test_add_func ("/service/restart-at-once", test_restart_at_once);
+  g_test_add_func ("/service/all-crash", test_all_crash);
+  g_test_add_func ("/service/node-lost", test_node_lost);
+  g_test_add_func ("/service/cancel-unreachable", test_cancel_unreachable);
+  g_test_add_func ("/service/limit-in-doubt", test_limit_in_doubt);
+  g_test_add_func ("/service/machine-lost", test_machine_lost);
+  g_test_add_func ("/service/sick-machine", test_sick_machine);
+  g_test_add_func ("/service/requests", test_requests);
+  g_test_add_func ("/service/storm", test_storm);
+  return g_test_run ();
+}
