--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -131,6 +131,7 @@
   g_test_init (&argc, &argv, NULL);
   guint32 seed = (guint32) g_test_rand_int ();
   g_test_message ("seed %u", seed);
+  /* GTest prints its own seed; --seed repeats a run. */
   rng = g_rand_new_with_seed (seed);
   g_test_add_func ("/estimate/slots", test_slots);
   g_test_add_func ("/estimate/overdue", test_overdue_task_counts_as_zero);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -35,6 +35,16 @@
   sim_stop ();
 }
 
+/* Between a machine and every node. */
+static void
+cut_off (const char *machine, SimCut how)
+{
+  for (guint i = 0; i < usual.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    sim_cut_both (machine, node, how);
+  }
+}
+
 static void
 test_quiet (void)
 {
@@ -78,17 +88,11 @@
   sim_run (40);
   sim_cut_both ("n1", "state", SIM_HOLD);
   sim_run (10);
-  const char *m = sim_busiest_machine ();
+  g_autofree char *m = g_strdup (sim_busiest_machine ());
   g_assert_nonnull (m);
-  for (guint i = 0; i < 3; i++) {
-    char node[] = { 'n', (char) ('0' + i), 0 };
-    sim_cut_both (m, node, SIM_HOLD);
-  }
+  cut_off (m, SIM_HOLD);
   sim_run (25);
-  for (guint i = 0; i < 3; i++) {
-    char node[] = { 'n', (char) ('0' + i), 0 };
-    sim_cut_both (m, node, SIM_OPEN);
-  }
+  cut_off (m, SIM_OPEN);
   sim_cut_both ("n1", "state", SIM_OPEN);
   finish (400);
 }
@@ -180,12 +184,9 @@
   begin (&usual);
   submit_some (30, 300);
   sim_run (40);
-  const char *m = sim_busiest_machine ();
+  g_autofree char *m = g_strdup (sim_busiest_machine ());
   g_assert_nonnull (m);
-  for (guint i = 0; i < 3; i++) {
-    char node[] = { 'n', (char) ('0' + i), 0 };
-    sim_cut_both (m, node, SIM_DROP);
-  }
+  cut_off (m, SIM_DROP);
   sim_abort ("wk-000001");
   sim_abort ("wk-000002");
   sim_abort ("wk-000003");
@@ -228,6 +229,20 @@
   finish (300);
 }
 
+/* Silent for less than its lease, a machine keeps its tasks: none may start elsewhere. */
+static void
+test_silent_within_lease (void)
+{
+  begin (&usual);
+  submit_some (30, 40);
+  sim_run (40);
+  g_autofree char *m = g_strdup (sim_busiest_machine ());
+  cut_off (m, SIM_DROP);
+  sim_run (10);
+  cut_off (m, SIM_OPEN);
+  finish (400);
+}
+
 /* A machine that fails whatever it starts is drained; the jobs are not blamed for it. */
 static void
 test_sick_machine (void)
@@ -344,6 +359,7 @@
   g_test_add_func ("/service/cancel-unreachable", test_cancel_unreachable);
   g_test_add_func ("/service/limit-in-doubt", test_limit_in_doubt);
   g_test_add_func ("/service/machine-lost", test_machine_lost);
+  g_test_add_func ("/service/silent-within-lease", test_silent_within_lease);
   g_test_add_func ("/service/sick-machine", test_sick_machine);
   g_test_add_func ("/service/requests", test_requests);
   g_test_add_func ("/service/storm", test_storm);
