--- a/src/constants.h
+++ b/src/constants.h
@@ -57,7 +57,8 @@
 #define KR_JOB_HOLD_MAX_S 120.0    /* s; longest such pause */
 #define KR_JOB_FAIL_BERTHS 2       /* machines on which a job must fail to be held back */
 #define KR_SICK_JOBS 2             /* jobs failing only there: the machine is sick */
-#define KR_PREEMPT_WAIT_S 2.0      /* s an urgent job waits before it may stop other work */
+#define KR_DEFAULT_WAIT_S 60.0     /* s; in which a job without such an objective should start */
+#define KR_PREEMPT_WAIT_S 1.0      /* s an urgent job waits before it may stop other work */
 #define KR_RESERVE_S 8.0           /* s room made by stopping stays reserved */
 #define KR_DEFAULT_SLACK_S 1.0     /* s over StowS granted to a task that saves */
 #define KR_CANCEL_DELETE_SHARE 0.6 /* of cancel_s: then an unreachable machine is deleted */
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -25,7 +25,6 @@
   GHashTable *failed_on; /* machines on which a task failed since the last success */
   double hold_s;         /* pause after the next failure */
   gint64 hold_until;     /* monotonic us */
-  gint64 waiting_since;  /* monotonic us: when it last had no running task (preemption) */
 } KrJob;
 
 KrJob *kr_job_new (KrSpec *spec, double at, guint part); /* takes `spec` */
--- a/src/part.c
+++ b/src/part.c
@@ -660,7 +660,6 @@
   j = kr_job_decode (item->value, item->mark);
   if (!j)
     return;
-  j->waiting_since = kr_now ();
   g_hash_table_insert (p->jobs, j->spec->id, j);
   kr_info ("job %s: %s, %s, %u tasks of %g CPUs, part %u", id, j->spec->lane, j->spec->team,
            j->spec->tasks, j->spec->cpus, p->index);
@@ -1216,6 +1215,9 @@
   KrRoom room;
   if (!usable (p, b, now) || !free_room (p, b, &room))
     return;
+  KrJob *waiting = b->reserved_for ? job (p, b->reserved_for) : NULL;
+  if (b->reserved_for && (!waiting || !kr_job_unstarted (waiting)))
+    g_clear_pointer (&b->reserved_for, g_free);
   g_autoptr (GHashTable) teams =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   g_autoptr (GPtrArray) all = candidates (p, now, teams);
@@ -1255,108 +1257,182 @@
 }
 
 /* --- preemption ---------------------------------------------------------------------- */
-/* Makes room for one task of `c`: the machine and victims that lose least. */
-static gboolean
-preempt_for (KrPart *p, Candidate *c, GPtrArray *all, GHashTable *teams, gint64 now)
+/* What stopping a task loses, in seconds of its run. */
+static double
+loss_of (const KrLaunch *l, const KrJob *v, gint64 now)
+{
+  double ran = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
+  return v->spec->checkpoint_s > 0 ? MIN (ran, v->spec->save_s) : ran;
+}
+
+/* The task on `b` that may be stopped for `c` and loses least; tasks in `out` are spoken for. */
+static KrLaunch *
+victim (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, GPtrArray *out, gint64 now,
+        double *loss)
+{
+  KrLaunch *best = NULL;
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    KrJob *v = job (p, l->job);
+    const KrTeam *vt = v ? kr_settings_team (p->node->settings, v->spec->team) : NULL;
+    if (!vt || l->state == KR_TASK_EXITED || l->state == KR_TASK_DOUBT ||
+        g_ptr_array_find (out, l, NULL) ||
+        !kr_place_may_stop (c->job->spec, c->team, g_hash_table_lookup (teams, c->team), v->spec,
+                            vt, g_hash_table_lookup (teams, vt)))
+      continue;
+    double x = l->kill ? 0 : loss_of (l, v, now); /* those stopping already come first */
+    if (!best || x < *loss) {
+      best = l;
+      *loss = x;
+    }
+  }
+  return best;
+}
+
+/* Whom to stop on `b` so that one task of `c` fits; NULL if that is not enough. */
+static GPtrArray *
+victims (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, gint64 now, double *total)
+{
+  g_autoptr (GPtrArray) out = g_ptr_array_new ();
+  KrRoom room;
+  *total = 0;
+  if (!free_room (p, b, &room))
+    return NULL;
+  while (!kr_place_has_room (&room, c->job->spec)) {
+    double loss = 0;
+    KrLaunch *l = victim (p, b, c, teams, out, now, &loss);
+    if (!l)
+      return NULL;
+    g_ptr_array_add (out, l);
+    *total += loss;
+    kr_place_give (&room, job (p, l->job)->spec);
+  }
+  return g_steal_pointer (&out);
+}
+
+/* Holds a machine for a waiting job, and stops there what has run no longer than `most` seconds:
+ * the rest may end by itself first. */
+static void
+hold (KrPart *p, KrBerth *b, Candidate *c, GPtrArray *stop, double most, gint64 now)
+{
+  gboolean any = FALSE;
+  if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0) {
+    g_free (b->reserved_for);
+    b->reserved_for = g_strdup (c->job->spec->id);
+  }
+  b->reserved_until = now + kr_seconds (KR_RESERVE_S);
+  for (guint i = 0; i < stop->len; i++) {
+    KrLaunch *l = stop->pdata[i];
+    if (l->kill || loss_of (l, job (p, l->job), now) > most)
+      continue;
+    l->kill = KR_KILL_SLACK;
+    any = TRUE;
+    kr_info ("task %s/%u: stopped on %s for %s", l->job, l->index, b->id, c->job->spec->id);
+  }
+  if (any)
+    command_kills (p, b);
+}
+
+static guint
+places_on (KrPart *p, const KrBerth *b, const Candidate *c)
+{
+  const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
+  return t ? MAX (1, (guint) (1 / kr_place_share (c->job->spec, t))) : 0;
+}
+
+/* Tasks of `c` that the machines held for it have room for, once what may be stopped there has. */
+static guint
+held_places (KrPart *p, Candidate *c, GHashTable *teams, double most, gint64 now)
 {
-  KrBerth *best = NULL;
-  double best_loss = G_MAXDOUBLE;
-  g_autoptr (GPtrArray) best_victims = NULL;
   GHashTableIter it;
   gpointer value;
+  guint n = 0;
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    double total;
+    if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0 || now >= b->reserved_until ||
+        !usable (p, b, now))
+      continue;
+    g_autoptr (GPtrArray) stop = victims (p, b, c, teams, now, &total);
+    if (!stop)
+      continue; /* no longer of use: runs out */
+    hold (p, b, c, stop, most, now);
+    n += places_on (p, b, c);
+  }
+  return n;
+}
 
+/* The free machine where making room for one task of `c` loses least. */
+static KrBerth *
+best_to_hold (KrPart *p, Candidate *c, GHashTable *teams, gint64 now, GPtrArray **stop)
+{
+  KrBerth *best = NULL;
+  double best_total = G_MAXDOUBLE, total;
+  GHashTableIter it;
+  gpointer value;
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
-    KrRoom room;
-    if (!usable (p, b, now) || !may_run_here (p, b, c, now) || !free_room (p, b, &room) ||
-        (b->reserved_for && now < b->reserved_until))
+    if ((b->reserved_for && now < b->reserved_until) || !usable (p, b, now) ||
+        !may_run_here (p, b, c, now))
       continue;
-    if (kr_place_has_room (&room, c->job->spec))
-      return FALSE; /* its next report will bring the task there */
-    g_autoptr (GPtrArray) victims = g_ptr_array_new ();
-    double loss = 0;
-    while (!kr_place_has_room (&room, c->job->spec)) {
-      KrLaunch *pick = NULL;
-      double pick_loss = G_MAXDOUBLE;
-      for (guint i = 0; i < b->launches->len; i++) {
-        KrLaunch *l = b->launches->pdata[i];
-        KrJob *v = job (p, l->job);
-        const KrTeam *vt = v ? kr_settings_team (p->node->settings, v->spec->team) : NULL;
-        if (!v || !vt || l->state == KR_TASK_EXITED || l->state == KR_TASK_SAVING ||
-            l->state == KR_TASK_DOUBT || l->kill || g_ptr_array_find (victims, l, NULL) ||
-            !kr_place_may_stop (c->job->spec, c->team, g_hash_table_lookup (teams, c->team),
-                                v->spec, vt, g_hash_table_lookup (teams, vt)))
-          continue;
-        double ran = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
-        if (v->spec->checkpoint_s > 0)
-          ran = MIN (ran, v->spec->save_s);
-        double x = ran * v->spec->cpus;
-        if (x < pick_loss) {
-          pick = l;
-          pick_loss = x;
-        }
-      }
-      if (!pick)
-        break;
-      g_ptr_array_add (victims, pick);
-      kr_place_give (&room, job (p, pick->job)->spec);
-      loss += pick_loss;
-    }
-    if (victims->len && kr_place_has_room (&room, c->job->spec) && loss < best_loss) {
+    g_autoptr (GPtrArray) out = victims (p, b, c, teams, now, &total);
+    if (out && total < best_total) {
       best = b;
-      best_loss = loss;
-      g_clear_pointer (&best_victims, g_ptr_array_unref);
-      best_victims = g_ptr_array_ref (victims);
+      best_total = total;
+      g_clear_pointer (stop, g_ptr_array_unref);
+      *stop = g_steal_pointer (&out);
     }
   }
-  if (!best)
-    return FALSE;
-  for (guint i = 0; i < best_victims->len; i++) {
-    KrLaunch *l = best_victims->pdata[i];
-    l->kill = KR_KILL_SLACK;
-    kr_info ("task %s/%u: stopped on %s for %s", l->job, l->index, best->id, c->job->spec->id);
-  }
-  g_free (best->reserved_for);
-  best->reserved_for = g_strdup (c->job->spec->id);
-  best->reserved_until = now + kr_seconds (KR_RESERVE_S);
-  command_kills (p, best);
-  return TRUE;
+  return best;
 }
 
+static int
+rank_first (gconstpointer a, gconstpointer b)
+{
+  const Candidate *x = *(Candidate *const *) a, *y = *(Candidate *const *) b;
+  if (x->job->spec->rank != y->job->spec->rank)
+    return x->job->spec->rank > y->job->spec->rank ? -1 : 1;
+  return kr_rank_compare (&x->key, &y->key);
+}
+
+/* Permitted preemption: a job that waits holds machines on which lower work may be stopped. What
+ * has run for less than the job has waited is stopped at once, the rest when half of the time in
+ * which it should have started is over. */
 static void
 preempt (KrPart *p, gint64 now)
 {
-  GHashTableIter it;
-  gpointer value;
-  gboolean asked = FALSE;
-
   if (p->phase != OPEN)
     return;
-  g_hash_table_iter_init (&it, p->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    KrJob *j = value;
-    if (j->n_active || !kr_job_unstarted (j) || !j->waiting_since)
-      j->waiting_since = kr_job_unstarted (j) ? now : 0;
-    else if (now - j->waiting_since > kr_seconds (KR_PREEMPT_WAIT_S))
-      asked = TRUE;
-  }
-  if (!asked)
-    return;
   g_autoptr (GHashTable) teams =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   g_autoptr (GPtrArray) all = candidates (p, now, teams);
+  KrRank lowest = KR_RANK_CRITICAL;
+  g_ptr_array_sort (all, rank_first);
+  if (all->len)
+    lowest = ((Candidate *) all->pdata[all->len - 1])->job->spec->rank;
   for (guint i = 0; i < all->len; i++) {
     Candidate *c = all->pdata[i];
     KrJob *j = c->job;
-    if (!j->waiting_since || j->n_active ||
-        now - j->waiting_since <= kr_seconds (KR_PREEMPT_WAIT_S) ||
-        !kr_place_team_ok (c->team, g_hash_table_lookup (teams, c->team), j->spec))
+    double waited = c->in.now - j->at;
+    double goal = kr_settings_wait (p->node->settings, j->spec->lane);
+    if (!kr_job_unstarted (j) || j->cancelled || !c->team || now < j->hold_until ||
+        waited < KR_PREEMPT_WAIT_S || (j->spec->rank == lowest && c->team->cpus <= 0))
       continue;
-    guint want = kr_job_unstarted (j);
-    while (want-- && preempt_for (p, c, all, teams, now))
-      ;
-    j->waiting_since = now;
+    double most = waited > goal / 2 ? G_MAXDOUBLE : waited;
+    KrRoom used = *(KrRoom *) g_hash_table_lookup (teams, c->team);
+    guint want = 0, held = held_places (p, c, teams, most, now);
+    for (; want < kr_job_unstarted (j) && kr_place_team_ok (c->team, &used, j->spec); want++)
+      kr_place_give (&used, j->spec);
+    while (held < want) {
+      g_autoptr (GPtrArray) stop = NULL;
+      KrBerth *b = best_to_hold (p, c, teams, now, &stop);
+      if (!b)
+        break;
+      hold (p, b, c, stop, most, now);
+      held += places_on (p, b, c);
+    }
   }
 }
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -263,14 +263,25 @@
   return 0;
 }
 
-double
-kr_settings_goal (const KrSettings *s, const char *lane)
+static double
+objective (const KrSettings *s, const char *kind, const char *lane, double fallback)
 {
   for (guint i = 0; i < s->objectives->len; i++) {
     const KrObjective *o = s->objectives->pdata[i];
-    if (o->lane && o->within_s > 0 && g_str_equal (o->kind, "finished") &&
-        g_str_equal (o->lane, lane))
+    if (o->lane && o->within_s > 0 && g_str_equal (o->kind, kind) && g_str_equal (o->lane, lane))
       return o->within_s;
   }
-  return KR_DEFAULT_GOAL_S;
+  return fallback;
+}
+
+double
+kr_settings_goal (const KrSettings *s, const char *lane)
+{
+  return objective (s, "finished", lane, KR_DEFAULT_GOAL_S);
+}
+
+double
+kr_settings_wait (const KrSettings *s, const char *lane)
+{
+  return objective (s, "wait", lane, KR_DEFAULT_WAIT_S);
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -50,5 +50,8 @@
 /* Seconds from submission within which a job of the class should finish; a stated default. */
 double kr_settings_goal (const KrSettings *self, const char *lane);
 
+/* Seconds within which its tasks should start; a stated default. */
+double kr_settings_wait (const KrSettings *self, const char *lane);
+
 /* settings_toml.cpp: the file as a JSON tree, or NULL and a message to free with g_free. */
 json_t *kr_toml_load (const char *path, char **message);
