--- a/src/constants.h
+++ b/src/constants.h
@@ -66,7 +66,7 @@
 /* --- Renting ------------------------------------------------------------------------- */
 #define KR_TYPES_MS 30000       /* ms between reads of machine types (spot prices move) */
 #define KR_LIST_MS 5000         /* ms between reads of the machine list */
-#define KR_SYNC_MS 2000         /* ms between the leader's rounds with the parts */
+#define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
 #define KR_RENT_MS 4000         /* ms; renting period */
 #define KR_MOVE_MS 6000         /* ms; shares period for free machines */
 #define KR_RENT_MAX 50          /* machines a request, by the protocol */
--- a/src/rent.c
+++ b/src/rent.c
@@ -317,6 +317,7 @@
   if (n < o->count) {
     o->closed_until = now + (gint64) (o->pause_ms * 1000);
     o->pause_ms = MIN (o->pause_ms * 2, KR_BACKOFF_MAX_MS);
+    r->next_rent = now; /* this pool is closed: other ones at the next round, not the next period */
   } else
     o->pause_ms = KR_BACKOFF_MS;
   g_clear_pointer (&o->request, g_free);
