Rent ordinary machines once all spot pools have refused

Cause: on mksz the 38 spot machines are 192 CPUs for 58,000 core-seconds; 48 more CPUs stood unrented while everything waited.

--- a/src/rent.c
+++ b/src/rent.c
@@ -373,6 +373,12 @@
     g_array_append_val (offers, ordinary);
   }
   g_array_sort (offers, by_price);
+  gboolean spot_open = FALSE;
+  g_hash_table_iter_init (&it, r->pools);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const Pool *o = value;
+    spot_open |= o->spot && (o->busy || now >= o->closed_until);
+  }
   for (guint i = 0; i < offers->len; i++) {
     const Offer *f = &g_array_index (offers, Offer, i);
     g_autoptr (GPtrArray) open = g_ptr_array_new ();
@@ -386,8 +392,8 @@
       double machines = 0, share_out = open->len - z;
       for (guint k = 0; k < needs->len; k++) {
         KrNeed *n = needs->pdata[k];
-        /* Ordinary machines only for work that may not use spot. */
-        if (n->unmet <= 1e-9 || (!f->spot && n->shape->spot) ||
+        /* Work that may use spot gets ordinary machines only when spot ones are refused. */
+        if (n->unmet <= 1e-9 || (!f->spot && n->shape->spot && spot_open) ||
             !kr_place_allowed (n->shape, f->type->name, o->zone, f->spot) ||
             !kr_place_fits_type (n->shape, f->type))
           continue;
