--- a/src/constants.h
+++ b/src/constants.h
@@ -68,7 +68,9 @@
 #define KR_LIST_MS 5000         /* ms between reads of the machine list */
 #define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
 #define KR_RENT_MS 4000         /* ms; renting period */
-#define KR_MOVE_MS 6000         /* ms; shares period for free machines */
+#define KR_MOVE_MS 5000         /* ms; shares period for busy machines; free ones: each round */
+#define KR_MOVES_MAX 8          /* machines moved in a round: the records change one by one */
+#define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
 #define KR_RENT_MAX 50          /* machines a request, by the protocol */
 #define KR_DELETE_MAX 100       /* names a request, by the protocol */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
--- a/src/part.c
+++ b/src/part.c
@@ -1618,13 +1618,22 @@
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
+    double rest = 0; /* until it is empty, if nothing more starts */
+    for (guint i = 0; i < b->launches->len; i++) {
+      KrLaunch *l = b->launches->pdata[i];
+      KrJob *j = job (p, l->job);
+      double mean = !j ? 0 : j->count ? j->sum / j->count : j->spec->estimate_s;
+      if (l->state != KR_TASK_EXITED)
+        rest = MAX (rest, mean - (l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0));
+    }
     double idle = b->launches->len || !b->known || p->phase != OPEN
                       ? -1
                       : (double) (now - b->idle_since) / G_USEC_PER_SEC;
-    json_array_append_new (
-        berths, json_pack ("{ss ss* sb sb sf sb}", "Id", b->id, "Type", b->type, "Spot", b->spot,
-                           "Up", b->known, "Idle", idle, "Going",
-                           b->drain || b->deleting || b->leaving_to >= 0 || b->notice_at != 0));
+    json_array_append_new (berths,
+                           json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type,
+                                      "Spot", b->spot, "Up", b->known, "Idle", idle, "Rest", rest,
+                                      "Going", b->drain || b->deleting || b->notice_at != 0, "To",
+                                      (json_int_t) b->leaving_to));
   }
   return json_pack ("{sI so so}", "Part", (json_int_t) p->index, "Needs", needs, "Berths", berths);
 }
--- a/src/rent.c
+++ b/src/rent.c
@@ -462,20 +462,70 @@
     s->zone = m ? m->zone : NULL;
     s->spot = m ? m->spot : json_is_true (json_object_get (b, "Spot"));
     s->idle_s = b ? json_number_value (json_object_get (b, "Idle")) : -1;
-    s->up = json_is_true (json_object_get (b, "Up"));
+    s->rest_s = json_number_value (json_object_get (b, "Rest"));
+    s->to = b ? (gint) json_integer_value (json_object_get (b, "To")) : -1;
+    s->up = !b || json_is_true (json_object_get (b, "Up"));
     s->going = json_is_true (json_object_get (b, "Going")) || (m && m->state == KR_MACHINE_FAILED);
     g_ptr_array_add (supplies, s);
   }
 }
 
+/* Toward each part's share: free machines first (not yet up, or idle), then of the busy ones those
+ * that are empty soonest, a few at a time, since a machine that empties itself stands partly idle.
+ */
+static void
+move (KrRent *r, GPtrArray *supplies, const double *targets, double *have, gint64 now)
+{
+  guint size = r->node->settings->size;
+  g_autofree guint *leaving = g_new0 (guint, size), *count = g_new0 (guint, size);
+  gboolean busy_too = now >= r->next_move;
+
+  for (guint i = 0; i < supplies->len; i++) {
+    KrSupply *s = supplies->pdata[i];
+    if (s->part >= 0) {
+      count[s->part]++;
+      leaving[s->part] += s->to >= 0;
+    }
+  }
+  for (guint n = 0; n < KR_MOVES_MAX; n++) {
+    guint most = 0;
+    KrSupply *best = NULL;
+    for (guint p = 1; p < size; p++)
+      if (targets[p] - have[p] > targets[most] - have[most])
+        most = p;
+    for (guint i = 0; i < supplies->len; i++) {
+      KrSupply *s = supplies->pdata[i];
+      gboolean free = !s->up || s->idle_s >= 0;
+      if (s->part < 0 || s->part == (gint) most || s->going || s->to >= 0 || !s->type ||
+          targets[most] - have[most] < s->type->cpus / 2 ||
+          have[s->part] - targets[s->part] < s->type->cpus / 2)
+        continue;
+      if (!free && (!busy_too || leaving[s->part] >= 1 + count[s->part] / KR_LEAVING_PART))
+        continue;
+      if (!best || s->rest_s < best->rest_s)
+        best = s;
+    }
+    if (!best)
+      break;
+    wish (r, (guint) best->part, best->id, (gint) most);
+    leaving[best->part]++;
+    have[best->part] -= best->type->cpus;
+    have[most] += best->type->cpus;
+    best->to = (gint) most;
+  }
+  if (busy_too)
+    r->next_move = now + KR_MOVE_MS * 1000;
+}
+
 static void
 lead (KrRent *r, gint64 now)
 {
   guint size = r->node->settings->size;
   g_autoptr (GPtrArray) needs = g_ptr_array_new_with_free_func (kr_need_free);
   g_autoptr (GPtrArray) supplies = g_ptr_array_new_with_free_func (kr_supply_free);
-  g_autofree double *lack = g_new0 (double, size);
-  g_autoptr (GPtrArray) news = NULL;
+  g_autofree double *demand = g_new0 (double, size), *have = g_new0 (double, size),
+                    *targets = g_new0 (double, size);
+  double all = 0;
 
   exchange (r);
   /* First hear all parts and see one list: a new leader must not rent what is there already. */
@@ -483,40 +533,41 @@
       now - r->leading_since < kr_seconds (1.5 * KR_SYNC_MS / 1000.0))
     return;
   collect (r, needs, supplies, now);
-  news = homeless (r, now);
+  g_autoptr (GPtrArray) news = homeless (r, now);
   for (guint i = 0; i < news->len; i++) {
     const KrMachine *m = news->pdata[i];
     KrSupply *s = g_new0 (KrSupply, 1);
     s->id = g_strdup (m->id);
-    s->part = -1;
+    s->part = s->to = -1;
     s->type = kr_node_type (r->node, m->type);
     s->zone = m->zone;
     s->spot = m->spot;
     s->idle_s = -1;
     g_ptr_array_add (supplies, s);
   }
-  kr_shares_match (needs, supplies, lack);
-  if (news->len)
+  kr_shares_match (needs, supplies);
+  for (guint i = 0; i < supplies->len; i++) {
+    const KrSupply *s = supplies->pdata[i];
+    if (s->going || !s->type)
+      continue;
+    all += s->type->cpus;
+    if (s->part >= 0)
+      have[s->to >= 0 ? s->to : s->part] += s->type->cpus;
+  }
+  for (guint i = 0; i < needs->len; i++)
+    demand[((KrNeed *) needs->pdata[i])->part] += kr_need_cpus (needs->pdata[i], r->node->types);
+  kr_shares_targets (demand, size, all, targets);
+  if (news->len) {
+    g_autofree double *lack = g_new0 (double, size);
+    for (guint p = 0; p < size; p++)
+      lack[p] = MAX (0, targets[p] - have[p]);
     assign (r, news, lack);
-  if (now >= r->next_move) {
-    r->next_move = now + KR_MOVE_MS * 1000;
-    guint most = 0;
-    for (guint p = 1; p < size; p++)
-      if (lack[p] > lack[most])
-        most = p;
-    for (guint i = 0; i < supplies->len; i++) {
-      KrSupply *s = supplies->pdata[i];
-      if (s->part < 0 || s->going || s->idle_s < 0 || !s->type)
-        continue;
-      if (lack[most] > 0.1 && (guint) s->part != most && lack[s->part] <= 0.1) {
-        wish (r, (guint) s->part, s->id, (gint) most);
-        lack[most] -= 1;
-      } else if (s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S)
-        wish (r, (guint) s->part, s->id, -1);
-      for (guint p = 0; p < size; p++)
-        if (lack[p] > lack[most])
-          most = p;
-    }
+  } else
+    move (r, supplies, targets, have, now);
+  for (guint i = 0; i < supplies->len; i++) {
+    KrSupply *s = supplies->pdata[i];
+    if (s->part >= 0 && s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S && s->to < 0)
+      wish (r, (guint) s->part, s->id, -1);
   }
   if (now >= r->next_rent) {
     r->next_rent = now + KR_RENT_MS * 1000;
--- a/src/shares.c
+++ b/src/shares.c
@@ -42,7 +42,7 @@
 }
 
 void
-kr_shares_match (GPtrArray *needs, GPtrArray *supplies, double *own_unmet)
+kr_shares_match (GPtrArray *needs, GPtrArray *supplies)
 {
   g_ptr_array_sort (supplies, cheap_first);
   for (guint i = 0; i < needs->len; i++) {
@@ -51,7 +51,7 @@
   }
   for (guint i = 0; i < supplies->len; i++)
     ((KrSupply *) supplies->pdata[i])->left = 1;
-  for (guint own = 1; own <= 1; own--) {
+  for (guint own = 2; own-- > 0;)
     for (guint i = 0; i < supplies->len; i++)
       for (guint k = 0; k < needs->len; k++) {
         KrSupply *s = supplies->pdata[i];
@@ -59,16 +59,37 @@
         if (!own || s->part == (gint) n->part)
           serve (s, n);
       }
-    if (own)
-      for (guint k = 0; k < needs->len; k++) {
-        KrNeed *n = needs->pdata[k];
-        const KrType *t = NULL;
-        for (guint i = 0; i < supplies->len && !t; i++) {
-          KrSupply *s = supplies->pdata[i];
-          if (s->type && kr_place_fits_type (n->shape, s->type))
-            t = s->type;
-        }
-        own_unmet[n->part] += t ? n->unmet * kr_place_share (n->shape, t) : 0;
+}
+
+double
+kr_need_cpus (const KrNeed *n, const GPtrArray *types)
+{
+  for (guint i = 0; i < types->len; i++) {
+    const KrType *t = types->pdata[i];
+    if (kr_place_fits_type (n->shape, t))
+      return n->slots * kr_place_share (n->shape, t) * t->cpus;
+  }
+  return 0;
+}
+
+void
+kr_shares_targets (const double *demand, guint parts, double supply, double *targets)
+{
+  guint open = parts;
+  for (guint p = 0; p < parts; p++)
+    targets[p] = -1;
+  for (gboolean again = TRUE; again && open;) {
+    double each = supply / open;
+    again = FALSE;
+    for (guint p = 0; p < parts; p++)
+      if (targets[p] < 0 && demand[p] <= each) {
+        targets[p] = demand[p];
+        supply -= demand[p];
+        open--;
+        again = TRUE;
       }
   }
+  for (guint p = 0; p < parts; p++)
+    if (targets[p] < 0)
+      targets[p] = supply / open;
 }
