--- a/src/part.c
+++ b/src/part.c
@@ -26,13 +26,14 @@
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
   gboolean settled_written, record_busy, record_again, flushing;
   gint64 next_flush;
-  guint tick;
+  guint tick, preempt_soon;
 };
 
 static void write_record (KrPart *p);
 static void flush (KrPart *p);
 static void delete_berth (KrPart *p, KrBerth *b, const char *why);
 static void check_open (KrPart *p);
+static void preempt (KrPart *p, gint64 now);
 
 static KrPart *
 ref (KrPart *p)
@@ -640,6 +641,16 @@
   flush (p);
 }
 
+static gboolean
+preempt_now (gpointer data)
+{
+  KrPart *p = data;
+  p->preempt_soon = 0;
+  if (p->node->types)
+    preempt (p, kr_now ());
+  return G_SOURCE_REMOVE;
+}
+
 void
 kr_part_job_event (KrPart *p, const KrItem *item)
 {
@@ -670,6 +681,8 @@
   }
   if (p->have_jobs && is_final (j))
     flush (p);
+  if (p->have_jobs && !p->preempt_soon) /* those who cannot wait for the next tick */
+    p->preempt_soon = kr_timer_add (KR_FOLLOW_PAUSE_MS, preempt_now, p);
 }
 
 void
@@ -1257,6 +1270,23 @@
 }
 
 /* --- preemption ---------------------------------------------------------------------- */
+static gboolean
+has_image (const KrBerth *b, const KrJob *j)
+{
+  return !j->spec->image || g_hash_table_contains (b->images, j->spec->image);
+}
+
+/* Seconds that fetching a job's image takes, on a machine or (NULL) on the slowest type. */
+static double
+fetch_s (KrPart *p, const KrBerth *b, const KrJob *j)
+{
+  const KrType *t = b && b->type ? kr_node_type (p->node, b->type) : NULL;
+  double rate = t ? t->pull_gb_s : G_MAXDOUBLE;
+  for (guint i = 0; !t && i < p->node->types->len; i++)
+    rate = MIN (rate, ((KrType *) p->node->types->pdata[i])->pull_gb_s);
+  return rate > 0 ? j->spec->image_gb / rate : 0;
+}
+
 /* What stopping a task loses, in seconds of its run. */
 static double
 loss_of (const KrLaunch *l, const KrJob *v, gint64 now)
@@ -1270,13 +1300,18 @@
 victim (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, GPtrArray *out, gint64 now,
         double *loss)
 {
+  /* A guarantee may stop work of any Rank, but that of higher Rank only when the wait is over:
+   * otherwise the two stop each other in turn. */
+  gboolean upward =
+      c->in.now - c->job->at > kr_settings_wait (p->node->settings, c->job->spec->lane);
+
   KrLaunch *best = NULL;
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
     KrJob *v = job (p, l->job);
     const KrTeam *vt = v ? kr_settings_team (p->node->settings, v->spec->team) : NULL;
     if (!vt || l->state == KR_TASK_EXITED || l->state == KR_TASK_DOUBT ||
-        g_ptr_array_find (out, l, NULL) ||
+        (v->spec->rank > c->job->spec->rank && !upward) || g_ptr_array_find (out, l, NULL) ||
         !kr_place_may_stop (c->job->spec, c->team, g_hash_table_lookup (teams, c->team), v->spec,
                             vt, g_hash_table_lookup (teams, vt)))
       continue;
@@ -1378,6 +1413,8 @@
         !may_run_here (p, b, c, now))
       continue;
     g_autoptr (GPtrArray) out = victims (p, b, c, teams, now, &total);
+    if (out && !has_image (b, c->job))
+      total += fetch_s (p, b, c->job); /* as good as run time lost */
     if (out && total < best_total) {
       best = b;
       best_total = total;
@@ -1403,7 +1440,7 @@
 static void
 preempt (KrPart *p, gint64 now)
 {
-  if (p->phase != OPEN)
+  if (p->phase != OPEN || !p->node->types)
     return;
   g_autoptr (GHashTable) teams =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
@@ -1417,10 +1454,14 @@
     KrJob *j = c->job;
     double waited = c->in.now - j->at;
     double goal = kr_settings_wait (p->node->settings, j->spec->lane);
+    /* Time left for waiting, when a report and a fetch still have to follow. */
+    double patience = MIN (goal / 2, goal - p->node->settings->report_s - fetch_s (p, NULL, j) -
+                                         KR_DEFAULT_SLACK_S);
     if (!kr_job_unstarted (j) || j->cancelled || !c->team || now < j->hold_until ||
-        waited < KR_PREEMPT_WAIT_S || (j->spec->rank == lowest && c->team->cpus <= 0))
+        waited < MIN (patience, KR_PREEMPT_WAIT_S) ||
+        (j->spec->rank == lowest && c->team->cpus <= 0))
       continue;
-    double most = waited > goal / 2 ? G_MAXDOUBLE : waited;
+    double most = waited > patience ? G_MAXDOUBLE : waited;
     KrRoom used = *(KrRoom *) g_hash_table_lookup (teams, c->team);
     guint want = 0, held = held_places (p, c, teams, most, now);
     for (; want < kr_job_unstarted (j) && kr_place_team_ok (c->team, &used, j->spec); want++)
@@ -1737,6 +1778,7 @@
   kr_info ("part %u: no longer ours", p->index);
   p->gone = TRUE;
   kr_timer_remove (p->tick);
+  kr_timer_clear (&p->preempt_soon);
   g_cancellable_cancel (p->cancel);
   unref (p);
 }
