--- a/src/part.c
+++ b/src/part.c
@@ -1653,8 +1653,8 @@
     }
     json_array_append_new (needs, json_pack ("{so ss* sb sf sf sf sf sb}", "Types", types, "Zone",
                                              s->zone, "Spot", s->spot, "Cpus", s->cpus, "Gpus",
-                                             s->gpus, "Mem", s->mem_gb, "Slots", slots, "Late",
-                                             c->key.klass == KR_CLASS_LATE));
+                                             s->gpus, "Mem", s->mem_gb, "Slots", slots, "Urgent",
+                                             s->rank >= KR_RANK_URGENT));
   }
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
--- a/src/rent.c
+++ b/src/rent.c
@@ -428,7 +428,7 @@
   n->shape->gpus = json_number_value (json_object_get (o, "Gpus"));
   n->shape->mem_gb = json_number_value (json_object_get (o, "Mem"));
   n->slots = json_number_value (json_object_get (o, "Slots"));
-  n->late = json_is_true (json_object_get (o, "Late"));
+  n->urgent = json_is_true (json_object_get (o, "Urgent"));
   return n;
 }
 
@@ -523,8 +523,7 @@
   guint size = r->node->settings->size;
   g_autoptr (GPtrArray) needs = g_ptr_array_new_with_free_func (kr_need_free);
   g_autoptr (GPtrArray) supplies = g_ptr_array_new_with_free_func (kr_supply_free);
-  g_autofree double *demand = g_new0 (double, size), *have = g_new0 (double, size),
-                    *targets = g_new0 (double, size);
+  g_autofree double *have = g_new0 (double, size), *targets = g_new0 (double, size);
   double all = 0;
 
   exchange (r);
@@ -554,9 +553,21 @@
     if (s->part >= 0)
       have[s->to >= 0 ? s->to : s->part] += s->type->cpus;
   }
-  for (guint i = 0; i < needs->len; i++)
-    demand[((KrNeed *) needs->pdata[i])->part] += kr_need_cpus (needs->pdata[i], r->node->types);
-  kr_shares_targets (demand, size, all, targets);
+  /* Urgent work's needs come first: it may stop other work in its part, but not in another. */
+  for (guint urgent = 2; urgent-- > 0;) {
+    g_autofree double *demand = g_new0 (double, size), *share = g_new0 (double, size);
+    for (guint i = 0; i < needs->len; i++) {
+      const KrNeed *n = needs->pdata[i];
+      if (n->urgent == (urgent == 1))
+        demand[n->part] += kr_need_cpus (n, r->node->types);
+    }
+    kr_shares_targets (demand, size, all, share);
+    for (guint p = 0; p < size; p++) {
+      targets[p] += share[p];
+      all -= share[p];
+    }
+  }
+
   if (news->len) {
     g_autofree double *lack = g_new0 (double, size);
     for (guint p = 0; p < size; p++)
--- a/src/shares.h
+++ b/src/shares.h
@@ -8,7 +8,8 @@
   guint part;
   KrSpec *shape; /* types, zone, spot, cpus, gpus, mem_gb */
   double slots, unmet;
-  gboolean late;
+  gboolean urgent;
+
 } KrNeed;
 void kr_need_free (gpointer need);
 
