--- a/src/part.c
+++ b/src/part.c
@@ -1615,6 +1615,13 @@
 
 /* --- for the leader
  * -------------------------------------------------------------------------------- */
+/* Silent for so long that it is probably lost: others are rented in its place. */
+static gboolean
+silent (KrPart *p, const KrBerth *b, gint64 now)
+{
+  return b->heard && now - b->heard > kr_seconds (KR_SILENT_REPORTS * p->node->settings->report_s);
+}
+
 json_t *
 kr_part_summary (KrPart *p)
 {
@@ -1670,11 +1677,11 @@
     double idle = b->launches->len || !b->known || p->phase != OPEN
                       ? -1
                       : (double) (now - b->idle_since) / G_USEC_PER_SEC;
-    json_array_append_new (berths,
-                           json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type,
-                                      "Spot", b->spot, "Up", b->known, "Idle", idle, "Rest", rest,
-                                      "Going", b->drain || b->deleting || b->notice_at != 0, "To",
-                                      (json_int_t) b->leaving_to));
+    json_array_append_new (
+        berths, json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot",
+                           b->spot, "Up", b->known, "Idle", idle, "Rest", rest, "Going",
+                           b->drain || b->deleting || b->notice_at != 0 || silent (p, b, now), "To",
+                           (json_int_t) b->leaving_to));
   }
   return json_pack ("{sI so so}", "Part", (json_int_t) p->index, "Needs", needs, "Berths", berths);
 }
