--- a/src/agent.h
+++ b/src/agent.h
@@ -34,6 +34,7 @@
   gboolean used, used_wanted; /* durable; to be made durable */
   gboolean drain, deleting, fencing;
   gint leaving_to;           /* part that it goes to when empty; -1: none */
+  gboolean moving;           /* the move may be under way: nothing may start */
   gint64 idle_since, joined; /* monotonic us */
   gint64 missing_since;      /* monotonic us: listed once, then not; 0: listed */
   gboolean listed;
--- a/src/part.c
+++ b/src/part.c
@@ -263,8 +263,10 @@
     }
     if (w->moving && status != 200) {
       KrBerth *b = berth (p, w->moving);
-      if (b && status != 0) /* unknown outcome: stays out of use until the record shows it */
+      if (b && status != 0) { /* unknown outcome: stays out of use until the record shows it */
         b->leaving_to = -1;
+        b->moving = FALSE;
+      }
     }
   }
   record_write_free (w);
@@ -347,7 +349,7 @@
   w->to_value = to_v;
   w->to = to;
   w->moving = g_strdup (b->id);
-  p->record_busy = TRUE;
+  p->record_busy = b->moving = TRUE;
   kr_state_commit (p->node->state, txn, FALSE, KR_STATE_TIMEOUT_MS, p->cancel, record_written, w);
 }
 
@@ -1118,6 +1120,21 @@
   return kr_place_spread_ok (j->spec, &w);
 }
 
+/* Until a machine is empty, if nothing more starts. */
+static double
+rest_s (KrPart *p, const KrBerth *b, gint64 now)
+{
+  double rest = 0;
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    KrJob *j = job (p, l->job);
+    double mean = !j ? 0 : j->count ? j->sum / j->count : j->spec->estimate_s;
+    if (l->state != KR_TASK_EXITED)
+      rest = MAX (rest, mean - (l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0));
+  }
+  return rest;
+}
+
 static gboolean
 may_run_here (KrPart *p, const KrBerth *b, const Candidate *c, gint64 now)
 {
@@ -1126,6 +1143,9 @@
     return FALSE;
   if (b->reserved_for && now < b->reserved_until && !g_str_equal (b->reserved_for, j->spec->id))
     return FALSE;
+  /* A machine that empties itself takes what will end before it would be empty anyway. */
+  if (b->leaving_to >= 0 && (!j->count || kr_estimate_mean (&c->in) > rest_s (p, b, now)))
+    return FALSE;
   /* It failed here and nowhere else: another machine shall tell which of the two is at fault. */
   if (g_hash_table_size (j->failed_on) < KR_JOB_FAIL_BERTHS &&
       g_hash_table_contains (j->failed_on, b->id) && g_hash_table_size (p->berths) > 1)
@@ -1153,7 +1173,7 @@
 usable (KrPart *p, const KrBerth *b, gint64 now)
 {
   return p->phase == OPEN && b->known && b->used && !needs_fence (b) && !b->drain && !b->deleting &&
-         b->leaving_to < 0 && !b->notice_at && now >= b->pause_until;
+         !b->moving && !b->notice_at && now >= b->pause_until;
 }
 
 /* A gang is granted only whole: places are held on as many machines as it takes, and each machine's
@@ -1409,7 +1429,7 @@
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
-    if ((b->reserved_for && now < b->reserved_until) || !usable (p, b, now) ||
+    if ((b->reserved_for && now < b->reserved_until) || b->leaving_to >= 0 || !usable (p, b, now) ||
         !may_run_here (p, b, c, now))
       continue;
     g_autoptr (GPtrArray) out = victims (p, b, c, teams, now, &total);
@@ -1666,22 +1686,16 @@
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
-    double rest = 0; /* until it is empty, if nothing more starts */
-    for (guint i = 0; i < b->launches->len; i++) {
-      KrLaunch *l = b->launches->pdata[i];
-      KrJob *j = job (p, l->job);
-      double mean = !j ? 0 : j->count ? j->sum / j->count : j->spec->estimate_s;
-      if (l->state != KR_TASK_EXITED)
-        rest = MAX (rest, mean - (l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0));
-    }
+
     double idle = b->launches->len || !b->known || p->phase != OPEN
                       ? -1
                       : (double) (now - b->idle_since) / G_USEC_PER_SEC;
     json_array_append_new (
-        berths, json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot",
-                           b->spot, "Up", b->known, "Idle", idle, "Rest", rest, "Going",
-                           b->drain || b->deleting || b->notice_at != 0 || silent (p, b, now), "To",
-                           (json_int_t) b->leaving_to));
+        berths,
+        json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot", b->spot,
+                   "Up", b->known, "Idle", idle, "Rest", rest_s (p, b, now), "Going",
+                   b->drain || b->deleting || b->notice_at != 0 || silent (p, b, now), "To",
+                   (json_int_t) b->leaving_to));
   }
   return json_pack ("{sI so so}", "Part", (json_int_t) p->index, "Needs", needs, "Berths", berths);
 }
