A job with work left gets whole slots, at least one, and its part a machine

Cause: a test's job with four short tasks left and a far goal needed 0.09 slots, for which nothing is rented or moved; it would have waited until just before its goal. Guards: slots needed are rounded up, one where nothing runs; a part that wants anything gets a machine.

--- a/src/rank.c
+++ b/src/rank.c
@@ -1,4 +1,5 @@
 #include "rank.h"
+#include <math.h>
 #include <string.h>
 
 static KrClass
@@ -45,5 +46,8 @@
 {
   if (klass (in) != KR_CLASS_ADJUST)
     return in->unstarted;
-  return CLAMP (kr_estimate_slots (in), 0, (double) in->unstarted);
+  /* Whole slots, and one where nothing runs: a fraction of a slot would leave a job without any
+   * machine until shortly before its goal. */
+  double least = in->running || !in->unstarted ? 0 : 1;
+  return CLAMP (ceil (kr_estimate_slots (in)), least, (double) in->unstarted);
 }
--- a/src/rank.h
+++ b/src/rank.h
@@ -16,5 +16,6 @@
 /* Negative: a goes first. */
 int kr_rank_compare (const KrRankKey *a, const KrRankKey *b);
 /* Slots that the min variant wants beyond those running: all unstarted tasks for jobs late or
- * without data, else slots needed floored at zero, at most the unstarted. */
+ * without data, else slots needed, rounded up, floored at zero (at one if nothing runs), at most
+ * the unstarted. */
 double kr_rank_want (const KrEstimateInput *in);
--- a/src/rent.c
+++ b/src/rent.c
@@ -497,7 +497,8 @@
       KrSupply *s = supplies->pdata[i];
       gboolean free = !s->up || s->idle_s >= 0;
       if (s->part < 0 || s->part == (gint) most || s->going || s->to >= 0 || !s->type ||
-          targets[most] - have[most] < s->type->cpus / 2 ||
+          (targets[most] - have[most] < s->type->cpus / 2 &&
+           !(have[most] <= 0 && targets[most] > 0)) || /* never none where something is wanted */
           have[s->part] - targets[s->part] < s->type->cpus / 2)
         continue;
       if (!free && (!busy_too || leaving[s->part] >= 1 + count[s->part] / KR_LEAVING_PART))
--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -95,7 +95,10 @@
   g_assert_cmpfloat (kr_rank_want (&in), ==, 9); /* no data: all of them */
   in.count = 1;
   in.sum = 10;
-  g_assert_cmpfloat_with_epsilon (kr_rank_want (&in), 0.9, 1e-9);
+  g_assert_cmpfloat (kr_rank_want (&in), ==, 1); /* 0.9, but never no slot at all */
+  in.goal = 20;
+  g_assert_cmpfloat (kr_rank_want (&in), ==, 5); /* 4.5 */
+  in.goal = 100;
   in.now = 101; /* late: all of them */
   g_assert_cmpfloat (kr_rank_want (&in), ==, 9);
   in.now = 99.99; /* near the goal: never more than there are */
