--- a/src/node.c
+++ b/src/node.c
@@ -42,7 +42,7 @@
   }
   if (p)
     kr_part_drop (p);
-  n->parts[part] = ours ? kr_part_new (n, part, h->mark, h->from) : NULL;
+  n->parts[part] = ours ? kr_part_new (n, part, h->mark) : NULL;
   for (guint i = 0; i < n->settings->size; i++)
     any |= n->parts[i] != NULL;
   if (!any)
--- a/src/part.c
+++ b/src/part.c
@@ -14,7 +14,8 @@
   grefcount refs;
   KrNode *node;
   guint index;
-  guint64 token, from;
+  guint64 token;
+
   Phase phase;
   gboolean gone, have_record, have_jobs;
   GCancellable *cancel;
@@ -26,6 +27,7 @@
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
   gboolean settled_written, record_busy, record_again, flushing;
   gint64 next_flush;
+  json_t *claim; /* the record as we take it over */
   guint tick, preempt_soon;
 };
 
@@ -51,6 +53,7 @@
   g_hash_table_unref (p->berths);
   g_hash_table_unref (p->leaving);
   g_object_unref (p->cancel);
+  json_decref (p->claim);
   g_free (p);
 }
 
@@ -301,7 +304,7 @@
     change = TRUE;
   }
   if (p->phase == OPEN && !p->settled_written) {
-    json_object_set_new (v, "Settled", json_integer ((json_int_t) p->token));
+    json_object_set_new (v, "Settled", json_true ());
     change = TRUE;
   }
   if (!change) {
@@ -388,8 +391,7 @@
       g_hash_table_iter_remove (&it);
     }
   }
-  p->settled_written =
-      (guint64) json_integer_value (json_object_get (r->value, "Settled")) == p->token;
+  p->settled_written = json_is_true (json_object_get (r->value, "Settled"));
   write_record (p);
 }
 
@@ -1703,6 +1705,7 @@
 /* --- taking over and letting go
  * ---------------------------------------------------------------------- */
 static void load (KrPart *p);
+static void claimed (guint status, json_t *body, gpointer data);
 
 static gboolean
 load_again (gpointer data)
@@ -1720,8 +1723,6 @@
   KrPart *p = data;
   KrRecord *r = kr_membership_record (p->node->membership, p->index);
   KrItem item;
-  GHashTableIter it;
-  gpointer value;
 
   if (p->gone) {
     unref (p);
@@ -1733,6 +1734,40 @@
   }
   if (status == 200 && kr_wire_item_parse (body, &item))
     kr_membership_note_record (p->node->membership, p->index, item.value, item.mark);
+  /* Whoever owns the part writes its name here before it says or answers anything. So if ours
+   * stands here, only our own earlier life, which is over, has been in touch with the machines. */
+  const char *holder = json_string_value (json_object_get (r->value, "Holder"));
+  if (g_strcmp0 (holder, p->node->settings->node_name) == 0 &&
+      json_is_true (json_object_get (r->value, "Settled")))
+    p->quiet_before = TRUE;
+  g_autofree char *key = kr_membership_record_key (p->index);
+  KrTxn *txn = owner_txn (p);
+  json_t *v = record_copy (p, p->index);
+  json_object_set_new (v, "Holder", json_string (p->node->settings->node_name));
+  json_object_set_new (v, "Settled", json_false ());
+  kr_txn_when (txn, key, r->mark);
+  kr_txn_put (txn, key, json_incref (v), 0);
+  json_decref (p->claim);
+  p->claim = v;
+  kr_state_commit (p->node->state, txn, TRUE, KR_STATE_TIMEOUT_MS, p->cancel, claimed, p);
+}
+
+static void
+claimed (guint status, json_t *body, gpointer data)
+{
+  KrPart *p = data;
+  GHashTableIter it;
+  gpointer value;
+
+  if (p->gone) {
+    unref (p);
+    return;
+  }
+  if (status != 200) {
+    kr_timer_add (KR_RETRY_MS, load_again, p);
+    return;
+  }
+  kr_membership_note_record (p->node->membership, p->index, p->claim, kr_wire_revision (body));
   p->have_record = TRUE;
   kr_part_record_changed (p);
   g_hash_table_iter_init (&it, p->berths);
@@ -1740,9 +1775,7 @@
     KrBerth *b = value;
     b->must_fence = b->used;
   }
-  /* The key that ours replaced was our own earlier one, and under it every machine was fenced. */
-  p->quiet_before =
-      p->from && (guint64) json_integer_value (json_object_get (r->value, "Settled")) == p->from;
+
   kr_follow_rescan (p->node->jobs);
   unref (p);
 }
@@ -1755,14 +1788,14 @@
 }
 
 KrPart *
-kr_part_new (KrNode *node, guint index, guint64 token, guint64 from)
+kr_part_new (KrNode *node, guint index, guint64 token)
 {
   KrPart *p = g_new0 (KrPart, 1);
   g_ref_count_init (&p->refs);
   p->node = node;
   p->index = index;
   p->token = token;
-  p->from = from;
+
   p->cancel = kr_cancellable_child (node->cancel);
   p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) kr_job_free);
   p->berths = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_berth_free);
@@ -1789,8 +1822,6 @@
       b->must_fence = FALSE;
     b->fenced = FALSE;
   }
-  p->settled_written = FALSE;
-  write_record (p);
 }
 
 void
--- a/src/part.h
+++ b/src/part.h
@@ -5,8 +5,8 @@
 #include "ledger.h"
 #include "node.h"
 
-/* Begins a takeover under `token`. `from`: Mark of our own earlier key that it replaced, or 0. */
-KrPart *kr_part_new (KrNode *node, guint index, guint64 token, guint64 from);
+/* Begins a takeover under `token`. */
+KrPart *kr_part_new (KrNode *node, guint index, guint64 token);
 /* We hold it no longer: forgets everything. */
 void kr_part_drop (KrPart *self);
 guint64 kr_part_token (KrPart *self);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1013,6 +1013,13 @@
   return best ? best->id : NULL;
 }
 
+gboolean
+sim_machine_lives (const char *id)
+{
+  const Machine *m = g_hash_table_lookup (S.machines, id);
+  return m && !m->dead;
+}
+
 guint
 sim_machines (void)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -33,6 +33,7 @@
 /* The machine that runs most tasks, or NULL. */
 const char *sim_busiest_machine (void);
 guint sim_machines (void);
+gboolean sim_machine_lives (const char *id);
 guint sim_tasks_running (const char *job);
 
 /* A user: submits (and repeats until accepted), polls every 5 s, checks every answer. */
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -167,6 +167,28 @@
   finish (300);
 }
 
+/* All nodes were away for longer than their keys last, and some machines cannot be reached. No
+ * other node was in touch with them: their leases are waited out, none is deleted. */
+static void
+test_crash_with_machines_cut_off (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (40);
+
+  g_autofree char *m = g_strdup (sim_busiest_machine ());
+  cut_off (m, SIM_DROP);
+  for (guint i = 0; i < 3; i++)
+    sim_node_kill (i);
+  sim_run (8);
+  for (guint i = 0; i < 3; i++)
+    sim_node_start (i);
+  sim_run (20);
+  g_assert_true (sim_machine_lives (m));
+  cut_off (m, SIM_OPEN);
+  finish (400);
+}
+
 /* One node stays away: its part goes to another. */
 static void
 test_node_lost (void)
@@ -355,6 +377,7 @@
   g_test_add_func ("/service/state-refuses-one", test_state_refuses_one);
   g_test_add_func ("/service/restart-at-once", test_restart_at_once);
   g_test_add_func ("/service/all-crash", test_all_crash);
+  g_test_add_func ("/service/crash-with-machines-cut-off", test_crash_with_machines_cut_off);
   g_test_add_func ("/service/node-lost", test_node_lost);
   g_test_add_func ("/service/cancel-unreachable", test_cancel_unreachable);
   g_test_add_func ("/service/limit-in-doubt", test_limit_in_doubt);
