--- a/src/constants.h
+++ b/src/constants.h
@@ -27,6 +27,7 @@
 #define KR_FOLLOW_SLACK_MS 4000 /* ms beyond the hold before a watch counts as lost */
 #define KR_FOLLOW_PAUSE_MS 100  /* ms between watches: changes of one moment come together */
 #define KR_SCAN_PAGE 200        /* keys a page: stays far below 512 KiB */
+#define KR_STATE_SILENCE_S 4.0  /* s; two renewals of the lease unanswered */
 #define KR_RETRY_MS 500         /* ms; pause after a failed state call */
 #define KR_NODE_LEASE_MS 6000   /* ms; a dead node's parts are free after this */
 #define KR_NODE_RENEW_MS 1500   /* ms; four tries within the lease */
--- a/src/node.c
+++ b/src/node.c
@@ -1,5 +1,6 @@
 #include "node.h"
 #include "api.h"
+#include "clock.h"
 #include "constants.h"
 #include "log.h"
 #include "part.h"
@@ -114,10 +115,11 @@
 
   switch (kr_wire_route (kr_request_method (request), kr_request_path (request), &id)) {
   case KR_ROUTE_READY:
-    if (kr_membership_seen (n->membership) && n->types)
+    if (kr_membership_seen (n->membership) && n->types && !n->state_cut)
       kr_request_reply (request, 200, NULL, 0);
     else
-      kr_request_reply (request, 503, kr_wire_error ("starting"), KR_RETRY_AFTER_S);
+      kr_request_reply (request, 503, kr_wire_error ("not able to take requests"),
+                        KR_RETRY_AFTER_S);
     break;
   case KR_ROUTE_BEAT:
     beat (n, request);
@@ -140,6 +142,12 @@
   }
 }
 
+static gboolean
+state_heard (KrNode *n)
+{
+  return kr_state_silence (n->state) < KR_STATE_SILENCE_S;
+}
+
 static void
 serve_peer (KrRequest *request, gpointer data)
 {
@@ -148,10 +156,40 @@
     kr_request_reply (request, 200,
                       kr_rent_sync (n->rent, json_object_get (kr_request_json (request), "Wishes")),
                       0);
+  else if (g_str_equal (kr_request_path (request), "/health"))
+    kr_request_reply (request, 200, json_pack ("{sb}", "State", state_heard (n)), 0);
   else
     kr_request_reply (request, 404, NULL, 0);
 }
 
+static void
+peer_health (guint status, json_t *body, gpointer data)
+{
+  KrNode *n = data;
+  if (!n->state_cut && !state_heard (n) && json_is_true (json_object_get (body, "State"))) {
+    kr_info ("state: a peer reaches it and we do not, leaving the balancer");
+    n->state_cut = TRUE;
+  }
+}
+
+/* Without the state service a node can answer nothing; but in an outage for all, leaving the
+ * balancer would gain nothing. A peer's word tells the two apart. */
+static gboolean
+check_health (gpointer data)
+{
+  KrNode *n = data;
+  if (state_heard (n)) {
+    n->state_cut = FALSE;
+    return G_SOURCE_CONTINUE;
+  }
+  for (guint i = 0; i < n->settings->others->len; i++) {
+    const KrPeerSettings *o = n->settings->others->pdata[i];
+    kr_client_call (n->peers, "GET", o->addr, "/health", NULL, KR_PEER_TIMEOUT_MS, n->cancel,
+                    peer_health, n);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
 /* --- life
  * -------------------------------------------------------------------------------------------- */
 KrNode *
@@ -183,6 +221,7 @@
     kr_node_free (n);
     return NULL;
   }
+  n->health = kr_timer_add (KR_TICK_MS, check_health, n);
   kr_info ("%s in %s, part %u of %u, users on %s", s->node_name, s->zone, s->self, s->size,
            s->client_listen);
   return n;
@@ -199,6 +238,7 @@
 kr_node_free (KrNode *n)
 {
   g_cancellable_cancel (n->cancel);
+  kr_timer_clear (&n->health);
   if (n->public_server)
     kr_server_free (n->public_server);
   if (n->peer_server)
--- a/src/node.h
+++ b/src/node.h
@@ -23,6 +23,8 @@
   KrRent *rent;
   KrApi *api;
   KrServer *public_server, *peer_server;
+  gboolean state_cut; /* a peer reaches the state service and we do not */
+  guint health;
 } KrNode;
 
 KrNode *kr_node_new (const KrSettings *settings, GError **error);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -133,8 +133,14 @@
   submit_some (40, 15);
   sim_run (30);
   sim_state_refuse (2, TRUE);
-  sim_run (60);
+  sim_run (20);
+  /* It leaves the balancer, since its peers are served: unlike in an outage for all. */
+  g_assert_cmpuint (sim_request (2, "GET", "/ready", NULL), ==, 503);
+  g_assert_cmpuint (sim_request (1, "GET", "/ready", NULL), ==, 200);
+  sim_run (40);
   sim_state_refuse (2, FALSE);
+  sim_run (5);
+  g_assert_cmpuint (sim_request (2, "GET", "/ready", NULL), ==, 200);
   finish (400);
 }
 
