--- a/src/constants.h
+++ b/src/constants.h
@@ -38,13 +38,13 @@
 #define KR_FINAL_CACHE 4096     /* jobs whose final answer a node remembers */
 
 /* --- Ownership ----------------------------------------------------------------------- */
+#define KR_DUTY_MS 300           /* ms between looks at which keys to take or give */
 #define KR_FOREIGN_WAIT_MS 1500  /* ms a part must be free before a node not its home takes it */
 #define KR_FOREIGN_STEP_MS 800   /* ms more for each part already held: the idlest goes first */
 #define KR_HOME_HEALTHY_MS 8000  /* ms the home node must be present before it gets parts back */
 #define KR_SILENCE_S 3.0         /* s beyond two reports without any machine: hand the part on */
 #define KR_SILENCE_HOLD_MS 30000 /* ms a node keeps off a part it handed on for silence */
 #define KR_FENCE_GRACE_S 12.0    /* s; a used machine not reached by then is deleted */
-#define KR_FENCE_RETRY_MS 1000   /* ms between tries to reach a machine */
 #define KR_LEASE_MARGIN_S 1.0    /* s over a worker's lease: timers' steps and our own lateness */
 #define KR_CLOCK_DRIFT 0.001     /* two clocks may drift apart by 0.0005 each */
 #define KR_LOST_DELETE_S 25.0    /* s of silence beyond the lease before a machine is returned */
@@ -73,7 +73,6 @@
 #define KR_MOVES_MAX 8          /* machines moved in a round: the records change one by one */
 #define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
 #define KR_RENT_MAX 50          /* machines a request, by the protocol */
-#define KR_DELETE_MAX 100       /* names a request, by the protocol */
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
 #define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
--- a/src/membership.c
+++ b/src/membership.c
@@ -380,7 +380,7 @@
   kr_follow_rescan (m->follow);
   renew (m);
   m->lease_timer = kr_timer_add (KR_NODE_RENEW_MS, renew, m);
-  m->duty_timer = kr_timer_add (300, duty, m);
+  m->duty_timer = kr_timer_add (KR_DUTY_MS, duty, m);
   return m;
 }
 
--- /dev/null
+++ b/src/part-dispatch.c
@@ -0,0 +1,590 @@
+/* What starts where in a part: the paper's allocation, gangs, preemption, and the part's needs. */
+#include "part-private.h"
+#include "clock.h"
+#include "constants.h"
+#include "log.h"
+#include "place.h"
+#include "rank.h"
+#include <math.h>
+
+/* --- scheduling ---------------------------------------------------------------------- */
+/* A job as the paper's functions see it, for one round. */
+typedef struct {
+  KrJob *job;
+  const KrTeam *team;
+  GArray *elapsed;
+  KrEstimateInput in;
+  KrRankKey key;
+  gboolean skip;
+} Candidate;
+
+static void
+candidate_free (gpointer data)
+{
+  Candidate *c = data;
+  g_array_unref (c->elapsed);
+  g_free (c);
+}
+
+static void
+rerank (Candidate *c)
+{
+  c->in.elapsed = (const double *) (gpointer) c->elapsed->data;
+  c->in.running = c->elapsed->len;
+  c->in.unstarted = kr_job_unstarted (c->job);
+  c->key = kr_rank_key (&c->in, c->job->spec->id);
+}
+
+static double
+goal_of (KrPart *p, const KrJob *j)
+{
+  return j->at + (isnan (j->spec->deadline_s) ? kr_settings_goal (p->node->settings, j->spec->lane)
+                                              : j->spec->deadline_s);
+}
+
+/* All live jobs with what runs of them; team -> KrRoom in use, everything not surely gone. */
+static GPtrArray *
+candidates (KrPart *p, gint64 now, GHashTable *teams)
+{
+  GPtrArray *out = g_ptr_array_new_with_free_func (candidate_free);
+  g_autoptr (GHashTable) by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter it;
+  gpointer value;
+  double real = kr_time_of_day ();
+
+  g_hash_table_iter_init (&it, p->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrJob *j = value;
+    Candidate *c = g_new0 (Candidate, 1);
+    c->job = j;
+    c->team = kr_settings_team (p->node->settings, j->spec->team);
+    c->elapsed = g_array_new (FALSE, FALSE, sizeof (double));
+    c->in = (KrEstimateInput){ .sum = j->sum,
+                               .count = j->count,
+                               .now = real,
+                               .goal = goal_of (p, j),
+                               .submitted = j->at,
+                               .held = j->spec->form == KR_FORM_SERVICE,
+                               .guess_s = j->spec->estimate_s };
+    g_ptr_array_add (out, c);
+    g_hash_table_insert (by_id, j->spec->id, c);
+    if (c->team && !g_hash_table_contains (teams, c->team))
+      g_hash_table_insert (teams, (gpointer) c->team, g_new0 (KrRoom, 1));
+  }
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    for (guint i = 0; i < b->launches->len; i++) {
+      KrLaunch *l = b->launches->pdata[i];
+      Candidate *c = g_hash_table_lookup (by_id, l->job);
+      if (!c || l->state == KR_TASK_EXITED)
+        continue;
+      double e = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
+      g_array_append_val (c->elapsed, e);
+      if (c->team)
+        kr_place_give (g_hash_table_lookup (teams, c->team), c->job->spec);
+    }
+  }
+  for (guint i = 0; i < out->len; i++)
+    rerank (out->pdata[i]);
+  return out;
+}
+
+static gboolean
+free_room (KrPart *p, const KrBerth *b, KrRoom *room)
+{
+  const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
+  if (!t)
+    return FALSE;
+  *room = (KrRoom){ t->cpus, t->gpus, t->mem_gb };
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    if (l->state == KR_TASK_EXITED)
+      continue;
+    KrJob *j = kr_part_job (p, l->job);
+    if (!j)
+      return FALSE; /* unknown load: nothing more until it is gone */
+    kr_place_take (room, j->spec);
+  }
+  return TRUE;
+}
+
+static gboolean
+spread_ok (KrPart *p, const KrBerth *b, const KrJob *j)
+{
+  KrSpread w = { 0, 0 };
+  GHashTableIter it;
+  gpointer value;
+  if (!j->spec->one_zone && !j->spec->apart)
+    return TRUE;
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *o = value;
+    for (guint i = 0; i < o->launches->len; i++) {
+      KrLaunch *l = o->launches->pdata[i];
+      if (l->state == KR_TASK_EXITED || !g_str_equal (l->job, j->spec->id))
+        continue;
+      w.total++;
+      w.here += g_strcmp0 (o->zone, b->zone) == 0;
+    }
+  }
+  return kr_place_spread_ok (j->spec, &w);
+}
+
+/* Until a machine is empty, if nothing more starts. */
+static double
+rest_s (KrPart *p, const KrBerth *b, gint64 now)
+{
+  double rest = 0;
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    KrJob *j = kr_part_job (p, l->job);
+    double mean = !j ? 0 : j->count ? j->sum / j->count : j->spec->estimate_s;
+    if (l->state != KR_TASK_EXITED)
+      rest = MAX (rest, mean - (l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0));
+  }
+  return rest;
+}
+
+static gboolean
+may_run_here (KrPart *p, const KrBerth *b, const Candidate *c, gint64 now)
+{
+  KrJob *j = c->job;
+  if (j->cancelled || j->chunks_missing || !c->team || now < j->hold_until || kr_job_next (j) < 0)
+    return FALSE;
+  if (b->reserved_for && now < b->reserved_until && !g_str_equal (b->reserved_for, j->spec->id))
+    return FALSE;
+  /* A machine that empties itself takes what will end before it would be empty anyway. */
+  if (b->leaving_to >= 0 && (!j->count || kr_estimate_mean (&c->in) > rest_s (p, b, now)))
+    return FALSE;
+  /* It failed here and nowhere else: another machine shall tell which of the two is at fault. */
+  if (g_hash_table_size (j->failed_on) < KR_JOB_FAIL_BERTHS &&
+      g_hash_table_contains (j->failed_on, b->id) && g_hash_table_size (p->berths) > 1)
+    return FALSE;
+  return kr_place_allowed (j->spec, b->type, b->zone, b->spot) && spread_ok (p, b, j);
+}
+
+static KrLaunch *
+launch (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, guint task)
+{
+  KrJob *j = c->job;
+  KrLaunch *l =
+      kr_berth_launch (b, j->spec->id, task, (p->token << KR_LAUNCH_BITS) + ++p->launches);
+  double zero = 0;
+
+  kr_job_add_active (j, task);
+  l->counted = TRUE;
+  kr_place_give (g_hash_table_lookup (teams, c->team), j->spec);
+  g_array_append_val (c->elapsed, zero);
+  rerank (c);
+  return l;
+}
+
+gboolean
+kr_part_usable (KrPart *p, const KrBerth *b, gint64 now)
+{
+  return p->phase == OPEN && b->known && b->used && !kr_part_needs_fence (b) && !b->drain &&
+         !b->deleting && !b->moving && !b->notice_at && now >= b->pause_until;
+}
+
+/* A gang is granted only whole: places are held on as many machines as it takes, and each machine's
+ * next report brings its tasks there. A gang with some tasks lost is stopped and starts again. */
+static void
+plan_gang (KrPart *p, Candidate *c, GHashTable *teams, gint64 now)
+{
+  KrJob *j = c->job;
+  KrRoom *used = g_hash_table_lookup (teams, c->team), after = *used;
+  g_autoptr (GPtrArray) places = g_ptr_array_new ();
+  guint want = kr_job_unstarted (j);
+  GHashTableIter it;
+  gpointer value;
+
+  if (j->n_active) {
+    kr_part_cancel_launches (p, j);
+    return;
+  }
+  for (guint i = 0; i < want; i++) {
+    if (!kr_place_team_ok (c->team, &after, j->spec))
+      return;
+    kr_place_give (&after, j->spec);
+  }
+  g_hash_table_iter_init (&it, p->berths);
+  while (places->len < want && g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    KrRoom room;
+    if (!kr_part_usable (p, b, now) || !may_run_here (p, b, c, now) || !free_room (p, b, &room))
+      continue;
+    KrBerth *first = places->len ? places->pdata[0] : b;
+    if (j->spec->one_zone && g_strcmp0 (first->zone, b->zone) != 0)
+      continue;
+    guint here = 0;
+    for (guint i = 0; i < places->len; i++)
+      here += g_strcmp0 (((KrBerth *) places->pdata[i])->zone, b->zone) == 0;
+    while (places->len < want && kr_place_has_room (&room, j->spec) &&
+           (!j->spec->apart || here + 1 <= (j->spec->tasks + 1) / 2)) {
+      kr_place_take (&room, j->spec);
+      g_ptr_array_add (places, b);
+      here++;
+    }
+  }
+  if (places->len < want)
+    return;
+  kr_info ("job %s: a gang of %u gets its places", j->spec->id, want);
+  guint64 attempt = 0; /* one for all: its tasks gather by it (docs/questions.md) */
+  for (guint i = 0; i < want; i++) {
+    KrLaunch *l = launch (p, places->pdata[i], c, teams, (guint) kr_job_next (j));
+    l->planned = TRUE;
+    attempt = l->attempt = attempt ? attempt : l->attempt;
+  }
+}
+
+void
+kr_part_run_planned (KrBerth *b, json_t *orders)
+{
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    if (!l->planned)
+      continue;
+    l->planned = FALSE;
+    l->doubt_seq = b->seq;
+    kr_wire_order_run (orders, l->job, l->index, l->attempt);
+  }
+}
+
+/* The paper's allocation, max variant, triggered by a machine's report: its free room goes out one
+ * task at a time, to the first in rank that fits, and all are ranked anew after each grant. */
+void
+kr_part_grant (KrPart *p, KrBerth *b, json_t *orders, gint64 now)
+{
+  KrRoom room;
+  if (!kr_part_usable (p, b, now) || !free_room (p, b, &room))
+    return;
+  KrJob *waiting = b->reserved_for ? kr_part_job (p, b->reserved_for) : NULL;
+  if (b->reserved_for && (!waiting || !kr_job_unstarted (waiting)))
+    g_clear_pointer (&b->reserved_for, g_free);
+  g_autoptr (GHashTable) teams =
+      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  g_autoptr (GPtrArray) all = candidates (p, now, teams);
+
+  for (;;) {
+    Candidate *best = NULL;
+    for (guint i = 0; i < all->len; i++) {
+      Candidate *c = all->pdata[i];
+      if (c->skip || (best && kr_rank_compare (&best->key, &c->key) < 0))
+        continue;
+      /* Room and limits only shrink within a round: what fails once is out for good. */
+      if (!may_run_here (p, b, c, now) || !kr_place_has_room (&room, c->job->spec) ||
+          !kr_place_team_ok (c->team, g_hash_table_lookup (teams, c->team), c->job->spec)) {
+        c->skip = TRUE;
+        continue;
+      }
+      best = c;
+    }
+    if (!best)
+      return;
+    KrJob *j = best->job;
+    if (j->spec->form == KR_FORM_GANG) {
+      plan_gang (p, best, teams, now);
+      best->skip = TRUE;
+      if (!free_room (p, b, &room))
+        return;
+      continue;
+    }
+    KrLaunch *l = launch (p, b, best, teams, (guint) kr_job_next (j));
+    guint task = l->index;
+    l->doubt_seq = b->seq;
+    kr_place_take (&room, j->spec);
+    b->idle_since = now;
+    kr_wire_order_run (orders, j->spec->id, task, l->attempt);
+    kr_debug ("task %s/%u: to %s", j->spec->id, task, b->id);
+  }
+}
+
+/* --- preemption ---------------------------------------------------------------------- */
+static gboolean
+has_image (const KrBerth *b, const KrJob *j)
+{
+  return !j->spec->image || g_hash_table_contains (b->images, j->spec->image);
+}
+
+/* Seconds that fetching a job's image takes, on a machine or (NULL) on the slowest type. */
+static double
+fetch_s (KrPart *p, const KrBerth *b, const KrJob *j)
+{
+  const KrType *t = b && b->type ? kr_node_type (p->node, b->type) : NULL;
+  double rate = t ? t->pull_gb_s : G_MAXDOUBLE;
+  for (guint i = 0; !t && i < p->node->types->len; i++)
+    rate = MIN (rate, ((KrType *) p->node->types->pdata[i])->pull_gb_s);
+  return rate > 0 ? j->spec->image_gb / rate : 0;
+}
+
+/* What stopping a task loses, in seconds of its run. */
+static double
+loss_of (const KrLaunch *l, const KrJob *v, gint64 now)
+{
+  double ran = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
+  return v->spec->checkpoint_s > 0 ? MIN (ran, v->spec->save_s) : ran;
+}
+
+/* The task on `b` that may be stopped for `c` and loses least; tasks in `out` are spoken for. */
+static KrLaunch *
+victim (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, GPtrArray *out, gint64 now,
+        double *loss)
+{
+  /* A guarantee may stop work of any Rank, but that of higher Rank only when the wait is over:
+   * otherwise the two stop each other in turn. */
+  gboolean upward =
+      c->in.now - c->job->at > kr_settings_wait (p->node->settings, c->job->spec->lane);
+
+  KrLaunch *best = NULL;
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    KrJob *v = kr_part_job (p, l->job);
+    const KrTeam *vt = v ? kr_settings_team (p->node->settings, v->spec->team) : NULL;
+    if (!vt || l->state == KR_TASK_EXITED || l->state == KR_TASK_DOUBT ||
+        (v->spec->rank > c->job->spec->rank && !upward) || g_ptr_array_find (out, l, NULL) ||
+        !kr_place_may_stop (c->job->spec, c->team, g_hash_table_lookup (teams, c->team), v->spec,
+                            vt, g_hash_table_lookup (teams, vt)))
+      continue;
+    double x = l->kill ? 0 : loss_of (l, v, now); /* those stopping already come first */
+    if (!best || x < *loss) {
+      best = l;
+      *loss = x;
+    }
+  }
+  return best;
+}
+
+/* Whom to stop on `b` so that one task of `c` fits; NULL if that is not enough. */
+static GPtrArray *
+victims (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, gint64 now, double *total)
+{
+  g_autoptr (GPtrArray) out = g_ptr_array_new ();
+  KrRoom room;
+  *total = 0;
+  if (!free_room (p, b, &room))
+    return NULL;
+  while (!kr_place_has_room (&room, c->job->spec)) {
+    double loss = 0;
+    KrLaunch *l = victim (p, b, c, teams, out, now, &loss);
+    if (!l)
+      return NULL;
+    g_ptr_array_add (out, l);
+    *total += loss;
+    kr_place_give (&room, kr_part_job (p, l->job)->spec);
+  }
+  return g_steal_pointer (&out);
+}
+
+/* Holds a machine for a waiting job, and stops there what has run no longer than `most` seconds:
+ * the rest may end by itself first. */
+static void
+hold (KrPart *p, KrBerth *b, Candidate *c, GPtrArray *stop, double most, gint64 now)
+{
+  gboolean any = FALSE;
+  if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0) {
+    g_free (b->reserved_for);
+    b->reserved_for = g_strdup (c->job->spec->id);
+  }
+  b->reserved_until = now + kr_seconds (KR_RESERVE_S);
+  for (guint i = 0; i < stop->len; i++) {
+    KrLaunch *l = stop->pdata[i];
+    if (l->kill || loss_of (l, kr_part_job (p, l->job), now) > most)
+      continue;
+    l->kill = KR_KILL_SLACK;
+    any = TRUE;
+    kr_info ("task %s/%u: stopped on %s for %s", l->job, l->index, b->id, c->job->spec->id);
+  }
+  if (any)
+    kr_part_command_kills (p, b);
+}
+
+static guint
+places_on (KrPart *p, const KrBerth *b, const Candidate *c)
+{
+  const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
+  return t ? MAX (1, (guint) (1 / kr_place_share (c->job->spec, t))) : 0;
+}
+
+/* Tasks of `c` that the machines held for it have room for, once what may be stopped there has. */
+static guint
+held_places (KrPart *p, Candidate *c, GHashTable *teams, double most, gint64 now)
+{
+  GHashTableIter it;
+  gpointer value;
+  guint n = 0;
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    double total;
+    if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0 || now >= b->reserved_until ||
+        !kr_part_usable (p, b, now))
+      continue;
+    g_autoptr (GPtrArray) stop = victims (p, b, c, teams, now, &total);
+    if (!stop)
+      continue; /* no longer of use: runs out */
+    hold (p, b, c, stop, most, now);
+    n += places_on (p, b, c);
+  }
+  return n;
+}
+
+/* The free machine where making room for one task of `c` loses least. */
+static KrBerth *
+best_to_hold (KrPart *p, Candidate *c, GHashTable *teams, gint64 now, GPtrArray **stop)
+{
+  KrBerth *best = NULL;
+  double best_total = G_MAXDOUBLE, total;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    if ((b->reserved_for && now < b->reserved_until) || b->leaving_to >= 0 ||
+        !kr_part_usable (p, b, now) || !may_run_here (p, b, c, now))
+      continue;
+    g_autoptr (GPtrArray) out = victims (p, b, c, teams, now, &total);
+    if (out && !has_image (b, c->job))
+      total += fetch_s (p, b, c->job); /* as good as run time lost */
+    if (out && total < best_total) {
+      best = b;
+      best_total = total;
+      g_clear_pointer (stop, g_ptr_array_unref);
+      *stop = g_steal_pointer (&out);
+    }
+  }
+  return best;
+}
+
+static int
+rank_first (gconstpointer a, gconstpointer b)
+{
+  const Candidate *x = *(Candidate *const *) a, *y = *(Candidate *const *) b;
+  if (x->job->spec->rank != y->job->spec->rank)
+    return x->job->spec->rank > y->job->spec->rank ? -1 : 1;
+  return kr_rank_compare (&x->key, &y->key);
+}
+
+/* Permitted preemption: a job that waits holds machines on which lower work may be stopped. What
+ * has run for less than the job has waited is stopped at once, the rest when half of the time in
+ * which it should have started is over. */
+void
+kr_part_preempt (KrPart *p, gint64 now)
+{
+  if (p->phase != OPEN || !p->node->types)
+    return;
+  g_autoptr (GHashTable) teams =
+      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  g_autoptr (GPtrArray) all = candidates (p, now, teams);
+  KrRank lowest = KR_RANK_CRITICAL;
+  g_ptr_array_sort (all, rank_first);
+  if (all->len)
+    lowest = ((Candidate *) all->pdata[all->len - 1])->job->spec->rank;
+  for (guint i = 0; i < all->len; i++) {
+    Candidate *c = all->pdata[i];
+    KrJob *j = c->job;
+    double waited = c->in.now - j->at;
+    double goal = kr_settings_wait (p->node->settings, j->spec->lane);
+    /* Time left for waiting, when a report and a fetch still have to follow. */
+    double patience = MIN (goal / 2, goal - p->node->settings->report_s - fetch_s (p, NULL, j) -
+                                         KR_DEFAULT_SLACK_S);
+    if (!kr_job_unstarted (j) || j->cancelled || !c->team || now < j->hold_until ||
+        waited < MIN (patience, KR_PREEMPT_WAIT_S) ||
+        (j->spec->rank == lowest && c->team->cpus <= 0))
+      continue;
+    double most = waited > patience ? G_MAXDOUBLE : waited;
+    KrRoom used = *(KrRoom *) g_hash_table_lookup (teams, c->team);
+    guint want = 0, held = held_places (p, c, teams, most, now);
+    for (; want < kr_job_unstarted (j) && kr_place_team_ok (c->team, &used, j->spec); want++)
+      kr_place_give (&used, j->spec);
+    while (held < want) {
+      g_autoptr (GPtrArray) stop = NULL;
+      KrBerth *b = best_to_hold (p, c, teams, now, &stop);
+      if (!b)
+        break;
+      hold (p, b, c, stop, most, now);
+      held += places_on (p, b, c);
+    }
+  }
+}
+
+/* Places held for tasks that shall not start any more. */
+void
+kr_part_drop_planned (KrPart *p, KrBerth *b)
+{
+  for (guint i = b->launches->len; i-- > 0;) {
+    KrLaunch *l = b->launches->pdata[i];
+    if (!l->planned || (!l->kill && kr_part_usable (p, b, kr_now ())))
+      continue;
+    l = g_ptr_array_steal_index (b->launches, i);
+    kr_part_saw (b, l, KR_SAW_GONE, p);
+    kr_launch_free (l);
+  }
+}
+
+/* --- for the leader
+ * -------------------------------------------------------------------------------- */
+/* Silent for so long that it is probably lost: others are rented in its place. */
+static gboolean
+silent (KrPart *p, const KrBerth *b, gint64 now)
+{
+  return b->heard && now - b->heard > kr_seconds (KR_SILENT_REPORTS * p->node->settings->report_s);
+}
+
+json_t *
+kr_part_summary (KrPart *p)
+{
+  gint64 now = kr_now ();
+  g_autoptr (GHashTable) teams =
+      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  g_autoptr (GPtrArray) all = candidates (p, now, teams);
+  json_t *needs = json_array (), *berths = json_array ();
+  GHashTableIter it;
+  gpointer value;
+
+  for (guint i = 0; i < all->len; i++) {
+    Candidate *c = all->pdata[i];
+    const KrSpec *s = c->job->spec;
+    if (c->job->cancelled || !c->team)
+      continue;
+    double want = kr_rank_want (&c->in);
+    if (now < c->job->hold_until)
+      want = 0;
+    /* Not beyond what the team's limit lets run. */
+    KrRoom *used = g_hash_table_lookup (teams, c->team);
+    if (c->team->cpus_max > 0 && s->cpus > 0)
+      want = MIN (want, MAX (0, (c->team->cpus_max - used->cpus) / s->cpus));
+    if (c->team->gpus_max > 0 && s->gpus > 0)
+      want = MIN (want, MAX (0, (c->team->gpus_max - used->gpus) / s->gpus));
+    used->cpus += want * s->cpus;
+    used->gpus += want * s->gpus;
+    double slots = want + c->in.running;
+    if (slots <= 0)
+      continue;
+    json_t *types = json_null ();
+    if (s->types) {
+      types = json_array ();
+      for (char **t = s->types; *t; t++)
+        json_array_append_new (types, json_string (*t));
+    }
+    json_array_append_new (needs, json_pack ("{so ss* sb sf sf sf sf sb}", "Types", types, "Zone",
+                                             s->zone, "Spot", s->spot, "Cpus", s->cpus, "Gpus",
+                                             s->gpus, "Mem", s->mem_gb, "Slots", slots, "Urgent",
+                                             s->rank >= KR_RANK_URGENT));
+  }
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+
+    double idle = b->launches->len || !b->known || p->phase != OPEN
+                      ? -1
+                      : (double) (now - b->idle_since) / G_USEC_PER_SEC;
+    json_array_append_new (
+        berths,
+        json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot", b->spot,
+                   "Up", b->known, "Idle", idle, "Rest", rest_s (p, b, now), "Going",
+                   b->drain || b->deleting || b->notice_at != 0 || silent (p, b, now), "To",
+                   (json_int_t) b->leaving_to));
+  }
+  return json_pack ("{sI so so}", "Part", (json_int_t) p->index, "Needs", needs, "Berths", berths);
+}
--- /dev/null
+++ b/src/part-private.h
@@ -0,0 +1,56 @@
+/* Shared among the files of one module: part.c (ownership, reports, fencing, deletion),
+ * part-record.c, part-progress.c and part-dispatch.c. */
+#pragma once
+#include "part.h"
+
+typedef enum { LOADING, FENCING, OPEN } Phase;
+
+struct KrPart {
+  grefcount refs;
+  KrNode *node;
+  guint index;
+  guint64 token;
+  Phase phase;
+  gboolean gone, have_record, have_jobs;
+  GCancellable *cancel;
+  GHashTable *jobs;    /* id -> KrJob */
+  GHashTable *berths;  /* id -> KrBerth */
+  GHashTable *leaving; /* ids to be taken out of the record: deleted */
+  guint64 launches;    /* counter below the token */
+  gint64 taken_at, last_beat;
+  gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
+  gboolean settled_written, record_busy, flushing;
+  gint64 next_flush;
+  json_t *claim; /* the record as we take it over */
+  guint tick, preempt_soon;
+};
+
+KrPart *kr_part_ref (KrPart *p);
+void kr_part_unref (KrPart *p);
+KrJob *kr_part_job (KrPart *p, const char *id);
+KrBerth *kr_part_berth (KrPart *p, const char *id);
+/* KrSawFunc: what a machine's report means for its tasks' jobs. */
+void kr_part_saw (KrBerth *b, KrLaunch *l, KrSaw what, gpointer part);
+void kr_part_count_launch (KrPart *p, KrBerth *b, KrLaunch *l);
+void kr_part_command_kills (KrPart *p, KrBerth *b);
+gboolean kr_part_needs_fence (const KrBerth *b);
+void kr_part_check_open (KrPart *p);
+
+/* part-record.c */
+json_t *kr_part_record_copy (KrPart *p, guint part);
+/* A transaction that fails once the owner key is no longer ours. */
+KrTxn *kr_part_owner_txn (KrPart *p);
+void kr_part_write_record (KrPart *p);
+void kr_part_move (KrPart *p, KrBerth *b);
+
+/* part-progress.c */
+void kr_part_flush (KrPart *p);
+void kr_part_cancel_launches (KrPart *p, KrJob *j);
+
+/* part-dispatch.c */
+gboolean kr_part_usable (KrPart *p, const KrBerth *b, gint64 now);
+/* Adds `run` orders for the machine's free room. */
+void kr_part_grant (KrPart *p, KrBerth *b, json_t *orders, gint64 now);
+void kr_part_run_planned (KrBerth *b, json_t *orders);
+void kr_part_drop_planned (KrPart *p, KrBerth *b);
+void kr_part_preempt (KrPart *p, gint64 now);
--- /dev/null
+++ b/src/part-progress.c
@@ -0,0 +1,349 @@
+/* A part's jobs: reading them, and writing progress and ends. */
+#include "part-private.h"
+#include "clock.h"
+#include "constants.h"
+#include "log.h"
+#include <string.h>
+
+/* --- progress ------------------------------------------------------------------------ */
+typedef struct {
+  char *id;
+  guint8 *bits;
+  gboolean final;
+} Written;
+
+typedef struct {
+  KrPart *part;
+  GPtrArray *items; /* Written */
+} Batch;
+
+static void
+written_free (gpointer p)
+{
+  Written *w = p;
+  g_free (w->id);
+  g_free (w->bits);
+  g_free (w);
+}
+
+typedef struct {
+  KrPart *part;
+  char *id;
+} JobRead;
+
+static void
+job_read (guint status, json_t *body, gpointer data)
+{
+  JobRead *r = data;
+  KrItem item;
+  if (!r->part->gone && status == 200 && kr_wire_item_parse (body, &item))
+    kr_part_job_event (r->part, &item);
+  else if (!r->part->gone && status == 404) {
+    /* Our final write was applied after all, though its answer was lost. */
+    kr_info ("job %s: ended", r->id);
+    g_hash_table_remove (r->part->jobs, r->id);
+  }
+  kr_part_unref (r->part);
+  g_free (r->id);
+  g_free (r);
+}
+
+static void
+reread_job (KrPart *p, const char *id)
+{
+  g_autofree char *key = kr_job_key (id);
+  JobRead *r = g_new (JobRead, 1);
+  *r = (JobRead){ kr_part_ref (p), g_strdup (id) };
+  kr_state_get (p->node->state, key, KR_STATE_TIMEOUT_MS, p->cancel, job_read, r);
+}
+
+static gboolean
+flush_again (gpointer data)
+{
+  KrPart *p = data;
+  if (!p->gone)
+    kr_part_flush (p);
+  kr_part_unref (p);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+flushed (guint status, json_t *body, gpointer data)
+{
+  Batch *batch = data;
+  KrPart *p = batch->part;
+
+  p->flushing = FALSE;
+  for (guint i = 0; !p->gone && i < batch->items->len; i++) {
+    Written *w = batch->items->pdata[i];
+    KrJob *j = kr_part_job (p, w->id);
+    g_autofree char *key = kr_job_key (w->id);
+    if (!j)
+      continue;
+    j->writing = FALSE;
+    if (status == 200) {
+      j->mark = MAX (j->mark, kr_wire_revision (body));
+      memcpy (j->durable, w->bits, kr_job_bytes (j));
+      if (w->final) {
+        kr_info ("job %s: %s, %u tasks, %.1f s after submission", w->id,
+                 j->cancelled ? "cancelled" : "done", j->n_done, kr_time_of_day () - j->at);
+        g_hash_table_remove (p->jobs, w->id);
+      }
+    } else {
+      j->dirty = TRUE;
+      if (status == 409 && kr_wire_failed_has (body, key))
+        reread_job (p, w->id);
+    }
+  }
+  if (!p->gone) {
+    kr_timer_add (status == 200 ? 10 : KR_RETRY_MS, flush_again, kr_part_ref (p));
+    if (status && status != 200)
+      kr_debug ("part %u: write of progress refused (%u)", p->index, status);
+  }
+  g_ptr_array_unref (batch->items);
+  kr_part_unref (p);
+  g_free (batch);
+}
+
+static gboolean
+is_final (KrJob *j)
+{
+  return j->chunks_missing == 0 && (j->cancelled ? j->n_active == 0 : kr_job_complete (j));
+}
+
+/* One batch: final states first, whatever the period; progress when it is due. */
+void
+kr_part_flush (KrPart *p)
+{
+  gint64 now = kr_now ();
+  gboolean due = now >= p->next_flush, left = FALSE, finals = FALSE;
+  GHashTableIter it;
+  gpointer value;
+
+  if (p->flushing || p->gone || !p->have_jobs || p->phase == LOADING)
+    return;
+  /* A cancelled job is over only when every machine that may hold its tasks is known. */
+  gboolean may_cancel = p->phase == OPEN;
+  KrTxn *txn = kr_part_owner_txn (p);
+  Batch *batch = g_new (Batch, 1);
+  gsize bytes = 0;
+  guint most = p->node->settings->state_txn_ops;
+  *batch = (Batch){ kr_part_ref (p), g_ptr_array_new_with_free_func (written_free) };
+
+  for (guint pass = 0; pass < 2; pass++) {
+    if (pass == 1 && (finals || !due))
+      break;
+    g_hash_table_iter_init (&it, p->jobs);
+    while (g_hash_table_iter_next (&it, NULL, &value)) {
+      KrJob *j = value;
+      gboolean final = is_final (j) && (!j->cancelled || may_cancel);
+      guint chunks = kr_job_chunks (j), ops = final ? 1 + chunks : chunks;
+      if (j->writing || j->chunks_missing || (pass == 0 ? !final : !j->dirty || j->cancelled))
+        continue;
+      gsize size = kr_job_bytes (j) * 4 / 3 + KR_VALUE_RESERVE;
+      if (batch->items->len && (kr_txn_ops (txn) + ops > most || bytes + size > KR_COMMIT_BYTES)) {
+        left = TRUE;
+        break;
+      }
+      g_autofree char *key = kr_job_key (j->spec->id);
+      kr_txn_when (txn, key, j->mark);
+      if (final) {
+        g_autofree char *end = kr_job_end_key (j->spec->id);
+        kr_txn_remove (txn, key);
+        kr_txn_put (txn, end,
+                    kr_job_end_value (j->cancelled ? KR_JOB_CANCELLED : KR_JOB_DONE, j->n_done), 0);
+        finals = TRUE;
+      } else
+        kr_txn_put (txn, key, kr_job_encode (j, j->done, j->n_active), 0);
+      for (guint c = 1; c < chunks; c++) {
+        g_autofree char *chunk = kr_job_chunk_key (j->spec->id, c);
+        if (final)
+          kr_txn_remove (txn, chunk);
+        else
+          kr_txn_put (txn, chunk, kr_job_chunk_encode (j, j->done, c), 0);
+      }
+      bytes += size;
+      Written *w = g_new (Written, 1);
+      *w = (Written){ g_strdup (j->spec->id), g_memdup2 (j->done, kr_job_bytes (j)), final };
+      g_ptr_array_add (batch->items, w);
+      j->writing = TRUE;
+      j->dirty = FALSE;
+    }
+  }
+  if (due && !left && !finals)
+    p->next_flush = now + KR_FLUSH_MS * 1000;
+  if (batch->items->len == 0) {
+    g_ptr_array_unref (batch->items);
+    g_free (batch);
+    kr_txn_free (txn);
+    kr_part_unref (p);
+    return;
+  }
+  p->flushing = TRUE;
+  kr_state_commit (p->node->state, txn, finals, KR_STATE_TIMEOUT_MS, p->cancel, flushed, batch);
+}
+
+/* --- jobs ---------------------------------------------------------------------------- */
+typedef struct {
+  KrPart *part;
+  char *id;
+  guint chunk;
+} ChunkRead;
+
+static gboolean read_chunk (gpointer data);
+
+static void
+chunk_read (guint status, json_t *body, gpointer data)
+{
+  ChunkRead *r = data;
+  KrPart *p = r->part;
+  KrJob *j = p->gone ? NULL : kr_part_job (p, r->id);
+  KrItem item;
+
+  if (j && status != 200 && status != 404) {
+    kr_timer_add (KR_RETRY_MS, read_chunk, r);
+    return;
+  }
+  if (j) {
+    if (status == 200 && kr_wire_item_parse (body, &item))
+      kr_job_chunk_merge (j, r->chunk, item.value);
+    j->chunks_missing--;
+  }
+  kr_part_unref (p);
+  g_free (r->id);
+  g_free (r);
+}
+
+static gboolean
+read_chunk (gpointer data)
+{
+  ChunkRead *r = data;
+  g_autofree char *key = kr_job_chunk_key (r->id, r->chunk);
+  kr_state_get (r->part->node->state, key, KR_STATE_TIMEOUT_MS, r->part->cancel, chunk_read, r);
+  return G_SOURCE_REMOVE;
+}
+
+void
+kr_part_cancel_launches (KrPart *p, KrJob *j)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    for (guint i = 0; i < b->launches->len; i++) {
+      KrLaunch *l = b->launches->pdata[i];
+      if (g_str_equal (l->job, j->spec->id))
+        l->kill = KR_KILL_NOW;
+    }
+  }
+}
+
+static void
+job_cancelled (KrPart *p, KrJob *j)
+{
+  GHashTableIter it;
+  gpointer value;
+  j->cancelled = TRUE;
+  kr_info ("job %s: cancelled by its user, %u tasks to stop", j->spec->id, j->n_active);
+  kr_part_cancel_launches (p, j);
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    kr_part_command_kills (p, value);
+  kr_part_flush (p);
+}
+
+static gboolean
+preempt_now (gpointer data)
+{
+  KrPart *p = data;
+  p->preempt_soon = 0;
+  if (p->node->types)
+    kr_part_preempt (p, kr_now ());
+  return G_SOURCE_REMOVE;
+}
+
+void
+kr_part_job_event (KrPart *p, const KrItem *item)
+{
+  if (!item->value || !p->have_record)
+    return;
+  const char *id = item->key + strlen ("job/");
+  KrJob *j = kr_part_job (p, id);
+  if (j && item->mark <= j->mark)
+    return;
+  if ((guint) json_integer_value (json_object_get (item->value, "Part")) != p->index)
+    return;
+  if (j) {
+    j->mark = item->mark;
+    if (!j->cancelled && json_is_true (json_object_get (item->value, "Cancelled")))
+      job_cancelled (p, j);
+    return;
+  }
+  j = kr_job_decode (item->value, item->mark);
+  if (!j)
+    return;
+  g_hash_table_insert (p->jobs, j->spec->id, j);
+  kr_info ("job %s: %s, %s, %u tasks of %g CPUs, part %u", id, j->spec->lane, j->spec->team,
+           j->spec->tasks, j->spec->cpus, p->index);
+  for (guint c = 1; c <= j->chunks_missing; c++) {
+    ChunkRead *r = g_new (ChunkRead, 1);
+    *r = (ChunkRead){ kr_part_ref (p), g_strdup (id), c };
+    read_chunk (r);
+  }
+  if (p->have_jobs && is_final (j))
+    kr_part_flush (p);
+  if (p->have_jobs && !p->preempt_soon) /* those who cannot wait for the next tick */
+    p->preempt_soon = kr_timer_add (KR_FOLLOW_PAUSE_MS, preempt_now, p);
+}
+
+void
+kr_part_jobs_scanned (KrPart *p, json_t *items)
+{
+  json_t *o;
+  size_t i;
+  GHashTableIter it;
+  gpointer value;
+
+  if (!p->have_record)
+    return;
+  json_array_foreach (items, i, o)
+  {
+    KrItem item;
+    if (kr_wire_item_parse (o, &item))
+      kr_part_job_event (p, &item);
+  }
+  if (p->have_jobs)
+    return;
+  p->have_jobs = TRUE;
+  p->phase = FENCING;
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    for (guint k = 0; k < b->launches->len; k++) {
+      KrLaunch *l = b->launches->pdata[k];
+      KrJob *j = kr_part_job (p, l->job);
+      kr_part_count_launch (p, b, l);
+      if (j && l->state == KR_TASK_EXITED && l->why == KR_WHY_DONE &&
+          j->spec->form != KR_FORM_SERVICE && !kr_job_is_done (j, l->index)) {
+        kr_job_set_done (j, l->index);
+        j->dirty = TRUE;
+      }
+    }
+  }
+  kr_info ("part %u: %u jobs, %u machines read", p->index, g_hash_table_size (p->jobs),
+           g_hash_table_size (p->berths));
+  kr_part_check_open (p);
+  kr_part_flush (p);
+}
+
+gboolean
+kr_part_counts (KrPart *p, const char *id, guint *done, guint *running)
+{
+  KrJob *j = kr_part_job (p, id);
+  if (!j || !p->have_jobs)
+    return FALSE;
+  *done = j->n_done;
+  *running = j->n_active;
+  return TRUE;
+}
--- a/src/settings_toml.cpp
+++ b/src/settings_toml.cpp
@@ -42,7 +42,7 @@
     }
     return convert (toml::parse (in, path));
   } catch (const toml::exception &e) {
-    *message = g_strdup_printf ("%s:%u: not valid TOML", path, (unsigned)e.location ().line ());
+    *message = g_strdup_printf ("%s:%u: not valid TOML", path, (unsigned) e.location ().line ());
   } catch (const std::exception &e) {
     *message = g_strdup_printf ("%s: %s", path, e.what ());
   }
