--- a/src/cloud.c
+++ b/src/cloud.c
@@ -119,7 +119,8 @@
 {
   const char *after =
       l->machines->len ? ((KrMachine *) l->machines->pdata[l->machines->len - 1])->id : NULL;
-  start (l->cloud, "GET", kr_wire_list_path (after, 500), NULL, FALSE, l->cancel, page_done, l);
+  start (l->cloud, "GET", kr_wire_list_path (after, KR_LIST_PAGE), NULL, FALSE, l->cancel,
+         page_done, l);
 }
 
 void
--- a/src/constants.h
+++ b/src/constants.h
@@ -6,6 +6,7 @@
 #define KR_BODY_MAX 65536          /* bytes; largest request body by the protocol */
 #define KR_CLIENT_IDLE_S 40        /* s; a user's or worker's silent connection is closed then */
 #define KR_CLIENT_SOCKET_SHARE 0.6 /* of `sockets`: for users and workers; the rest is ours */
+#define KR_ACCEPT_BACKLOG 64       /* connections the kernel keeps while we are busy */
 #define KR_ACCEPT_PAUSE_MS 50      /* ms; pause after a failed accept, so that it cannot spin */
 #define KR_API_PENDING_MAX 64      /* user requests that may wait for the state service at once */
 #define KR_RETRY_AFTER_S 1         /* s; told to users with 429/503: the shortest they honour */
@@ -62,17 +63,24 @@
 #define KR_PREEMPT_WAIT_S 1.0      /* s an urgent job waits before it may stop other work */
 #define KR_RESERVE_S 8.0           /* s room made by stopping stays reserved */
 #define KR_DEFAULT_SLACK_S 1.0     /* s over StowS granted to a task that saves */
+#define KR_KILL_REPEAT_S 1.0       /* s without a report before kills are repeated directly */
 #define KR_CANCEL_DELETE_SHARE 0.6 /* of cancel_s: then an unreachable machine is deleted */
 
 /* --- Renting ------------------------------------------------------------------------- */
-#define KR_TYPES_MS 30000       /* ms between reads of machine types (spot prices move) */
-#define KR_LIST_MS 5000         /* ms between reads of the machine list */
-#define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
-#define KR_RENT_MS 4000         /* ms; renting period */
-#define KR_MOVE_MS 5000         /* ms; shares period for busy machines; free ones: each round */
-#define KR_MOVES_MAX 8          /* machines moved in a round: the records change one by one */
-#define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
-#define KR_RENT_MAX 50          /* machines a request, by the protocol */
+#define KR_TYPES_MS 30000 /* ms between reads of machine types (spot prices move) */
+#define KR_LIST_MS 5000   /* ms between reads of the machine list */
+#define KR_LIST_PAGE 500  /* machines a page, by the protocol */
+#define KR_NEVER_LISTED_S                                                                          \
+  60.0 /* s, and four lags: a machine known from a stale list only is gone */
+#define KR_MISSING_MARGIN_S 2.0 /* s over the worst lag before a missing machine is deleted */
+#define KR_STALE_LIST_S                                                                            \
+  40.0                    /* s, and four lags, in which what left the records may still be listed */
+#define KR_SYNC_MS 1000   /* ms between the leader's rounds with the parts */
+#define KR_RENT_MS 4000   /* ms; renting period */
+#define KR_MOVE_MS 5000   /* ms; shares period for busy machines; free ones: each round */
+#define KR_MOVES_MAX 8    /* machines moved in a round: the records change one by one */
+#define KR_LEAVING_PART 6 /* of a part's machines, the inverse share that may be emptying */
+#define KR_RENT_MAX 50    /* machines a request, by the protocol */
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
 #define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
--- a/src/http.c
+++ b/src/http.c
@@ -139,8 +139,9 @@
 {
   KrServer *s = data;
   SoupMessageBody *body = soup_server_message_get_request_body (message);
+  if (!soup_message_body_get_accumulate (body))
+    return; /* refused already, see too_large */
   KrRequest *r = g_new0 (KrRequest, 1);
-
   r->message = g_object_ref (message);
   r->path = g_strdup (path);
   if (body->length > 0 && body->length <= KR_BODY_MAX) {
@@ -152,22 +153,29 @@
   s->handler (r, s->data);
 }
 
-/* A body over the limit is refused unread: the connection is cut behind the answer. */
+/* A body over the limit is refused without being read whole: nothing of it is kept, and the
+ * connection is closed behind the answer. */
 static void
 too_large (SoupServerMessage *message)
 {
   GSocket *socket = soup_server_message_get_socket (message);
+  soup_message_body_set_accumulate (soup_server_message_get_request_body (message), FALSE);
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection",
+                                "close");
+  soup_server_message_set_status (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, NULL);
   if (socket)
     g_socket_shutdown (socket, TRUE, FALSE, NULL);
 }
 
+/* Guards against a body of untold length (chunked) that goes on past the limit. */
 static void
 got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
-  if (soup_server_message_get_request_body (message)->length > KR_BODY_MAX) {
-    soup_message_body_truncate (soup_server_message_get_request_body (message));
-    too_large (message);
-  }
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  if (body->length <= KR_BODY_MAX || !soup_message_body_get_accumulate (body))
+    return;
+  soup_message_body_truncate (body);
+  too_large (message);
 }
 
 static void
@@ -176,15 +184,10 @@
 {
   SoupMessageHeaders *h = soup_server_message_get_request_headers (message);
   if (soup_message_headers_get_encoding (h) == SOUP_ENCODING_CONTENT_LENGTH &&
-      soup_message_headers_get_content_length (h) > KR_BODY_MAX) {
-    soup_message_headers_append (soup_server_message_get_response_headers (message), "Connection",
-                                 "close");
-    soup_server_message_set_status (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, NULL);
-    soup_message_body_set_accumulate (soup_server_message_get_request_body (message), FALSE);
+      soup_message_headers_get_content_length (h) > KR_BODY_MAX)
     too_large (message);
-    return;
-  }
-  g_signal_connect (message, "got-chunk", G_CALLBACK (got_chunk), NULL);
+  else
+    g_signal_connect (message, "got-chunk", G_CALLBACK (got_chunk), NULL);
 }
 
 static void
@@ -248,7 +251,7 @@
   g_autoptr (GSocketAddress) a = g_inet_socket_address_new_from_string (host, atoi (colon + 1));
   g_autoptr (GSocketListener) listener = g_socket_listener_new ();
 
-  g_socket_listener_set_backlog (listener, 64);
+  g_socket_listener_set_backlog (listener, KR_ACCEPT_BACKLOG);
   if (!a || !g_socket_listener_add_address (listener, a, G_SOCKET_TYPE_STREAM,
                                             G_SOCKET_PROTOCOL_TCP, NULL, NULL, error)) {
     g_prefix_error (error, "cannot listen on %s: ", address);
--- a/src/part.c
+++ b/src/part.c
@@ -407,11 +407,11 @@
         delete_berth (p, b, "it never came up");
     } else if (b->listed && !b->missing_since)
       b->missing_since = now;
-    else if (!b->listed && !b->heard && now - b->joined > kr_seconds (60 + 4 * lag))
+    else if (!b->listed && !b->heard && now - b->joined > kr_seconds (KR_NEVER_LISTED_S + 4 * lag))
       delete_berth (p, b, "never listed"); /* adopted from a stale list */
     /* A list may be older than the one before: wait for the worst lag, then have the cloud say so
      * (200 to a deletion is proof; missing from a list is not). */
-    if (b->missing_since && now - b->missing_since > kr_seconds (2 * lag + 2))
+    if (b->missing_since && now - b->missing_since > kr_seconds (2 * lag + KR_MISSING_MARGIN_S))
       delete_berth (p, b, "no longer listed");
   }
 }
@@ -490,7 +490,7 @@
       kills = TRUE;
     }
   }
-  if (kills && now - b->heard > kr_seconds (1))
+  if (kills && now - b->heard > kr_seconds (KR_KILL_REPEAT_S))
     kr_part_command_kills (p, b);
   /* A cancelled task on a machine that cannot be reached: its lease may still be renewed by a
    * response of ours on its way, so the machine goes before the users' limit. */
--- a/src/rent.c
+++ b/src/rent.c
@@ -220,7 +220,7 @@
 homeless (KrRent *r, gint64 now)
 {
   GPtrArray *out = g_ptr_array_new ();
-  gint64 stale = kr_seconds (4 * r->node->settings->cloud_list_lag_s + 40);
+  gint64 stale = kr_seconds (4 * r->node->settings->cloud_list_lag_s + KR_STALE_LIST_S);
   GHashTable *sources[] = { r->fresh, r->listed };
   GHashTableIter it;
   gpointer id, value;
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,152 @@
+/* The real server on loopback: what broken or greedy clients may do. Nothing here depends on how
+ * long anything takes. */
+#include "constants.h"
+#include "http.h"
+#include <string.h>
+
+static GMainLoop *loop;
+static KrServer *server;
+static guint16 port;
+static guint handled;
+
+static void
+handler (KrRequest *request, gpointer data)
+{
+  handled++;
+  kr_request_reply (request, kr_request_json (request) ? 200 : 400,
+                    json_pack ("{ss}", "path", kr_request_path (request)), 7);
+}
+
+/* A port that is free now. */
+static guint16
+free_port (void)
+{
+  g_autoptr (GSocket) s =
+      g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+  g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
+  g_assert_true (g_socket_bind (s, any, FALSE, NULL));
+  g_autoptr (GSocketAddress) a = g_socket_get_local_address (s, NULL);
+  return g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (a));
+}
+
+typedef struct {
+  const char *text;
+  gsize length;
+  GString *answer;
+} Talk;
+
+/* Blocking, in a thread of its own: writes all, then reads until the server closes or has answered.
+ */
+static gpointer
+talk_thread (gpointer data)
+{
+  Talk *t = data;
+  g_autoptr (GSocketClient) client = g_socket_client_new ();
+  g_autoptr (GSocketConnection) c =
+      g_socket_client_connect_to_host (client, "127.0.0.1", port, NULL, NULL);
+  char buffer[4096];
+  gssize n;
+  if (c) {
+    g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (c)), t->text, t->length,
+                               NULL, NULL, NULL);
+    while ((n = g_input_stream_read (g_io_stream_get_input_stream (G_IO_STREAM (c)), buffer,
+                                     sizeof buffer, NULL, NULL)) > 0) {
+      g_string_append_len (t->answer, buffer, n);
+      if (strstr (t->answer->str, "\r\n\r\n"))
+        break;
+    }
+  }
+  g_main_loop_quit (loop);
+  return NULL;
+}
+
+static guint
+talk (const char *text, gsize length, char **headers)
+{
+  Talk t = { text, length, g_string_new (NULL) };
+  GThread *thread = g_thread_new ("talk", talk_thread, &t);
+  guint status = 0;
+  g_main_loop_run (loop);
+  g_thread_join (thread);
+  if (g_str_has_prefix (t.answer->str, "HTTP/1.1 "))
+    status = (guint) atoi (t.answer->str + strlen ("HTTP/1.1 "));
+  if (headers)
+    *headers = g_strdup (t.answer->str);
+  g_string_free (t.answer, TRUE);
+  return status;
+}
+
+static guint
+post (const char *body, gsize length, char **headers)
+{
+  g_autoptr (GString) s = g_string_new (NULL);
+  g_string_printf (s, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n", length);
+  g_string_append_len (s, body, (gssize) length);
+  return talk (s->str, s->len, headers);
+}
+
+static void
+test_good (void)
+{
+  g_autofree char *headers = NULL;
+  g_assert_cmpuint (post ("{\"a\":1}", 7, &headers), ==, 200);
+  g_assert_nonnull (strstr (headers, "Retry-After: 7"));
+  g_assert_cmpuint (post ("{\"a\":", 5, NULL), ==, 400);
+}
+
+/* Over the limit: refused without the handler ever seeing it, and later clients are served. */
+static void
+test_large (void)
+{
+  gsize n = KR_BODY_MAX + 1;
+  g_autofree char *body = g_malloc (n);
+  guint before = handled;
+  memset (body, ' ', n);
+  g_assert_cmpuint (post (body, n, NULL), ==, 413);
+  g_assert_cmpuint (handled, ==, before);
+  memcpy (body, "{}", 2);
+  g_assert_cmpuint (post (body, KR_BODY_MAX, NULL), ==, 200);
+}
+
+/* A body of untold length is cut off at the limit: it never counts as a whole one. */
+static void
+test_chunked (void)
+{
+  g_autoptr (GString) s =
+      g_string_new ("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  g_autofree char *block = g_strnfill (0x1000, ' ');
+  for (guint i = 0; i < 64; i++) {
+    g_string_append (s, "1000\r\n");
+    g_string_append (s, block);
+    g_string_append (s, "\r\n");
+  }
+  g_string_append (s, "2\r\n{}\r\n0\r\n\r\n");
+  g_assert_cmpuint (talk (s->str, s->len, NULL), ==, 413);
+}
+
+static void
+test_garbage (void)
+{
+  const char *bad[] = { "GARBAGE\r\n\r\n", "POST /x\r\n\r\n", "GET http://[ HTTP/1.1\r\n\r\n",
+                        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n" };
+  for (guint i = 0; i < G_N_ELEMENTS (bad); i++)
+    g_assert_cmpuint (talk (bad[i], strlen (bad[i]), NULL), !=, 200);
+  g_assert_cmpuint (post ("{}", 2, NULL), ==, 200);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autoptr (GError) error = NULL;
+  g_test_init (&argc, &argv, NULL);
+  loop = g_main_loop_new (NULL, FALSE);
+  port = free_port ();
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", port);
+  server = kr_server_new (address, 8, 30, NULL, handler, NULL, &error);
+  g_assert_no_error (error);
+  g_test_add_func ("/http/good", test_good);
+  g_test_add_func ("/http/large", test_large);
+  g_test_add_func ("/http/chunked", test_chunked);
+  g_test_add_func ("/http/garbage", test_garbage);
+  return g_test_run ();
+}
