A machine fenced by a command and never heard of again has a lease too; bounded memory of departed machines

Its tasks counted as running until the machine left the list, since its lease was only counted from a report.

--- a/src/agent.c
+++ b/src/agent.c
@@ -100,8 +100,13 @@
   b->seq = r->seq;
   b->heard = now;
   b->token = r->token;
-  if (r->token == token)
+  if (r->token == token) {
     b->fenced = TRUE;
+    /* Fenced by a direct command, it may fall silent before its first report to us: whoever renewed
+     * its lease did so before now. */
+    if (!b->answered)
+      b->answered = now;
+  }
   if (!b->known || g_strcmp0 (b->endpoint, r->endpoint) != 0) {
     g_free (b->endpoint);
     g_free (b->type);
--- a/src/agent.h
+++ b/src/agent.h
@@ -25,7 +25,7 @@
   gboolean spot, known; /* known: it has reported; type, zone and spot are valid */
   guint64 session, seq, token;
   gint64 heard;     /* monotonic us of the newest report that we took */
-  gint64 answered;  /* monotonic us of the last report that we answered with 200; 0: none */
+  gint64 answered;  /* monotonic us after which nobody has renewed its lease; 0: not known */
   gint64 notice_at; /* monotonic us when the cloud takes it; 0: no notice */
   GPtrArray *launches;
   gboolean must_fence; /* was used under an earlier owner, which may still command it */
--- a/src/constants.h
+++ b/src/constants.h
@@ -74,13 +74,14 @@
   60.0 /* s, and four lags: a machine known from a stale list only is gone */
 #define KR_MISSING_MARGIN_S 2.0 /* s over the worst lag before a missing machine is deleted */
 #define KR_STALE_LIST_S                                                                            \
-  40.0                    /* s, and four lags, in which what left the records may still be listed */
-#define KR_SYNC_MS 1000   /* ms between the leader's rounds with the parts */
-#define KR_RENT_MS 4000   /* ms; renting period */
-#define KR_MOVE_MS 5000   /* ms; shares period for busy machines; free ones: each round */
-#define KR_MOVES_MAX 8    /* machines moved in a round: the records change one by one */
-#define KR_LEAVING_PART 6 /* of a part's machines, the inverse share that may be emptying */
-#define KR_RENT_MAX 50    /* machines a request, by the protocol */
+  40.0 /* s, and four lags, in which what left the records may still be listed */
+#define KR_LEFT_MEMORY_S 3600.0 /* s; far beyond any list's lag */
+#define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
+#define KR_RENT_MS 4000         /* ms; renting period */
+#define KR_MOVE_MS 5000         /* ms; shares period for busy machines; free ones: each round */
+#define KR_MOVES_MAX 8          /* machines moved in a round: the records change one by one */
+#define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
+#define KR_RENT_MAX 50          /* machines a request, by the protocol */
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
 #define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
--- a/src/rent.c
+++ b/src/rent.c
@@ -62,6 +62,12 @@
   return m;
 }
 
+static gboolean
+long_gone (gpointer id, gpointer at, gpointer data)
+{
+  return kr_now () - *(gint64 *) at > kr_seconds (KR_LEFT_MEMORY_S);
+}
+
 /* --- records ------------------------------------------------------------------------- */
 void
 kr_rent_records_changed (KrRent *r)
@@ -84,6 +90,7 @@
       g_hash_table_insert (r->left, g_strdup (id), at);
       g_hash_table_remove (r->fresh, id);
     }
+  g_hash_table_foreach_remove (r->left, long_gone, NULL);
   g_hash_table_unref (r->recorded);
   r->recorded = g_steal_pointer (&now);
 }
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -90,6 +90,9 @@
 test_lease (void)
 {
   KrBerth *b = fresh ();
+  take (b, 1, 1, FALSE, 1, KR_TASK_RUNNING); /* fenced by a command, never heard of again */
+  g_assert_cmpint (b->answered, >, 0);
+  g_assert_true (kr_berth_lease_over (b, b->answered + kr_seconds (14), 12));
   b->answered = 10 * G_USEC_PER_SEC;
   g_assert_false (kr_berth_lease_over (b, b->answered + kr_seconds (12), 12));
   g_assert_true (kr_berth_lease_over (b, b->answered + kr_seconds (14), 12));
