--- a/src/agent.h
+++ b/src/agent.h
@@ -39,6 +39,8 @@
   gint64 missing_since;      /* monotonic us: listed once, then not; 0: listed */
   gboolean listed;
   gint64 pause_until;   /* monotonic us: no launches after an error */
+  double pace;          /* of its tasks' run times to their jobs' means, a moving average */
+  guint paced;          /* tasks in it */
   GHashTable *bad_jobs; /* jobs whose tasks failed here */
   GHashTable *images;   /* images fetched here */
   char *reserved_for;   /* job for which room was made here */
--- a/src/constants.h
+++ b/src/constants.h
@@ -52,14 +52,19 @@
 #define KR_LAUNCH_BITS 20        /* bits of an attempt number below the token */
 
 /* --- Scheduling ---------------------------------------------------------------------- */
-#define KR_TICK_MS 1000            /* ms; the part's periodic duties */
-#define KR_TIME_TO_GOAL_MIN_S 1.0  /* s; floor of goal minus now: slots needed stay finite */
-#define KR_DEFAULT_GOAL_S 600.0    /* s; goal of a job with neither deadline nor objective */
-#define KR_JOB_HOLD_S 5.0          /* s; first pause of a job that fails on several machines */
-#define KR_JOB_HOLD_MAX_S 120.0    /* s; longest such pause */
-#define KR_JOB_FAIL_BERTHS 2       /* machines on which a job must fail to be held back */
-#define KR_SICK_JOBS 2             /* jobs failing only there: the machine is sick */
-#define KR_DEFAULT_WAIT_S 60.0     /* s; in which a job without such an objective should start */
+#define KR_TICK_MS 1000           /* ms; the part's periodic duties */
+#define KR_TIME_TO_GOAL_MIN_S 1.0 /* s; floor of goal minus now: slots needed stay finite */
+#define KR_DEFAULT_GOAL_S 600.0   /* s; goal of a job with neither deadline nor objective */
+#define KR_JOB_HOLD_S 5.0         /* s; first pause of a job that fails on several machines */
+#define KR_JOB_HOLD_MAX_S 120.0   /* s; longest such pause */
+#define KR_JOB_FAIL_BERTHS 2      /* machines on which a job must fail to be held back */
+#define KR_SICK_JOBS 2            /* jobs failing only there: the machine is sick */
+#define KR_DEFAULT_WAIT_S 60.0    /* s; in which a job without such an objective should start */
+#define KR_PACE_TASKS                                                                              \
+  4 /* completed tasks before a machine's pace, or a job's mean, says anything */
+#define KR_PACE_WEIGHT 0.3 /* of the newest task in a machine's pace */
+#define KR_PACE_SLOW                                                                               \
+  2.5 /* times the mean: far beyond the tenth by which machines of a type differ */
 #define KR_PREEMPT_WAIT_S 1.0      /* s an urgent job waits before it may stop other work */
 #define KR_RESERVE_S 8.0           /* s room made by stopping stays reserved */
 #define KR_DEFAULT_SLACK_S 1.0     /* s over StowS granted to a task that saves */
--- a/src/part.c
+++ b/src/part.c
@@ -100,6 +100,20 @@
   }
 }
 
+/* A machine much slower than its peers holds up whatever it gets: it is drained and returned. */
+static void
+judge_pace (KrBerth *b, const KrJob *j, double ran_s)
+{
+  if (j->count < KR_PACE_TASKS)
+    return; /* nothing to compare with yet */
+  double ratio = ran_s / MAX (j->sum / j->count, 1e-3);
+  b->pace = b->paced++ ? b->pace + KR_PACE_WEIGHT * (ratio - b->pace) : ratio;
+  if (b->paced >= KR_PACE_TASKS && b->pace > KR_PACE_SLOW && !b->drain) {
+    kr_info ("machine %s: tasks take %.1f times as long as elsewhere, draining it", b->id, b->pace);
+    b->drain = TRUE;
+  }
+}
+
 void
 kr_part_saw (KrBerth *b, KrLaunch *l, KrSaw what, gpointer data)
 {
@@ -130,6 +144,7 @@
           kr_job_set_done (j, l->index);
         j->dirty = TRUE;
         if (l->since && !l->adopted) {
+          judge_pace (b, j, (double) (now - l->since) / G_USEC_PER_SEC);
           j->sum += (double) (now - l->since) / G_USEC_PER_SEC;
           j->count++;
         }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -717,6 +717,7 @@
   char *id, *address;
   gint64 rented, up_at;
   gboolean up, dead, sick, busy; /* busy: a report is under way */
+  double slow;                   /* times as long as a job's run time; 0: as long */
   guint64 session, seq, token, changed_token;
   gint64 last_ok, next_beat, last_beat, sent;
   guint node; /* reports to */
@@ -843,7 +844,7 @@
         t->state = "exited";
         t->why = !u ? "unknown" : here ? "in_use" : "no_room";
       } else {
-        t->ends = S.now + (gint64) ((m->sick ? 0.2 : u->run_s) * 1e6);
+        t->ends = S.now + (gint64) ((m->sick ? 0.2 : u->run_s * (m->slow > 0 ? m->slow : 1)) * 1e6);
         check_start (m, t);
       }
     } else if (g_str_equal (word, "kill") && t && g_str_equal (t->state, "running")) {
@@ -998,6 +999,12 @@
   ((Machine *) g_hash_table_lookup (S.machines, id))->sick = sick;
 }
 
+void
+sim_machine_slow (const char *id, double factor)
+{
+  ((Machine *) g_hash_table_lookup (S.machines, id))->slow = factor;
+}
+
 const char *
 sim_busiest_machine (void)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -30,6 +30,7 @@
 void sim_lose_commit_answers (guint n);
 void sim_machine_kill (const char *id);
 void sim_machine_sick (const char *id, gboolean sick);
+void sim_machine_slow (const char *id, double factor);
 /* The machine that runs most tasks, or NULL. */
 const char *sim_busiest_machine (void);
 guint sim_machines (void);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -282,6 +282,21 @@
   finish (400);
 }
 
+/* A machine that takes six times as long goes back while there is still work. */
+static void
+test_slow_machine (void)
+{
+  begin (&usual);
+  submit_some (250, 5);
+  sim_run (25);
+  g_autofree char *m = g_strdup (sim_busiest_machine ());
+  sim_machine_slow (m, 6);
+  sim_run (100);
+  g_assert_false (sim_all_over ());
+  g_assert_false (sim_machine_lives (m));
+  finish (600);
+}
+
 static void
 test_requests (void)
 {
@@ -390,6 +405,7 @@
   g_test_add_func ("/service/machine-lost", test_machine_lost);
   g_test_add_func ("/service/silent-within-lease", test_silent_within_lease);
   g_test_add_func ("/service/sick-machine", test_sick_machine);
+  g_test_add_func ("/service/slow-machine", test_slow_machine);
   g_test_add_func ("/service/requests", test_requests);
   g_test_add_func ("/service/storm", test_storm);
   return g_test_run ();
