--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -45,6 +45,16 @@
   }
 }
 
+static void
+crash_all (double away_s)
+{
+  for (guint i = 0; i < usual.nodes; i++)
+    sim_node_kill (i);
+  sim_run (away_s);
+  for (guint i = 0; i < usual.nodes; i++)
+    sim_node_start (i);
+}
+
 static void
 test_quiet (void)
 {
@@ -165,11 +175,7 @@
   begin (&usual);
   submit_some (40, 15);
   sim_run (30);
-  for (guint i = 0; i < 3; i++)
-    sim_node_kill (i);
-  sim_run (20);
-  for (guint i = 0; i < 3; i++)
-    sim_node_start (i);
+  crash_all (20);
   finish (300);
 }
 
@@ -184,11 +190,7 @@
 
   g_autofree char *m = g_strdup (sim_busiest_machine ());
   cut_off (m, SIM_DROP);
-  for (guint i = 0; i < 3; i++)
-    sim_node_kill (i);
-  sim_run (8);
-  for (guint i = 0; i < 3; i++)
-    sim_node_start (i);
+  crash_all (8);
   sim_run (20);
   g_assert_true (sim_machine_lives (m));
   cut_off (m, SIM_OPEN);
