Read once more: nothing unused, nothing twice

Removed: fields and an accessor nobody read, an event nobody acted on. In one place now: the copy of a record, when a kill goes out, how long a task has run, a job's mean (by the estimate's own function). Literals moved to constants.h.

--- a/src/agent.c
+++ b/src/agent.c
@@ -126,10 +126,10 @@
     KrLaunch *l = b->launches->pdata[i];
     if (reported (r, l))
       continue;
-    /* Not there. In doubt, only a later beat proves it: an answer of /commands or /show may have
-     * been written before the worker took the response with the run. */
     if (l->planned)
       continue;
+    /* Not there. In doubt, only a later beat proves it: an answer of /commands or /show may have
+     * been written before the worker took the response with the run. */
     if (l->state == KR_TASK_DOUBT && !(beat && r->seq > l->doubt_seq))
       continue;
     l = g_ptr_array_steal_index (b->launches, i);
@@ -166,6 +166,12 @@
   return now - b->answered > kr_seconds (lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S);
 }
 
+double
+kr_launch_ran_s (const KrLaunch *l, gint64 now)
+{
+  return l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
+}
+
 guint
 kr_berth_busy (const KrBerth *b)
 {
--- a/src/agent.h
+++ b/src/agent.h
@@ -70,6 +70,8 @@
 gboolean kr_berth_lease_over (const KrBerth *self, gint64 now, double lease_s);
 KrLaunch *kr_berth_launch (KrBerth *self, const char *job, guint index, guint64 attempt);
 void kr_launch_free (gpointer launch);
+/* Seconds since it was seen running first; 0: not yet. */
+double kr_launch_ran_s (const KrLaunch *self, gint64 now);
 /* What is not exited, in doubt included. */
 guint kr_berth_busy (const KrBerth *self);
 gint64 kr_seconds (double s); /* as us */
--- a/src/api.c
+++ b/src/api.c
@@ -28,10 +28,8 @@
   KrRequest *request;
   KrRoute route;
   char *id;
-  KrSpec *spec;
   gint64 deadline;
   Found found;
-  guint tries;
   gboolean ended_key; /* looking below end/ now */
 };
 
@@ -86,8 +84,6 @@
   kr_request_reply (v->request, status, body, retry_after_s);
   v->api->pending--;
   g_free (v->id);
-  if (v->spec)
-    kr_spec_free (v->spec);
   g_free (v);
 }
 
@@ -176,8 +172,7 @@
   return TRUE;
 }
 
-/* --- poll
- * ------------------------------------------------------------------------------------------ */
+/* --- poll ---------------------------------------------------------------------------- */
 static void
 poll_found (Visit *v, gboolean known, KrItem *item)
 {
@@ -198,8 +193,7 @@
     look (visit_new (a, request, KR_ROUTE_POLL, id, KR_USER_READ_MS), poll_found);
 }
 
-/* --- submit
- * ---------------------------------------------------------------------------------------- */
+/* --- submit -------------------------------------------------------------------------- */
 static void
 submit_found (Visit *v, gboolean known, KrItem *item)
 {
@@ -273,8 +267,7 @@
   }
 }
 
-/* --- abort
- * ----------------------------------------------------------------------------------------- */
+/* --- abort --------------------------------------------------------------------------- */
 static void abort_found (Visit *v, gboolean known, KrItem *item);
 
 static void
--- a/src/constants.h
+++ b/src/constants.h
@@ -36,6 +36,7 @@
 #define KR_CHUNK_BITS 24000     /* tasks a chunk of a done set: 4 KB in base64 */
 #define KR_COMMIT_BYTES 40000   /* bytes; a batch stays well below the protocol's 64 KiB */
 #define KR_FLUSH_MS 5000        /* ms; progress is written this often (design: ours) */
+#define KR_FLUSH_NEXT_MS 10     /* ms; between batches when more than one is due */
 #define KR_FINAL_CACHE 4096     /* jobs whose final answer a node remembers */
 
 /* --- Ownership ----------------------------------------------------------------------- */
@@ -52,19 +53,17 @@
 #define KR_LAUNCH_BITS 20        /* bits of an attempt number below the token */
 
 /* --- Scheduling ---------------------------------------------------------------------- */
-#define KR_TICK_MS 1000           /* ms; the part's periodic duties */
-#define KR_TIME_TO_GOAL_MIN_S 1.0 /* s; floor of goal minus now: slots needed stay finite */
-#define KR_DEFAULT_GOAL_S 600.0   /* s; goal of a job with neither deadline nor objective */
-#define KR_JOB_HOLD_S 5.0         /* s; first pause of a job that fails on several machines */
-#define KR_JOB_HOLD_MAX_S 120.0   /* s; longest such pause */
-#define KR_JOB_FAIL_BERTHS 2      /* machines on which a job must fail to be held back */
-#define KR_SICK_JOBS 2            /* jobs failing only there: the machine is sick */
-#define KR_DEFAULT_WAIT_S 60.0    /* s; in which a job without such an objective should start */
-#define KR_PACE_TASKS                                                                              \
-  4 /* completed tasks before a machine's pace, or a job's mean, says anything */
-#define KR_PACE_WEIGHT 0.3 /* of the newest task in a machine's pace */
-#define KR_PACE_SLOW                                                                               \
-  2.5 /* times the mean: far beyond the tenth by which machines of a type differ */
+#define KR_TICK_MS 1000            /* ms; the part's periodic duties */
+#define KR_TIME_TO_GOAL_MIN_S 1.0  /* s; floor of goal minus now: slots needed stay finite */
+#define KR_DEFAULT_GOAL_S 600.0    /* s; goal of a job with neither deadline nor objective */
+#define KR_JOB_HOLD_S 5.0          /* s; first pause of a job that fails on several machines */
+#define KR_JOB_HOLD_MAX_S 120.0    /* s; longest such pause */
+#define KR_JOB_FAIL_BERTHS 2       /* machines on which a job must fail to be held back */
+#define KR_SICK_JOBS 2             /* jobs failing only there: the machine is sick */
+#define KR_DEFAULT_WAIT_S 60.0     /* s; in which a job without such an objective should start */
+#define KR_PACE_TASKS 4            /* completed tasks before a pace or a mean says anything */
+#define KR_PACE_WEIGHT 0.3         /* of the newest task in a machine's pace */
+#define KR_PACE_SLOW 2.5           /* times the mean: machines of a type differ by a tenth */
 #define KR_PREEMPT_WAIT_S 1.0      /* s an urgent job waits before it may stop other work */
 #define KR_RESERVE_S 8.0           /* s room made by stopping stays reserved */
 #define KR_DEFAULT_SLACK_S 1.0     /* s over StowS granted to a task that saves */
@@ -72,20 +71,20 @@
 #define KR_CANCEL_DELETE_SHARE 0.6 /* of cancel_s: then an unreachable machine is deleted */
 
 /* --- Renting ------------------------------------------------------------------------- */
-#define KR_TYPES_MS 30000 /* ms between reads of machine types (spot prices move) */
-#define KR_LIST_MS 5000   /* ms between reads of the machine list */
-#define KR_LIST_PAGE 500  /* machines a page, by the protocol */
-#define KR_NEVER_LISTED_S                                                                          \
-  60.0 /* s, and four lags: a machine known from a stale list only is gone */
+#define KR_TYPES_MS 30000       /* ms between reads of machine types (spot prices move) */
+#define KR_TYPES_RETRY_MS 1000  /* ms; the same while they are not known */
+#define KR_LIST_MS 5000         /* ms between reads of the machine list */
+#define KR_LIST_PAGE 500        /* machines a page, by the protocol */
+#define KR_NEVER_LISTED_S 60.0  /* s, and four lags: known from a stale list only */
 #define KR_MISSING_MARGIN_S 2.0 /* s over the worst lag before a missing machine is deleted */
-#define KR_STALE_LIST_S                                                                            \
-  40.0 /* s, and four lags, in which what left the records may still be listed */
+#define KR_STALE_LIST_S 40.0    /* s, and four lags: what left may still be listed */
 #define KR_LEFT_MEMORY_S 3600.0 /* s; far beyond any list's lag */
 #define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
 #define KR_RENT_MS 4000         /* ms; renting period */
 #define KR_MOVE_MS 5000         /* ms; shares period for busy machines; free ones: each round */
 #define KR_MOVES_MAX 8          /* machines moved in a round: the records change one by one */
 #define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
+#define KR_RENT_LEAST 0.05      /* machines' worth of need below which none is rented */
 #define KR_RENT_MAX 50          /* machines a request, by the protocol */
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
--- a/src/membership.c
+++ b/src/membership.c
@@ -65,16 +65,17 @@
   return &m->records[part];
 }
 
-gboolean
-kr_membership_seen (KrMembership *m)
+json_t *
+kr_membership_record_copy (KrMembership *m, guint part)
 {
-  return m->seen;
+  json_t *v = m->records[part].value;
+  return v ? json_deep_copy (v) : json_pack ("{s{}}", "Berths");
 }
 
 gboolean
-kr_membership_present (KrMembership *m, const char *node)
+kr_membership_seen (KrMembership *m)
 {
-  return g_hash_table_contains (m->present, node);
+  return m->seen;
 }
 
 static gboolean
@@ -115,10 +116,9 @@
     h->from = (guint64) json_integer_value (json_object_get (value, "From"));
   } else
     h->free_since = kr_now ();
-  if (which == m->settings->size) {
+  if (which == m->settings->size)
     kr_info ("leader: %s (token %" G_GUINT64_FORMAT ")", node ? node : "none", mark);
-    m->events.leader_changed (m->data);
-  } else {
+  else {
     kr_info ("part %u: owner %s (token %" G_GUINT64_FORMAT ")", which, node ? node : "none", mark);
     m->events.holder_changed (which, m->data);
   }
--- a/src/membership.h
+++ b/src/membership.h
@@ -24,7 +24,6 @@
 typedef struct {
   void (*holder_changed) (guint part, gpointer data);
   void (*record_changed) (guint part, gpointer data);
-  void (*leader_changed) (gpointer data);
 } KrMembershipEvents;
 
 KrMembership *kr_membership_new (const KrSettings *settings, KrState *state, GCancellable *cancel,
@@ -37,13 +36,14 @@
 gboolean kr_membership_leads (KrMembership *self);
 const KrHolder *kr_membership_leader (KrMembership *self);
 KrRecord *kr_membership_record (KrMembership *self, guint part);
-gboolean kr_membership_present (KrMembership *self, const char *node);
+/* Its value to change and write back; an empty one if there is none yet. */
+json_t *kr_membership_record_copy (KrMembership *self, guint part);
 /* Feeds what a read or commit of ours showed, if it is newer than what the watch brought. */
 void kr_membership_note_record (KrMembership *self, guint part, json_t *value, guint64 mark);
 
 /* Replaces our own key by a newer one, for a newer token. */
 void kr_membership_renew_token (KrMembership *self, guint part);
-/* Gives a part up and keeps off it for a while; done() when the key is gone or lost. */
+/* Gives a part up and keeps off it for a while. */
 void kr_membership_release (KrMembership *self, guint part, guint keep_off_ms);
 
 char *kr_membership_owner_key (guint part);
--- a/src/node.c
+++ b/src/node.c
@@ -60,11 +60,6 @@
     kr_part_record_changed (n->parts[part]);
 }
 
-static void
-leader_changed (gpointer data)
-{
-}
-
 static void
 jobs_scanned (json_t *items, guint64 revision, gpointer data)
 {
@@ -83,8 +78,7 @@
       kr_part_job_event (n->parts[p], item);
 }
 
-/* --- requests
- * -------------------------------------------------------------------------------------- */
+/* --- requests ------------------------------------------------------------------------ */
 static void
 beat (KrNode *n, KrRequest *request)
 {
@@ -190,12 +184,11 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* --- life
- * -------------------------------------------------------------------------------------------- */
+/* --- life ---------------------------------------------------------------------------- */
 KrNode *
 kr_node_new (const KrSettings *s, GError **error)
 {
-  const KrMembershipEvents events = { holder_changed, record_changed, leader_changed };
+  const KrMembershipEvents events = { holder_changed, record_changed };
   KrNode *n = g_new0 (KrNode, 1);
   guint conns = (guint) (s->sockets * KR_CLIENT_SOCKET_SHARE);
 
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -79,7 +79,7 @@
       Candidate *c = g_hash_table_lookup (by_id, l->job);
       if (!c || l->state == KR_TASK_EXITED)
         continue;
-      double e = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
+      double e = kr_launch_ran_s (l, now);
       g_array_append_val (c->elapsed, e);
       if (c->team)
         kr_place_give (g_hash_table_lookup (teams, c->team), c->job->spec);
@@ -131,6 +131,13 @@
   return kr_place_spread_ok (j->spec, &w);
 }
 
+static double
+mean_of (const KrJob *j)
+{
+  const KrEstimateInput in = { .sum = j->sum, .count = j->count, .guess_s = j->spec->estimate_s };
+  return kr_estimate_mean (&in);
+}
+
 /* Until a machine is empty, if nothing more starts. */
 static double
 rest_s (KrPart *p, const KrBerth *b, gint64 now)
@@ -139,9 +146,9 @@
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
     KrJob *j = kr_part_job (p, l->job);
-    double mean = !j ? 0 : j->count ? j->sum / j->count : j->spec->estimate_s;
+    double mean = j ? mean_of (j) : 0;
     if (l->state != KR_TASK_EXITED)
-      rest = MAX (rest, mean - (l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0));
+      rest = MAX (rest, mean - kr_launch_ran_s (l, now));
   }
   return rest;
 }
@@ -322,7 +329,7 @@
 static double
 loss_of (const KrLaunch *l, const KrJob *v, gint64 now)
 {
-  double ran = l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
+  double ran = kr_launch_ran_s (l, now);
   return v->spec->checkpoint_s > 0 ? MIN (ran, v->spec->save_s) : ran;
 }
 
@@ -335,7 +342,6 @@
    * otherwise the two stop each other in turn. */
   gboolean upward =
       c->in.now - c->job->at > kr_settings_wait (p->node->settings, c->job->spec->lane);
-
   KrLaunch *best = NULL;
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
@@ -522,8 +528,7 @@
   }
 }
 
-/* --- for the leader
- * -------------------------------------------------------------------------------- */
+/* --- for the leader ------------------------------------------------------------------ */
 /* Silent for so long that it is probably lost: others are rented in its place. */
 static gboolean
 silent (KrPart *p, const KrBerth *b, gint64 now)
@@ -575,7 +580,6 @@
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
-
     double idle = b->launches->len || !b->known || p->phase != OPEN
                       ? -1
                       : (double) (now - b->idle_since) / G_USEC_PER_SEC;
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -31,13 +31,12 @@
 KrBerth *kr_part_berth (KrPart *p, const char *id);
 /* KrSawFunc: what a machine's report means for its tasks' jobs. */
 void kr_part_saw (KrBerth *b, KrLaunch *l, KrSaw what, gpointer part);
-void kr_part_count_launch (KrPart *p, KrBerth *b, KrLaunch *l);
+void kr_part_count_launch (KrPart *p, KrLaunch *l);
 void kr_part_command_kills (KrPart *p, KrBerth *b);
 gboolean kr_part_needs_fence (const KrBerth *b);
 void kr_part_check_open (KrPart *p);
 
 /* part-record.c */
-json_t *kr_part_record_copy (KrPart *p, guint part);
 /* A transaction that fails once the owner key is no longer ours. */
 KrTxn *kr_part_owner_txn (KrPart *p);
 void kr_part_write_record (KrPart *p);
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -96,7 +96,7 @@
     }
   }
   if (!p->gone) {
-    kr_timer_add (status == 200 ? 10 : KR_RETRY_MS, flush_again, kr_part_ref (p));
+    kr_timer_add (status == 200 ? KR_FLUSH_NEXT_MS : KR_RETRY_MS, flush_again, kr_part_ref (p));
     if (status && status != 200)
       kr_debug ("part %u: write of progress refused (%u)", p->index, status);
   }
@@ -258,8 +258,7 @@
 {
   KrPart *p = data;
   p->preempt_soon = 0;
-  if (p->node->types)
-    kr_part_preempt (p, kr_now ());
+  kr_part_preempt (p, kr_now ());
   return G_SOURCE_REMOVE;
 }
 
@@ -323,7 +322,7 @@
     for (guint k = 0; k < b->launches->len; k++) {
       KrLaunch *l = b->launches->pdata[k];
       KrJob *j = kr_part_job (p, l->job);
-      kr_part_count_launch (p, b, l);
+      kr_part_count_launch (p, l);
       if (j && l->state == KR_TASK_EXITED && l->why == KR_WHY_DONE &&
           j->spec->form != KR_FORM_SERVICE && !kr_job_is_done (j, l->index)) {
         kr_job_set_done (j, l->index);
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -43,13 +43,6 @@
   kr_state_get (p->node->state, key, KR_STATE_TIMEOUT_MS, p->cancel, record_read, w);
 }
 
-json_t *
-kr_part_record_copy (KrPart *p, guint part)
-{
-  KrRecord *r = kr_membership_record (p->node->membership, part);
-  return r->value ? json_deep_copy (r->value) : json_pack ("{s{}}", "Berths");
-}
-
 KrTxn *
 kr_part_owner_txn (KrPart *p)
 {
@@ -101,7 +94,8 @@
 
   if (p->record_busy || !p->have_record || p->gone)
     return;
-  json_t *v = kr_part_record_copy (p, p->index), *berths = json_object_get (v, "Berths");
+  json_t *v = kr_membership_record_copy (p->node->membership, p->index),
+         *berths = json_object_get (v, "Berths");
   g_hash_table_iter_init (&it, p->leaving);
   while (g_hash_table_iter_next (&it, &id, NULL)) {
     if (json_object_del (berths, id) == 0)
@@ -146,7 +140,8 @@
   guint to = (guint) b->leaving_to;
   if (p->record_busy || b->launches->len || b->deleting)
     return;
-  json_t *from_v = kr_part_record_copy (p, p->index), *to_v = kr_part_record_copy (p, to);
+  json_t *from_v = kr_membership_record_copy (p->node->membership, p->index),
+         *to_v = kr_membership_record_copy (p->node->membership, to);
   json_t *entry = json_object_get (json_object_get (from_v, "Berths"), b->id);
   if (!entry) {
     json_decref (from_v);
--- a/src/part.c
+++ b/src/part.c
@@ -47,7 +47,7 @@
 
 /* --- what reports show --------------------------------------------------------------- */
 void
-kr_part_count_launch (KrPart *p, KrBerth *b, KrLaunch *l)
+kr_part_count_launch (KrPart *p, KrLaunch *l)
 {
   KrJob *j = kr_part_job (p, l->job);
   if (!j || l->counted || l->state == KR_TASK_EXITED)
@@ -124,7 +124,7 @@
   switch (what) {
   case KR_SAW_NEW:
     if (p->have_jobs)
-      kr_part_count_launch (p, b, l);
+      kr_part_count_launch (p, l);
     break;
   case KR_SAW_RUNNING:
     kr_debug ("task %s/%u: runs on %s", l->job, l->index, b->id);
@@ -144,8 +144,8 @@
           kr_job_set_done (j, l->index);
         j->dirty = TRUE;
         if (l->since && !l->adopted) {
-          judge_pace (b, j, (double) (now - l->since) / G_USEC_PER_SEC);
-          j->sum += (double) (now - l->since) / G_USEC_PER_SEC;
+          judge_pace (b, j, kr_launch_ran_s (l, now));
+          j->sum += kr_launch_ran_s (l, now);
           j->count++;
         }
       }
@@ -183,6 +183,14 @@
              : 0;
 }
 
+/* Its kill is wanted and not already at work: a task that saves is left to it. */
+static gboolean
+to_kill (const KrLaunch *l)
+{
+  return l->kill && l->state != KR_TASK_EXITED &&
+         !(l->kill == KR_KILL_SLACK && l->state == KR_TASK_SAVING);
+}
+
 static void
 add_kills_and_clears (KrPart *p, KrBerth *b, json_t *orders)
 {
@@ -197,7 +205,7 @@
     } else {
       if (p->have_jobs && !j)
         l->kill = KR_KILL_NOW; /* its job is over */
-      if (l->kill && !(l->kill == KR_KILL_SLACK && l->state == KR_TASK_SAVING))
+      if (to_kill (l))
         kr_wire_order_kill (orders, l->job, l->index, l->attempt, slack (p, l));
     }
   }
@@ -207,14 +215,13 @@
 typedef struct {
   KrPart *part;
   char *id;
-  guint64 session;
 } Contact;
 
 static Contact *
 contact_new (KrPart *p, KrBerth *b)
 {
   Contact *c = g_new (Contact, 1);
-  *c = (Contact){ kr_part_ref (p), g_strdup (b->id), b->session };
+  *c = (Contact){ kr_part_ref (p), g_strdup (b->id) };
   return c;
 }
 
@@ -257,8 +264,7 @@
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
     /* In doubt: a direct kill may overtake the run; it is repeated in the responses. */
-    if (l->kill && l->state != KR_TASK_EXITED &&
-        !(l->kill == KR_KILL_SLACK && l->state == KR_TASK_SAVING))
+    if (to_kill (l))
       kr_wire_order_kill (orders, l->job, l->index, l->attempt, slack (p, l));
   }
   if (kr_wire_orders_count (orders) == 0) {
@@ -431,8 +437,7 @@
   }
 }
 
-/* --- reports
- * -------------------------------------------------------------------------------------- */
+/* --- reports ------------------------------------------------------------------------- */
 void
 kr_part_beat (KrPart *p, KrRequest *request, const KrReport *r)
 {
@@ -472,8 +477,7 @@
   kr_request_reply (request, 200, orders, 0);
 }
 
-/* --- periodic duties
- * ------------------------------------------------------------------------------ */
+/* --- periodic duties ----------------------------------------------------------------- */
 static void
 watch_berth (KrPart *p, KrBerth *b, gint64 now)
 {
@@ -553,8 +557,7 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* --- taking over and letting go
- * ---------------------------------------------------------------------- */
+/* --- taking over and letting go ------------------------------------------------------ */
 static void load (KrPart *p);
 static void claimed (guint status, json_t *body, gpointer data);
 
@@ -593,7 +596,7 @@
     p->quiet_before = TRUE;
   g_autofree char *key = kr_membership_record_key (p->index);
   KrTxn *txn = kr_part_owner_txn (p);
-  json_t *v = kr_part_record_copy (p, p->index);
+  json_t *v = kr_membership_record_copy (p->node->membership, p->index);
   json_object_set_new (v, "Holder", json_string (p->node->settings->node_name));
   json_object_set_new (v, "Settled", json_false ());
   kr_txn_when (txn, key, r->mark);
@@ -646,7 +649,6 @@
   p->node = node;
   p->index = index;
   p->token = token;
-
   p->cancel = kr_cancellable_child (node->cancel);
   p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) kr_job_free);
   p->berths = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_berth_free);
--- a/src/rent.c
+++ b/src/rent.c
@@ -264,8 +264,7 @@
     sum += MAX (lack[p], 0.01);
   guint n = (guint) ceil (machines->len * MAX (lack[best], 0.01) / sum);
   Assign *a = g_new (Assign, 1);
-  KrRecord *rec = kr_membership_record (r->node->membership, best);
-  json_t *v = rec->value ? json_deep_copy (rec->value) : json_pack ("{s{}}", "Berths");
+  json_t *v = kr_membership_record_copy (r->node->membership, best);
   KrTxn *txn = kr_txn_new ();
 
   *a = (Assign){ r, best, v };
@@ -409,14 +408,13 @@
         machines += slots * kr_place_share (n->shape, f->type);
         n->unmet -= slots;
       }
-      if (machines > 0.05)
+      if (machines > KR_RENT_LEAST)
         ask (r, o, (guint) ceil (machines));
     }
   }
 }
 
-/* --- the leader's round
- * ---------------------------------------------------------------------------- */
+/* --- the leader's round -------------------------------------------------------------- */
 static KrNeed *
 need_parse (json_t *o, guint part)
 {
@@ -594,8 +592,7 @@
   }
 }
 
-/* --- reading the cloud
- * ------------------------------------------------------------------------------ */
+/* --- reading the cloud --------------------------------------------------------------- */
 static void
 types_read (guint status, json_t *body, gpointer data)
 {
@@ -642,7 +639,7 @@
     owns |= r->node->parts[p] != NULL;
   if (now >= r->next_types && !r->types_busy) {
     r->types_busy = TRUE;
-    r->next_types = now + 1000 * 1000;
+    r->next_types = now + KR_TYPES_RETRY_MS * 1000;
     kr_cloud_types (r->node->cloud, r->cancel, types_read, r);
   }
   if (now >= r->next_list && !r->listing && (leads || owns)) {
