Budgets follow roles, deletions in batches, renting each second

Cause: each node had an equal part of 3 cloud calls and 15 changes a second, whatever it had to do; idle machines were deleted one a call (200 s for the last ones), the leader took 58 s to ask for all machines, and a batch of progress left a debt on which submissions waited for seconds.

--- a/src/api.c
+++ b/src/api.c
@@ -263,7 +263,7 @@
     kr_txn_when (txn, key, 0);
     kr_txn_when (txn, end, 0);
     kr_txn_put (txn, key, kr_job_encode (j, j->done, 0), 0);
-    kr_state_commit (state, txn, FALSE, KR_STATE_TIMEOUT_MS, a->cancel, submitted, v);
+    kr_state_commit (state, txn, KR_NORMAL, KR_STATE_TIMEOUT_MS, a->cancel, submitted, v);
   }
 }
 
@@ -302,7 +302,7 @@
     json_object_set_new (value, "Cancelled", json_true ());
     kr_txn_when (txn, key, item->mark);
     kr_txn_put (txn, key, value, 0);
-    kr_state_commit (v->api->node->state, txn, TRUE, left_ms (v, KR_STATE_TIMEOUT_MS),
+    kr_state_commit (v->api->node->state, txn, KR_FIRST, left_ms (v, KR_STATE_TIMEOUT_MS),
                      v->api->cancel, aborted, v);
   }
 }
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -1,10 +1,15 @@
 #include "cloud.h"
+#include "clock.h"
 #include "constants.h"
 
 struct KrCloud {
   KrClient *client;
   char *host;
   KrBucket *requests;
+  double rps;    /* of all nodes together */
+  GQueue doomed; /* Doomed: to be deleted */
+  gboolean deleting;
+  guint delete_soon;
 };
 
 typedef struct {
@@ -17,25 +22,37 @@
   gpointer data;
 } Op;
 
+static void doomed_free (gpointer p);
+
 KrCloud *
 kr_cloud_new (const KrSettings *s)
 {
   KrCloud *c = g_new0 (KrCloud, 1);
   c->client = kr_client_new (KR_CLOUD_CONNS, KR_CLOUD_CONNS, KR_CLIENT_IDLE_S);
   c->host = g_strdup (s->cloud);
-  c->requests = kr_bucket_new (s->cloud_rps / s->size, 2);
+  c->rps = s->cloud_rps;
+  c->requests = kr_bucket_new (c->rps / s->size, KR_CLOUD_BURST_S);
+  g_queue_init (&c->doomed);
   return c;
 }
 
 void
 kr_cloud_free (KrCloud *c)
 {
+  kr_timer_clear (&c->delete_soon);
+  g_queue_clear_full (&c->doomed, doomed_free);
   kr_client_free (c->client);
   kr_bucket_free (c->requests);
   g_free (c->host);
   g_free (c);
 }
 
+void
+kr_cloud_set_share (KrCloud *c, double share)
+{
+  kr_bucket_set_rate (c->requests, c->rps * share);
+}
+
 static void
 op_done (guint status, json_t *body, gpointer data)
 {
@@ -59,18 +76,18 @@
 }
 
 static void
-start (KrCloud *c, const char *method, char *path, json_t *body, gboolean first,
-       GCancellable *cancel, KrReply reply, gpointer data)
+start (KrCloud *c, const char *method, char *path, json_t *body, KrTurn turn, GCancellable *cancel,
+       KrReply reply, gpointer data)
 {
   Op *op = g_new (Op, 1);
   *op = (Op){ c, method, path, body, cancel ? g_object_ref (cancel) : NULL, reply, data };
-  kr_bucket_take (c->requests, 1, first, op_send, op);
+  kr_bucket_take (c->requests, 1, turn, op_send, op);
 }
 
 void
 kr_cloud_types (KrCloud *c, GCancellable *cancel, KrReply reply, gpointer data)
 {
-  start (c, "GET", g_strdup (KR_PATH_TYPES), NULL, TRUE, cancel, reply, data);
+  start (c, "GET", g_strdup (KR_PATH_TYPES), NULL, KR_FIRST, cancel, reply, data);
 }
 
 void
@@ -78,13 +95,96 @@
                guint count, GCancellable *cancel, KrReply reply, gpointer data)
 {
   start (c, "POST", g_strdup (KR_PATH_RENT), kr_wire_rental (request, type, zone, spot, count),
-         FALSE, cancel, reply, data);
+         KR_NORMAL, cancel, reply, data);
+}
+
+/* --- deletions: what is asked for while a call waits goes out with it ----------------- */
+typedef struct {
+  char *id;
+  GCancellable *cancel;
+  KrReply reply;
+  gpointer data;
+} Doomed;
+
+typedef struct {
+  KrCloud *cloud;
+  GPtrArray *doomed; /* Doomed */
+} Deletion;
+
+static void
+doomed_free (gpointer p)
+{
+  Doomed *d = p;
+  g_free (d->id);
+  g_clear_object (&d->cancel);
+  g_free (d);
+}
+
+static void delete_more (KrCloud *c);
+
+static void
+delete_done (guint status, json_t *body, gpointer data)
+{
+  Deletion *x = data;
+  for (guint i = 0; i < x->doomed->len; i++) {
+    Doomed *d = x->doomed->pdata[i];
+    d->reply (status, body, d->data);
+  }
+  g_ptr_array_unref (x->doomed);
+  g_free (x);
+}
+
+static void
+delete_send (gboolean granted, gpointer data)
+{
+  KrCloud *c = data;
+  Deletion *x = g_new (Deletion, 1);
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+
+  c->deleting = FALSE;
+  *x = (Deletion){ c, g_ptr_array_new_with_free_func (doomed_free) };
+  while (x->doomed->len < KR_DELETE_MAX && c->doomed.length) {
+    Doomed *d = g_queue_pop_head (&c->doomed);
+    g_ptr_array_add (x->doomed, d);
+    if (!d->cancel || !g_cancellable_is_cancelled (d->cancel))
+      g_ptr_array_add (ids, d->id);
+  }
+  g_ptr_array_add (ids, NULL);
+  if (granted && ids->len > 1)
+    kr_client_call (c->client, "POST", c->host, KR_PATH_DELETE,
+                    kr_wire_deletion ((char **) ids->pdata), KR_CLOUD_TIMEOUT_MS, NULL, delete_done,
+                    x);
+  else
+    delete_done (429, NULL, x);
+  delete_more (c);
+}
+
+static void
+delete_more (KrCloud *c)
+{
+  if (c->deleting || c->doomed.length == 0)
+    return;
+  c->deleting = TRUE;
+  kr_bucket_take (c->requests, 1, KR_FIRST, delete_send, c);
+}
+
+static gboolean
+delete_now (gpointer data)
+{
+  KrCloud *c = data;
+  c->delete_soon = 0;
+  delete_more (c);
+  return G_SOURCE_REMOVE;
 }
 
 void
-kr_cloud_delete (KrCloud *c, char **ids, GCancellable *cancel, KrReply reply, gpointer data)
+kr_cloud_delete (KrCloud *c, const char *id, GCancellable *cancel, KrReply reply, gpointer data)
 {
-  start (c, "POST", g_strdup (KR_PATH_DELETE), kr_wire_deletion (ids), TRUE, cancel, reply, data);
+  Doomed *d = g_new (Doomed, 1);
+  *d = (Doomed){ g_strdup (id), cancel ? g_object_ref (cancel) : NULL, reply, data };
+  g_queue_push_tail (&c->doomed, d);
+  if (!c->delete_soon) /* what is asked for at one moment goes out together */
+    c->delete_soon = kr_timer_add (KR_DELETE_GATHER_MS, delete_now, c);
 }
 
 /* --- the list, page by page ---------------------------------------------------------- */
@@ -119,7 +219,7 @@
 {
   const char *after =
       l->machines->len ? ((KrMachine *) l->machines->pdata[l->machines->len - 1])->id : NULL;
-  start (l->cloud, "GET", kr_wire_list_path (after, KR_LIST_PAGE), NULL, FALSE, l->cancel,
+  start (l->cloud, "GET", kr_wire_list_path (after, KR_LIST_PAGE), NULL, KR_NORMAL, l->cancel,
          page_done, l);
 }
 
--- a/src/cloud.h
+++ b/src/cloud.h
@@ -12,6 +12,9 @@
 void kr_cloud_list (KrCloud *self, GCancellable *cancel, KrCloudListed listed, gpointer data);
 void kr_cloud_rent (KrCloud *self, const char *request, const char *type, const char *zone,
                     gboolean spot, guint count, GCancellable *cancel, KrReply reply, gpointer data);
-/* Up to KR_DELETE_MAX names. status 200: surely gone. */
-void kr_cloud_delete (KrCloud *self, char **ids, GCancellable *cancel, KrReply reply,
+/* status 200: surely gone. Requests of one moment, and those made while the limit holds them back,
+ * go out in one call. */
+void kr_cloud_delete (KrCloud *self, const char *id, GCancellable *cancel, KrReply reply,
                       gpointer data);
+/* This node's part (0 to 1) of the requests of all nodes together. */
+void kr_cloud_set_share (KrCloud *self, double share);
--- a/src/constants.h
+++ b/src/constants.h
@@ -35,10 +35,21 @@
 #define KR_VALUE_RESERVE 2048   /* bytes of a value kept for a job's fields beside its bits */
 #define KR_CHUNK_BITS 24000     /* tasks a chunk of a done set: 4 KB in base64 */
 #define KR_COMMIT_BYTES 40000   /* bytes; a batch stays well below the protocol's 64 KiB */
-#define KR_FLUSH_MS 5000        /* ms; progress is written this often (design: ours) */
+#define KR_FLUSH_MS 5000        /* ms; a job's progress is written this often at most */
+#define KR_RESERVE_SHARE 0.25   /* of a burst: what progress leaves to accepts and ends */
 #define KR_FLUSH_NEXT_MS 10     /* ms; between batches when more than one is due */
 #define KR_FINAL_CACHE 4096     /* jobs whose final answer a node remembers */
 
+/* --- Shares of the budgets ------------------------------------------------------------ */
+/* The state service's and the cloud's limits hold for all nodes together. Each node's part grows
+ * with what it has to do; the weights are relative to each other. */
+#define KR_STATE_WEIGHT_NODE 1.0  /* users' requests come to all nodes alike */
+#define KR_STATE_WEIGHT_PART 1.0  /* a part with teams: ends, progress, records */
+#define KR_STATE_WEIGHT_LEAD 1.0  /* the leader: machines given to parts */
+#define KR_CLOUD_WEIGHT_NODE 0.25 /* machine types only */
+#define KR_CLOUD_WEIGHT_PART 1.0  /* a part with teams: the list, deletions */
+#define KR_CLOUD_WEIGHT_LEAD 3.0  /* the leader: the list, rentals */
+
 /* --- Ownership ----------------------------------------------------------------------- */
 #define KR_DUTY_MS 300           /* ms between looks at which keys to take or give */
 #define KR_FOREIGN_WAIT_MS 1500  /* ms a part must be free before a node not its home takes it */
@@ -73,19 +84,23 @@
 /* --- Renting ------------------------------------------------------------------------- */
 #define KR_TYPES_MS 30000       /* ms between reads of machine types (spot prices move) */
 #define KR_TYPES_RETRY_MS 1000  /* ms; the same while they are not known */
-#define KR_LIST_MS 5000         /* ms between reads of the machine list */
+#define KR_LIST_MS 5000         /* ms between the leader's reads of the machine list */
+#define KR_LIST_OWNER_MS 10000  /* ms between the other owners': what fails is rare */
 #define KR_LIST_PAGE 500        /* machines a page, by the protocol */
 #define KR_NEVER_LISTED_S 60.0  /* s, and four lags: known from a stale list only */
 #define KR_MISSING_MARGIN_S 2.0 /* s over the worst lag before a missing machine is deleted */
 #define KR_STALE_LIST_S 40.0    /* s, and four lags: what left may still be listed */
 #define KR_LEFT_MEMORY_S 3600.0 /* s; far beyond any list's lag */
 #define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
-#define KR_RENT_MS 4000         /* ms; renting period */
+#define KR_RENT_MS 1000         /* ms; renting period: each round of the leader */
 #define KR_MOVE_MS 5000         /* ms; shares period for busy machines; free ones: each round */
 #define KR_MOVES_MAX 8          /* machines moved in a round: the records change one by one */
 #define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
 #define KR_RENT_LEAST 0.05      /* machines' worth of need below which none is rented */
 #define KR_RENT_MAX 50          /* machines a request, by the protocol */
+#define KR_DELETE_MAX 100       /* names a deletion, by the protocol */
+#define KR_DELETE_GATHER_MS 20  /* ms; deletions of one moment go out in one call */
+#define KR_CLOUD_BURST_S 2      /* s worth of calls that the cloud takes at once, by the protocol */
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
 #define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
--- a/src/flow.c
+++ b/src/flow.c
@@ -26,7 +26,7 @@
 } Waiter;
 
 struct KrBucket {
-  double rate, burst, tokens;
+  double rate, burst_s, burst, tokens;
   gint64 at;
   GQueue queue;
   guint timer;
@@ -37,6 +37,7 @@
 {
   KrBucket *b = g_new0 (KrBucket, 1);
   b->rate = rate;
+  b->burst_s = burst_s;
   b->burst = b->tokens = MAX (1.0, rate * burst_s);
   b->at = kr_now ();
   g_queue_init (&b->queue);
@@ -51,12 +52,6 @@
   g_free (b);
 }
 
-guint
-kr_bucket_waiting (KrBucket *b)
-{
-  return b->queue.length;
-}
-
 static void
 refill (KrBucket *b)
 {
@@ -65,6 +60,26 @@
   b->at = now;
 }
 
+double
+kr_bucket_spare (KrBucket *b)
+{
+  refill (b);
+  if (b->queue.length)
+    return 0;
+  double reserve = MAX (1, b->burst * KR_RESERVE_SHARE);
+  return MAX (b->tokens >= b->burst ? 1 : 0, b->tokens - reserve);
+}
+
+double
+kr_bucket_wait_s (KrBucket *b)
+{
+  double cost = 0;
+  refill (b);
+  for (GList *l = b->queue.head; l; l = l->next)
+    cost += ((Waiter *) l->data)->cost;
+  return MAX (0, cost - b->tokens) / b->rate;
+}
+
 static gboolean serve (gpointer data);
 
 static void
@@ -74,7 +89,7 @@
   if (!w || b->timer)
     return;
   /* A call dearer than the burst waits for a full bucket and leaves a debt. */
-  double missing = MIN (w->cost, b->burst) - b->tokens;
+  double missing = MAX (0, MIN (w->cost, b->burst) - b->tokens);
   b->timer = kr_timer_add (MAX (1, (guint) (missing / b->rate * 1000) + 1), serve, b);
 }
 
@@ -96,21 +111,33 @@
 }
 
 void
-kr_bucket_take (KrBucket *b, double cost, gboolean first, KrBucketGo go, gpointer data)
+kr_bucket_set_rate (KrBucket *b, double rate)
+{
+  if (rate == b->rate)
+    return;
+  refill (b);
+  b->rate = rate;
+  b->burst = MAX (1.0, rate * b->burst_s);
+  kr_timer_clear (&b->timer);
+  arm (b);
+}
+
+void
+kr_bucket_take (KrBucket *b, double cost, KrTurn turn, KrBucketGo go, gpointer data)
 {
   refill (b);
-  if ((first || b->queue.length == 0) && b->tokens >= MIN (cost, b->burst)) {
+  if ((turn == KR_FIRST || b->queue.length == 0) && b->tokens >= MIN (cost, b->burst)) {
     b->tokens -= cost;
     go (TRUE, data);
     return;
   }
-  if (b->queue.length >= KR_QUEUE_MAX && !first) {
+  if (b->queue.length >= KR_QUEUE_MAX && turn != KR_FIRST) {
     go (FALSE, data);
     return;
   }
   Waiter *w = g_new (Waiter, 1);
   *w = (Waiter){ cost, go, data };
-  if (first)
+  if (turn == KR_FIRST)
     g_queue_push_head (&b->queue, w);
   else
     g_queue_push_tail (&b->queue, w);
--- a/src/flow.h
+++ b/src/flow.h
@@ -11,7 +11,17 @@
 /* `rate` a second, bursts worth `burst_s` seconds. */
 KrBucket *kr_bucket_new (double rate, double burst_s);
 void kr_bucket_free (KrBucket *self);
+/* The rate may change with what the node has to do; what waits is served at the new one. */
+void kr_bucket_set_rate (KrBucket *self, double rate);
+typedef enum {
+  KR_NORMAL, /* in turn */
+  KR_FIRST   /* ahead of the others: leases, ownership, ends */
+} KrTurn;
 /* Calls go(TRUE) when `cost` may be spent, at once if possible; go(FALSE) at once if the queue is
- * full. `first`: ahead of the others (leases and ownership). */
-void kr_bucket_take (KrBucket *self, double cost, gboolean first, KrBucketGo go, gpointer data);
-guint kr_bucket_waiting (KrBucket *self);
+ * full. */
+void kr_bucket_take (KrBucket *self, double cost, KrTurn turn, KrBucketGo go, gpointer data);
+/* What may be spent now on work that can wait: a reserve stays for the rest. A full bucket always
+ * spares something. */
+double kr_bucket_spare (KrBucket *self);
+/* Seconds until what waits now has been served. */
+double kr_bucket_wait_s (KrBucket *self);
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -20,6 +20,7 @@
   guint chunks_missing; /* chunks still to be read: not schedulable until 0 */
   gboolean dirty;       /* progress not yet written */
   gboolean writing;     /* a write is under way */
+  gint64 flushed_at;    /* monotonic us of the last write of its progress */
   gboolean ended;       /* moved to end/ */
   /* failures */
   GHashTable *failed_on; /* machines on which a task failed since the last success */
--- a/src/membership.c
+++ b/src/membership.c
@@ -238,7 +238,7 @@
               json_pack ("{ss ss sI}", "Node", m->settings->node_name, "Inc", m->incarnation,
                          "From", (json_int_t) expect),
               m->lease);
-  kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
+  kr_state_commit (m->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
 }
 
 void
@@ -265,7 +265,7 @@
   h->keep_off = kr_now () + (gint64) keep_off_ms * 1000;
   kr_txn_when (txn, key, h->mark);
   kr_txn_remove (txn, key);
-  kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
+  kr_state_commit (m->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
 }
 
 static guint
@@ -345,7 +345,7 @@
     g_autofree char *key = g_strconcat ("c/node/", m->settings->node_name, NULL);
     KrTxn *txn = kr_txn_new ();
     kr_txn_put (txn, key, json_pack ("{ss}", "Inc", m->incarnation), m->lease);
-    kr_state_commit (m->state, txn, TRUE, KR_STATE_TIMEOUT_MS, m->cancel, node_key_done, m);
+    kr_state_commit (m->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, m->cancel, node_key_done, m);
   }
 }
 
--- a/src/node.c
+++ b/src/node.c
@@ -28,6 +28,35 @@
   return -1;
 }
 
+/* --- shares of the budgets ------------------------------------------------------------ */
+/* Parts up to the number of teams have work. */
+static guint
+busy_parts (const KrNode *n)
+{
+  return MIN (n->settings->teams->len, n->settings->size);
+}
+
+static double
+share (KrNode *n, double node, double part, double lead)
+{
+  double own = node + (kr_membership_leads (n->membership) ? lead : 0);
+  for (guint p = 0; p < busy_parts (n); p++)
+    own += n->parts[p] ? part : 0;
+  return own / (n->settings->size * node + busy_parts (n) * part + lead);
+}
+
+/* The limits are of all nodes together. What is weighed by a key (a part, the lead) is used by its
+ * holder only; where a holder does not know yet that it lost the key, the sum is passed for as long
+ * as it takes to hear of it, and the service's 429 settles that. */
+static void
+set_shares (KrNode *n)
+{
+  kr_state_set_share (n->state,
+                      share (n, KR_STATE_WEIGHT_NODE, KR_STATE_WEIGHT_PART, KR_STATE_WEIGHT_LEAD));
+  kr_cloud_set_share (n->cloud,
+                      share (n, KR_CLOUD_WEIGHT_NODE, KR_CLOUD_WEIGHT_PART, KR_CLOUD_WEIGHT_LEAD));
+}
+
 /* --- membership's events ------------------------------------------------------------- */
 static void
 holder_changed (guint part, gpointer data)
@@ -48,6 +77,7 @@
     any |= n->parts[i] != NULL;
   if (!any)
     kr_follow_stop (n->jobs);
+  set_shares (n);
 }
 
 static void
@@ -172,6 +202,7 @@
 check_health (gpointer data)
 {
   KrNode *n = data;
+  set_shares (n);
   if (state_heard (n)) {
     n->state_cut = FALSE;
     return G_SOURCE_CONTINUE;
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -20,7 +20,6 @@
   gint64 taken_at, last_beat;
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
   gboolean settled_written, record_busy, flushing;
-  gint64 next_flush;
   json_t *claim; /* the record as we take it over */
   guint tick, preempt_soon;
 };
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -111,76 +111,94 @@
   return j->chunks_missing == 0 && (j->cancelled ? j->n_active == 0 : kr_job_complete (j));
 }
 
-/* One batch: final states first, whatever the period; progress when it is due. */
+static int
+longest_ago (gconstpointer a, gconstpointer b)
+{
+  const KrJob *x = *(KrJob *const *) a, *y = *(KrJob *const *) b;
+  return x->flushed_at < y->flushed_at ? -1 : x->flushed_at > y->flushed_at;
+}
+
+/* What has to be written now: ends, whatever the period; where there are none, progress that is
+ * due, the longest waiting first. */
+static GPtrArray *
+due (KrPart *p, gint64 now, gboolean *finals)
+{
+  g_autoptr (GPtrArray) ends = g_ptr_array_new ();
+  g_autoptr (GPtrArray) progress = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer value;
+  /* A cancelled job is over only when every machine that may hold its tasks is known. */
+  gboolean may_cancel = p->phase == OPEN;
+
+  g_hash_table_iter_init (&it, p->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrJob *j = value;
+    if (j->writing || j->chunks_missing)
+      continue;
+    if (is_final (j) && (!j->cancelled || may_cancel))
+      g_ptr_array_add (ends, j);
+    else if (j->dirty && !j->cancelled && now - j->flushed_at >= KR_FLUSH_MS * 1000)
+      g_ptr_array_add (progress, j);
+  }
+  g_ptr_array_sort (progress, longest_ago);
+  *finals = ends->len > 0;
+  return *finals ? g_steal_pointer (&ends) : g_steal_pointer (&progress);
+}
+
+/* One batch. Progress goes out from what other writes leave of the budget: it may be late, since
+ * the workers keep what has not become durable. */
 void
 kr_part_flush (KrPart *p)
 {
   gint64 now = kr_now ();
-  gboolean due = now >= p->next_flush, left = FALSE, finals = FALSE;
-  GHashTableIter it;
-  gpointer value;
+  gboolean finals;
 
   if (p->flushing || p->gone || !p->have_jobs || p->phase == LOADING)
     return;
-  /* A cancelled job is over only when every machine that may hold its tasks is known. */
-  gboolean may_cancel = p->phase == OPEN;
+  g_autoptr (GPtrArray) jobs = due (p, now, &finals);
+  guint most = p->node->settings->state_txn_ops;
+  if (!finals)
+    most = MIN (most, kr_state_spare_writes (p->node->state));
+  if (jobs->len == 0 || most == 0)
+    return;
   KrTxn *txn = kr_part_owner_txn (p);
   Batch *batch = g_new (Batch, 1);
   gsize bytes = 0;
-  guint most = p->node->settings->state_txn_ops;
   *batch = (Batch){ kr_part_ref (p), g_ptr_array_new_with_free_func (written_free) };
 
-  for (guint pass = 0; pass < 2; pass++) {
-    if (pass == 1 && (finals || !due))
+  for (guint i = 0; i < jobs->len; i++) {
+    KrJob *j = jobs->pdata[i];
+    guint chunks = kr_job_chunks (j), ops = finals ? 1 + chunks : chunks;
+    gsize size = kr_job_bytes (j) * 4 / 3 + KR_VALUE_RESERVE;
+    if (batch->items->len && (kr_txn_ops (txn) + ops > most || bytes + size > KR_COMMIT_BYTES))
       break;
-    g_hash_table_iter_init (&it, p->jobs);
-    while (g_hash_table_iter_next (&it, NULL, &value)) {
-      KrJob *j = value;
-      gboolean final = is_final (j) && (!j->cancelled || may_cancel);
-      guint chunks = kr_job_chunks (j), ops = final ? 1 + chunks : chunks;
-      if (j->writing || j->chunks_missing || (pass == 0 ? !final : !j->dirty || j->cancelled))
-        continue;
-      gsize size = kr_job_bytes (j) * 4 / 3 + KR_VALUE_RESERVE;
-      if (batch->items->len && (kr_txn_ops (txn) + ops > most || bytes + size > KR_COMMIT_BYTES)) {
-        left = TRUE;
-        break;
-      }
-      g_autofree char *key = kr_job_key (j->spec->id);
-      kr_txn_when (txn, key, j->mark);
-      if (final) {
-        g_autofree char *end = kr_job_end_key (j->spec->id);
-        kr_txn_remove (txn, key);
-        kr_txn_put (txn, end,
-                    kr_job_end_value (j->cancelled ? KR_JOB_CANCELLED : KR_JOB_DONE, j->n_done), 0);
-        finals = TRUE;
-      } else
-        kr_txn_put (txn, key, kr_job_encode (j, j->done, j->n_active), 0);
-      for (guint c = 1; c < chunks; c++) {
-        g_autofree char *chunk = kr_job_chunk_key (j->spec->id, c);
-        if (final)
-          kr_txn_remove (txn, chunk);
-        else
-          kr_txn_put (txn, chunk, kr_job_chunk_encode (j, j->done, c), 0);
-      }
-      bytes += size;
-      Written *w = g_new (Written, 1);
-      *w = (Written){ g_strdup (j->spec->id), g_memdup2 (j->done, kr_job_bytes (j)), final };
-      g_ptr_array_add (batch->items, w);
-      j->writing = TRUE;
-      j->dirty = FALSE;
+    g_autofree char *key = kr_job_key (j->spec->id);
+    kr_txn_when (txn, key, j->mark);
+    if (finals) {
+      g_autofree char *end = kr_job_end_key (j->spec->id);
+      kr_txn_remove (txn, key);
+      kr_txn_put (txn, end,
+                  kr_job_end_value (j->cancelled ? KR_JOB_CANCELLED : KR_JOB_DONE, j->n_done), 0);
+    } else
+      kr_txn_put (txn, key, kr_job_encode (j, j->done, j->n_active), 0);
+    for (guint c = 1; c < chunks; c++) {
+      g_autofree char *chunk = kr_job_chunk_key (j->spec->id, c);
+      if (finals)
+        kr_txn_remove (txn, chunk);
+      else
+        kr_txn_put (txn, chunk, kr_job_chunk_encode (j, j->done, c), 0);
     }
-  }
-  if (due && !left && !finals)
-    p->next_flush = now + KR_FLUSH_MS * 1000;
-  if (batch->items->len == 0) {
-    g_ptr_array_unref (batch->items);
-    g_free (batch);
-    kr_txn_free (txn);
-    kr_part_unref (p);
-    return;
+    bytes += size;
+    Written *w = g_new (Written, 1);
+    *w = (Written){ g_strdup (j->spec->id), g_memdup2 (j->done, kr_job_bytes (j)), finals };
+    g_ptr_array_add (batch->items, w);
+    j->writing = TRUE;
+    j->dirty = FALSE;
+    j->flushed_at = now;
   }
   p->flushing = TRUE;
-  kr_state_commit (p->node->state, txn, finals, KR_STATE_TIMEOUT_MS, p->cancel, flushed, batch);
+  kr_state_commit (p->node->state, txn, finals ? KR_FIRST : KR_NORMAL, KR_STATE_TIMEOUT_MS,
+                   p->cancel, flushed, batch);
 }
 
 /* --- jobs ---------------------------------------------------------------------------- */
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -130,7 +130,8 @@
   kr_txn_when (txn, key, kr_membership_record (p->node->membership, p->index)->mark);
   kr_txn_put (txn, key, json_incref (v), 0);
   p->record_busy = TRUE;
-  kr_state_commit (p->node->state, txn, TRUE, KR_STATE_TIMEOUT_MS, p->cancel, record_written, w);
+  kr_state_commit (p->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, p->cancel, record_written,
+                   w);
 }
 
 /* Gives an empty machine to another part: one transaction over both records, under our key. */
@@ -164,7 +165,8 @@
   w->to = to;
   w->moving = g_strdup (b->id);
   p->record_busy = b->moving = TRUE;
-  kr_state_commit (p->node->state, txn, FALSE, KR_STATE_TIMEOUT_MS, p->cancel, record_written, w);
+  kr_state_commit (p->node->state, txn, KR_NORMAL, KR_STATE_TIMEOUT_MS, p->cancel, record_written,
+                   w);
 }
 
 void
--- a/src/part.c
+++ b/src/part.c
@@ -371,12 +371,11 @@
 static void
 delete_berth (KrPart *p, KrBerth *b, const char *why)
 {
-  char *ids[] = { b->id, NULL };
   if (b->deleting)
     return;
   b->deleting = b->drain = TRUE;
   kr_info ("machine %s: deleting it, %s", b->id, why);
-  kr_cloud_delete (p->node->cloud, ids, p->cancel, deleted, contact_new (p, b));
+  kr_cloud_delete (p->node->cloud, b->id, p->cancel, deleted, contact_new (p, b));
 }
 
 void
@@ -603,7 +602,7 @@
   kr_txn_put (txn, key, json_incref (v), 0);
   json_decref (p->claim);
   p->claim = v;
-  kr_state_commit (p->node->state, txn, TRUE, KR_STATE_TIMEOUT_MS, p->cancel, claimed, p);
+  kr_state_commit (p->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, p->cancel, claimed, p);
 }
 
 static void
--- a/src/rent.c
+++ b/src/rent.c
@@ -280,7 +280,7 @@
       kr_txn_put (txn, key, json_incref (v), 0);
   }
   r->assigning = TRUE;
-  kr_state_commit (r->node->state, txn, FALSE, KR_STATE_TIMEOUT_MS, r->cancel, assigned, a);
+  kr_state_commit (r->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, r->cancel, assigned, a);
 }
 
 /* --- renting ------------------------------------------------------------------------- */
@@ -644,7 +644,7 @@
   }
   if (now >= r->next_list && !r->listing && (leads || owns)) {
     r->listing = TRUE;
-    r->next_list = now + KR_LIST_MS * 1000;
+    r->next_list = now + (leads ? KR_LIST_MS : KR_LIST_OWNER_MS) * 1000;
     kr_cloud_list (r->node->cloud, r->cancel, list_read, r);
   }
   if (!leads)
--- a/src/state.c
+++ b/src/state.c
@@ -7,7 +7,7 @@
   KrClient *client;
   char *host;
   KrBucket *requests, *writes;
-  double write_rate;
+  double rps, write_rps; /* of all nodes together */
   gint64 heard;
 };
 
@@ -17,7 +17,7 @@
   char *path;
   json_t *body;
   double puts;
-  gboolean first;
+  KrTurn turn;
   guint timeout_ms;
   GCancellable *cancel;
   KrReply reply;
@@ -30,9 +30,10 @@
   KrState *st = g_new0 (KrState, 1);
   st->client = kr_client_new (KR_STATE_CONNS, KR_STATE_CONNS, KR_CLIENT_IDLE_S);
   st->host = g_strdup (s->state);
-  st->requests = kr_bucket_new (s->state_rps / s->size, 1);
-  st->writes = kr_bucket_new (s->state_write_rps / s->size, 1);
-  st->write_rate = s->state_write_rps / s->size;
+  st->rps = s->state_rps;
+  st->write_rps = s->state_write_rps;
+  st->requests = kr_bucket_new (st->rps / s->size, 1);
+  st->writes = kr_bucket_new (st->write_rps / s->size, 1);
   st->heard = kr_now ();
   return st;
 }
@@ -50,7 +51,20 @@
 double
 kr_state_write_wait (KrState *st)
 {
-  return kr_bucket_waiting (st->writes) / st->write_rate;
+  return kr_bucket_wait_s (st->writes);
+}
+
+guint
+kr_state_spare_writes (KrState *st)
+{
+  return (guint) kr_bucket_spare (st->writes);
+}
+
+void
+kr_state_set_share (KrState *st, double share)
+{
+  kr_bucket_set_rate (st->requests, st->rps * share);
+  kr_bucket_set_rate (st->writes, st->write_rps * share);
 }
 
 double
@@ -96,21 +110,21 @@
 {
   Op *op = data;
   if (granted)
-    kr_bucket_take (op->state->requests, 1, op->first, op_send, op);
+    kr_bucket_take (op->state->requests, 1, op->turn, op_send, op);
   else
     op_send (FALSE, op);
 }
 
 static void
-start (KrState *st, const char *method, char *path, json_t *body, double puts, gboolean first,
+start (KrState *st, const char *method, char *path, json_t *body, double puts, KrTurn turn,
        guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
 {
   Op *op = g_new (Op, 1);
   *op = (Op){ st,    method, path,       body,
-              puts,  first,  timeout_ms, cancel ? g_object_ref (cancel) : NULL,
+              puts,  turn,   timeout_ms, cancel ? g_object_ref (cancel) : NULL,
               reply, data };
   if (puts > 0)
-    kr_bucket_take (st->writes, puts, first, op_request, op);
+    kr_bucket_take (st->writes, puts, turn, op_request, op);
   else
     op_request (TRUE, op);
 }
@@ -119,14 +133,14 @@
 kr_state_get (KrState *st, const char *key, guint timeout_ms, GCancellable *cancel, KrReply reply,
               gpointer data)
 {
-  start (st, "GET", kr_wire_key_path (key), NULL, 0, FALSE, timeout_ms, cancel, reply, data);
+  start (st, "GET", kr_wire_key_path (key), NULL, 0, KR_NORMAL, timeout_ms, cancel, reply, data);
 }
 
 void
-kr_state_commit (KrState *st, KrTxn *txn, gboolean first, guint timeout_ms, GCancellable *cancel,
+kr_state_commit (KrState *st, KrTxn *txn, KrTurn turn, guint timeout_ms, GCancellable *cancel,
                  KrReply reply, gpointer data)
 {
-  start (st, "POST", g_strdup (KR_PATH_COMMIT), kr_txn_body (txn), kr_txn_ops (txn), first,
+  start (st, "POST", g_strdup (KR_PATH_COMMIT), kr_txn_body (txn), kr_txn_ops (txn), turn,
          timeout_ms, cancel, reply, data);
   kr_txn_free (txn);
 }
@@ -136,7 +150,7 @@
                 gpointer data)
 {
   start (st, "POST", lease ? kr_wire_lease_extend_path (lease) : g_strdup (KR_PATH_LEASES),
-         kr_wire_lease_body (life_ms), 0, TRUE, KR_STATE_TIMEOUT_MS, cancel, reply, data);
+         kr_wire_lease_body (life_ms), 0, KR_FIRST, KR_STATE_TIMEOUT_MS, cancel, reply, data);
 }
 
 /* --- follower ------------------------------------------------------------------------ */
@@ -270,7 +284,7 @@
   }
   f->cancel = kr_cancellable_child (f->parent);
   *turn = (Turn){ f, g_object_ref (f->cancel) };
-  start (f->state, "GET", path, NULL, 0, TRUE, timeout, f->cancel, step_done, turn);
+  start (f->state, "GET", path, NULL, 0, KR_FIRST, timeout, f->cancel, step_done, turn);
 }
 
 KrFollow *
--- a/src/state.h
+++ b/src/state.h
@@ -12,13 +12,17 @@
 /* status 429: refused by our own limit or the service's, not executed; 0: unknown outcome. */
 void kr_state_get (KrState *self, const char *key, guint timeout_ms, GCancellable *cancel,
                    KrReply reply, gpointer data);
-/* Takes over `txn`. `first`: ahead of waiting calls. */
-void kr_state_commit (KrState *self, KrTxn *txn, gboolean first, guint timeout_ms,
+/* Takes over `txn`. */
+void kr_state_commit (KrState *self, KrTxn *txn, KrTurn turn, guint timeout_ms,
                       GCancellable *cancel, KrReply reply, gpointer data);
 void kr_state_lease (KrState *self, guint64 lease, guint life_ms, GCancellable *cancel,
                      KrReply reply, gpointer data); /* lease 0: a new one */
 /* Seconds that a further write would wait now. */
 double kr_state_write_wait (KrState *self);
+/* Puts and deletes that may go out now for what can wait. */
+guint kr_state_spare_writes (KrState *self);
+/* This node's part (0 to 1) of the requests and changes of all nodes together. */
+void kr_state_set_share (KrState *self, double share);
 /* Time since the service last answered anything but 503, in seconds. */
 double kr_state_silence (KrState *self);
 
