Records in chunks; a lease is judged when the part was proven ours

Now judged at the last renewal of our own lease that was answered. Ruled out: the new chunks (the old code has the same branch). Test: owner-with-workers-only, fails without the guard.

--- a/src/agent.h
+++ b/src/agent.h
@@ -35,6 +35,8 @@
   gboolean drain, deleting, fencing;
   gint leaving_to;           /* part that it goes to when empty; -1: none */
   gboolean moving;           /* the move may be under way: nothing may start */
+  gboolean move_unknown;     /* its outcome is not known */
+  guint64 chunk_mark;        /* Mark of the record chunk that holds it */
   gint64 idle_since, joined; /* monotonic us */
   gint64 missing_since;      /* monotonic us: listed once, then not; 0: listed */
   gboolean listed;
--- a/src/constants.h
+++ b/src/constants.h
@@ -50,6 +50,12 @@
 #define KR_CLOUD_WEIGHT_PART 1.0  /* a part with teams: the list, deletions */
 #define KR_CLOUD_WEIGHT_LEAD 3.0  /* the leader: the list, rentals */
 
+/* --- Machines' records --------------------------------------------------------------- */
+#define KR_CHUNK_MACHINES 80 /* machines a chunk: txn_ops of them stay below 64 KiB */
+#define KR_MACHINE_BYTES 64  /* bytes; an entry (id and address) with room to spare */
+#define KR_VALUE_SLACK 256   /* bytes of a value kept free beside the entries */
+#define KR_CHUNKS_MAX 10000  /* chunks a part: any more is no key of ours */
+
 /* --- Ownership ----------------------------------------------------------------------- */
 #define KR_DUTY_MS 300           /* ms between looks at which keys to take or give */
 #define KR_FOREIGN_WAIT_MS 1500  /* ms a part must be free before a node not its home takes it */
@@ -94,7 +100,7 @@
 #define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
 #define KR_RENT_MS 1000         /* ms; renting period: each round of the leader */
 #define KR_MOVE_MS 5000         /* ms; shares period for busy machines; free ones: each round */
-#define KR_MOVES_MAX 8          /* machines moved in a round: the records change one by one */
+#define KR_MOVES_MAX 64         /* machines a round: as many as some transactions take */
 #define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
 #define KR_RENT_LEAST 0.05      /* machines' worth of need below which none is rented */
 #define KR_RENT_MAX 50          /* machines a request, by the protocol */
--- a/src/membership.c
+++ b/src/membership.c
@@ -14,11 +14,14 @@
   char *incarnation;
   KrFollow *follow;
   gboolean seen;
+  guint scans;       /* asked for */
   KrHolder *holders; /* size parts, then the leader */
-  KrRecord *records;
+  KrRecords *records;
+  KrClaim *claims;     /* size */
   GHashTable *present; /* node -> gint64* since when (monotonic us) */
   guint64 lease;
   gboolean lease_busy;
+  gint64 renewal_sent, proven;
   guint lease_timer, duty_timer;
 };
 
@@ -36,9 +39,9 @@
 }
 
 char *
-kr_membership_record_key (guint part)
+kr_membership_claim_key (guint part)
 {
-  return g_strdup_printf ("c/berths/%u", part);
+  return g_strdup_printf ("c/claim/%u", part);
 }
 
 static char *
@@ -59,17 +62,16 @@
   return &m->holders[m->settings->size];
 }
 
-KrRecord *
-kr_membership_record (KrMembership *m, guint part)
+const KrClaim *
+kr_membership_claim (KrMembership *m, guint part)
 {
-  return &m->records[part];
+  return &m->claims[part];
 }
 
 json_t *
-kr_membership_record_copy (KrMembership *m, guint part)
+kr_membership_claim_value (KrMembership *m, gboolean settled)
 {
-  json_t *v = m->records[part].value;
-  return v ? json_deep_copy (v) : json_pack ("{s{}}", "Berths");
+  return json_pack ("{ss sb}", "Holder", m->settings->node_name, "Settled", settled);
 }
 
 gboolean
@@ -91,6 +93,12 @@
   return mine (m, &m->holders[part]);
 }
 
+gint64
+kr_membership_proven (KrMembership *m)
+{
+  return m->proven;
+}
+
 gboolean
 kr_membership_leads (KrMembership *m)
 {
@@ -125,15 +133,14 @@
 }
 
 void
-kr_membership_note_record (KrMembership *m, guint part, json_t *value, guint64 mark)
+kr_membership_note_claim (KrMembership *m, guint part, json_t *value, guint64 mark)
 {
-  KrRecord *r = &m->records[part];
-  if (mark <= r->mark)
+  KrClaim *c = &m->claims[part];
+  if (mark <= c->mark)
     return;
-  json_decref (r->value);
-  r->value = json_incref (value);
-  r->mark = mark;
-  m->events.record_changed (part, m->data);
+  g_free (c->holder);
+  *c = (KrClaim){ g_strdup (json_string_value (json_object_get (value, "Holder"))),
+                  json_is_true (json_object_get (value, "Settled")), mark };
 }
 
 static void
@@ -163,11 +170,12 @@
     guint p = (guint) atoi (k + strlen ("c/owner/"));
     if (p < size)
       set_holder (m, p, item->value, item->mark);
-  } else if (g_str_has_prefix (k, "c/berths/")) {
-    guint p = (guint) atoi (k + strlen ("c/berths/"));
+  } else if (g_str_has_prefix (k, "c/claim/")) {
+    guint p = (guint) atoi (k + strlen ("c/claim/"));
     if (p < size && item->value)
-      kr_membership_note_record (m, p, item->value, item->mark);
-  }
+      kr_membership_note_claim (m, p, item->value, item->mark);
+  } else
+    kr_records_note (m->records, item);
 }
 
 static void
@@ -177,6 +185,7 @@
   guint size = m->settings->size;
   g_autofree gboolean *found = g_new0 (gboolean, size + 1);
   g_autoptr (GHashTable) nodes = g_hash_table_new (g_str_hash, g_str_equal);
+  guint scans = m->scans; /* what is seen here may make somebody ask for a further one */
   json_t *o;
   size_t i;
 
@@ -204,6 +213,15 @@
       note_node (m, name, FALSE);
   }
   m->seen = TRUE;
+  if (m->scans == scans)
+    m->events.scanned (m->data);
+}
+
+void
+kr_membership_rescan (KrMembership *m)
+{
+  m->scans++;
+  kr_follow_rescan (m->follow);
 }
 
 /* --- taking and giving --------------------------------------------------------------- */
@@ -341,7 +359,9 @@
   if (status == 404) {
     kr_info ("state: our lease is over");
     m->lease = 0;
-  } else if (status == 200 && !m->lease && (m->lease = kr_wire_lease_parse (body))) {
+  } else if (status == 200 && m->lease) {
+    m->proven = m->renewal_sent;
+  } else if (status == 200 && (m->lease = kr_wire_lease_parse (body))) {
     g_autofree char *key = g_strconcat ("c/node/", m->settings->node_name, NULL);
     KrTxn *txn = kr_txn_new ();
     kr_txn_put (txn, key, json_pack ("{ss}", "Inc", m->incarnation), m->lease);
@@ -355,14 +375,15 @@
   KrMembership *m = data;
   if (!m->lease_busy) {
     m->lease_busy = TRUE;
+    m->renewal_sent = kr_now ();
     kr_state_lease (m->state, m->lease, KR_NODE_LEASE_MS, m->cancel, lease_done, m);
   }
   return G_SOURCE_CONTINUE;
 }
 
 KrMembership *
-kr_membership_new (const KrSettings *settings, KrState *state, GCancellable *cancel,
-                   const KrMembershipEvents *events, gpointer data)
+kr_membership_new (const KrSettings *settings, KrState *state, KrRecords *records,
+                   GCancellable *cancel, const KrMembershipEvents *events, gpointer data)
 {
   KrMembership *m = g_new0 (KrMembership, 1);
   m->settings = settings;
@@ -374,7 +395,8 @@
   m->holders = g_new0 (KrHolder, settings->size + 1);
   for (guint p = 0; p <= settings->size; p++)
     m->holders[p].free_since = kr_now ();
-  m->records = g_new0 (KrRecord, settings->size);
+  m->records = records;
+  m->claims = g_new0 (KrClaim, settings->size);
   m->present = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->follow = kr_follow_new (state, "c/", m->cancel, on_scan, on_event, m);
   kr_follow_rescan (m->follow);
--- a/src/membership.h
+++ b/src/membership.h
@@ -1,6 +1,7 @@
 /* Who is there, who owns which part, who leads: keys below c/ on this node's lease. Ownership is
  * only what the state service shows; a key's Mark is the token. */
 #pragma once
+#include "record.h"
 #include "settings.h"
 #include "state.h"
 
@@ -14,20 +15,22 @@
   gboolean busy;     /* a change of ours is under way */
 } KrHolder;
 
-/* A part's machines as they are durable. */
+/* Who has been in touch with a part's machines: written by an owner before it says anything. */
 typedef struct {
-  json_t *value; /* NULL: none yet */
+  char *holder;     /* node name; NULL: nobody yet */
+  gboolean settled; /* every used machine was fenced since */
   guint64 mark;
-} KrRecord;
+} KrClaim;
 
 typedef struct KrMembership KrMembership;
 typedef struct {
   void (*holder_changed) (guint part, gpointer data);
-  void (*record_changed) (guint part, gpointer data);
+  void (*scanned) (gpointer data); /* all of c/ was read anew, beginning after the last rescan */
 } KrMembershipEvents;
 
-KrMembership *kr_membership_new (const KrSettings *settings, KrState *state, GCancellable *cancel,
-                                 const KrMembershipEvents *events, gpointer data);
+KrMembership *kr_membership_new (const KrSettings *settings, KrState *state, KrRecords *records,
+                                 GCancellable *cancel, const KrMembershipEvents *events,
+                                 gpointer data);
 void kr_membership_free (KrMembership *self);
 
 gboolean kr_membership_seen (KrMembership *self); /* the state service was read at least once */
@@ -35,11 +38,16 @@
 gboolean kr_membership_owns (KrMembership *self, guint part);
 gboolean kr_membership_leads (KrMembership *self);
 const KrHolder *kr_membership_leader (KrMembership *self);
-KrRecord *kr_membership_record (KrMembership *self, guint part);
-/* Its value to change and write back; an empty one if there is none yet. */
-json_t *kr_membership_record_copy (KrMembership *self, guint part);
-/* Feeds what a read or commit of ours showed, if it is newer than what the watch brought. */
-void kr_membership_note_record (KrMembership *self, guint part, json_t *value, guint64 mark);
+const KrClaim *kr_membership_claim (KrMembership *self, guint part);
+/* Feeds what a commit of ours made of it. */
+void kr_membership_note_claim (KrMembership *self, guint part, json_t *value, guint64 mark);
+json_t *kr_membership_claim_value (KrMembership *self, gboolean settled);
+/* Reads all of c/ anew; events.scanned follows. */
+void kr_membership_rescan (KrMembership *self);
+
+/* Until when (monotonic us) our keys surely stood: when the newest renewal of our lease that was
+ * answered went out. */
+gint64 kr_membership_proven (KrMembership *self);
 
 /* Replaces our own key by a newer one, for a newer token. */
 void kr_membership_renew_token (KrMembership *self, guint part);
@@ -47,5 +55,5 @@
 void kr_membership_release (KrMembership *self, guint part, guint keep_off_ms);
 
 char *kr_membership_owner_key (guint part);
-char *kr_membership_record_key (guint part);
+char *kr_membership_claim_key (guint part);
 #define KR_LEADER_KEY "c/leader"
--- a/src/node.c
+++ b/src/node.c
@@ -18,16 +18,6 @@
   return NULL;
 }
 
-gint
-kr_node_part_of (KrNode *n, const char *id)
-{
-  for (guint p = 0; p < n->settings->size; p++)
-    if (json_object_get (json_object_get (kr_membership_record (n->membership, p)->value, "Berths"),
-                         id))
-      return (gint) p;
-  return -1;
-}
-
 /* --- shares of the budgets ------------------------------------------------------------ */
 /* Parts up to the number of teams have work. */
 static guint
@@ -84,12 +74,28 @@
 record_changed (guint part, gpointer data)
 {
   KrNode *n = data;
-  if (n->rent)
-    kr_rent_records_changed (n->rent);
   if (n->parts[part])
     kr_part_record_changed (n->parts[part]);
 }
 
+static void
+machine_left (const char *machine, gpointer data)
+{
+  KrNode *n = data;
+  if (n->rent)
+    kr_rent_left (n->rent, machine);
+}
+
+static void
+scanned (gpointer data)
+{
+  KrNode *n = data;
+  kr_rent_scanned (n->rent);
+  for (guint p = 0; p < n->settings->size; p++)
+    if (n->parts[p])
+      kr_part_scanned (n->parts[p]);
+}
+
 static void
 jobs_scanned (json_t *items, guint64 revision, gpointer data)
 {
@@ -118,7 +124,8 @@
     kr_request_reply (request, 400, kr_wire_error ("not a report"), 0);
     return;
   }
-  gint part = kr_node_part_of (n, r->machine);
+  const KrMember *m = kr_records_find (n->records, r->machine);
+  gint part = m ? (gint) m->part : -1;
   if (part >= 0 && n->parts[part]) {
     kr_part_beat (n->parts[part], request, r);
     return;
@@ -219,7 +226,8 @@
 KrNode *
 kr_node_new (const KrSettings *s, GError **error)
 {
-  const KrMembershipEvents events = { holder_changed, record_changed };
+  const KrMembershipEvents events = { holder_changed, scanned };
+  const KrRecordEvents record_events = { record_changed, machine_left };
   KrNode *n = g_new0 (KrNode, 1);
   guint conns = (guint) (s->sockets * KR_CLIENT_SOCKET_SHARE);
 
@@ -233,7 +241,8 @@
   n->peers =
       kr_client_new (KR_PEER_CONNS * MAX (1, s->others->len), KR_PEER_CONNS, KR_CLIENT_IDLE_S);
   n->jobs = kr_follow_new (n->state, "job/", n->cancel, jobs_scanned, job_event, n);
-  n->membership = kr_membership_new (s, n->state, n->cancel, &events, n);
+  n->records = kr_records_new (s, &record_events, n);
+  n->membership = kr_membership_new (s, n->state, n->records, n->cancel, &events, n);
   n->rent = kr_rent_new (n);
   n->api = kr_api_new (n);
   n->public_server =
@@ -270,5 +279,6 @@
   kr_rent_free (n->rent);
   kr_api_free (n->api);
   kr_membership_free (n->membership);
+  kr_records_free (n->records);
   g_main_loop_unref (n->loop);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -16,6 +16,7 @@
   KrState *state;
   KrCloud *cloud;
   KrClient *workers, *peers;
+  KrRecords *records;
   KrMembership *membership;
   KrFollow *jobs;   /* follows job/ while a part is ours */
   KrPart **parts;   /* size; NULL: not ours */
@@ -31,5 +32,3 @@
 void kr_node_run (KrNode *self);
 void kr_node_free (KrNode *self);
 const KrType *kr_node_type (KrNode *self, const char *name); /* NULL: unknown */
-/* The part whose durable record holds a machine, or -1. */
-gint kr_node_part_of (KrNode *self, const char *machine);
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -19,8 +19,8 @@
   guint64 launches;    /* counter below the token */
   gint64 taken_at, last_beat;
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
-  gboolean settled_written, record_busy, flushing;
-  json_t *claim; /* the record as we take it over */
+  gboolean record_busy, flushing;
+  gboolean claiming; /* the claim is being written */
   guint tick, preempt_soon;
 };
 
@@ -38,8 +38,9 @@
 /* part-record.c */
 /* A transaction that fails once the owner key is no longer ours. */
 KrTxn *kr_part_owner_txn (KrPart *p);
+/* Writes our name and whether every used machine was fenced. */
+KrTxn *kr_part_claim_txn (KrPart *p, gboolean settled);
 void kr_part_write_record (KrPart *p);
-void kr_part_move (KrPart *p, KrBerth *b);
 
 /* part-progress.c */
 void kr_part_flush (KrPart *p);
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -1,48 +1,28 @@
 /* The durable record of a part's machines. */
-#include "part-private.h"
 #include "clock.h"
 #include "constants.h"
 #include "log.h"
+#include "part-private.h"
 
-/* --- the durable record of machines -------------------------------------------------- */
+/* A write of the record under way. */
 typedef struct {
   KrPart *part;
-  json_t *value;
-  guint to; /* move: the receiving part; otherwise our own */
-  json_t *to_value;
-  char *moving;
+  KrDraft *draft;
+  json_t *claim;     /* what it makes of the claim; NULL: untouched */
+  GPtrArray *moving; /* ids; NULL: no move */
+  guint to;
 } RecordWrite;
 
 static void
 record_write_free (RecordWrite *w)
 {
-  json_decref (w->value);
-  json_decref (w->to_value);
-  g_free (w->moving);
+  kr_draft_free (w->draft);
+  json_decref (w->claim);
+  g_clear_pointer (&w->moving, g_ptr_array_unref);
   kr_part_unref (w->part);
   g_free (w);
 }
 
-static void
-record_read (guint status, json_t *body, gpointer data)
-{
-  RecordWrite *w = data;
-  KrItem item;
-  if (status == 200 && kr_wire_item_parse (body, &item))
-    kr_membership_note_record (w->part->node->membership, w->to, item.value, item.mark);
-  record_write_free (w);
-}
-
-static void
-reread_record (KrPart *p, guint part)
-{
-  RecordWrite *w = g_new0 (RecordWrite, 1);
-  g_autofree char *key = kr_membership_record_key (part);
-  w->part = kr_part_ref (p);
-  w->to = part;
-  kr_state_get (p->node->state, key, KR_STATE_TIMEOUT_MS, p->cancel, record_read, w);
-}
-
 KrTxn *
 kr_part_owner_txn (KrPart *p)
 {
@@ -52,6 +32,33 @@
   return txn;
 }
 
+KrTxn *
+kr_part_claim_txn (KrPart *p, gboolean settled)
+{
+  KrMembership *m = p->node->membership;
+  g_autofree char *key = kr_membership_claim_key (p->index);
+  KrTxn *txn = kr_part_owner_txn (p);
+  kr_txn_when (txn, key, kr_membership_claim (m, p->index)->mark);
+  kr_txn_put (txn, key, kr_membership_claim_value (m, settled), 0);
+  return txn;
+}
+
+static void
+moved (RecordWrite *w, guint status)
+{
+  KrPart *p = w->part;
+  if (status == 200)
+    kr_info ("part %u: %u machines given to part %u", p->index, w->moving->len, w->to);
+  for (guint i = 0; i < w->moving->len; i++) {
+    KrBerth *b = kr_part_berth (p, w->moving->pdata[i]);
+    if (!b)
+      continue;
+    /* Unknown outcome: it may be executed later, and until that is ruled out the machine stays out
+     * of use. kr_part_write_record writes its chunk anew, which rules it out. */
+    b->moving = b->move_unknown = status == 0;
+  }
+}
+
 static void
 record_written (guint status, json_t *body, gpointer data)
 {
@@ -60,150 +67,151 @@
 
   p->record_busy = FALSE;
   if (!p->gone) {
+    if (w->moving)
+      moved (w, status);
     if (status == 200) {
-      guint64 mark = kr_wire_revision (body);
-      if (w->moving) {
-        kr_info ("part %u: machine %s given to part %u", p->index, w->moving, w->to);
-        g_hash_table_remove (p->berths, w->moving);
-        kr_membership_note_record (p->node->membership, w->to, w->to_value, mark);
-      }
-      kr_membership_note_record (p->node->membership, p->index, w->value, mark);
-    } else if (status == 409) {
-      reread_record (p, p->index);
-      if (w->moving)
-        reread_record (p, w->to);
-    }
-    if (w->moving && status != 200) {
-      KrBerth *b = kr_part_berth (p, w->moving);
-      if (b && status != 0) { /* unknown outcome: stays out of use until the record shows it */
-        b->leaving_to = -1;
-        b->moving = FALSE;
-      }
+      if (w->claim)
+        kr_membership_note_claim (p->node->membership, p->index, w->claim, kr_wire_revision (body));
+      kr_draft_done (w->draft, kr_wire_revision (body));
     }
   }
   record_write_free (w);
 }
 
+static void
+commit (KrPart *p, KrTxn *txn, RecordWrite *w)
+{
+  w->part = kr_part_ref (p);
+  kr_draft_write (w->draft, txn);
+  p->record_busy = TRUE;
+  kr_state_commit (p->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, p->cancel, record_written,
+                   w);
+}
+
 /* Brings the record in line with what we know: used, addresses, deletions, settled. */
 void
 kr_part_write_record (KrPart *p)
 {
   GHashTableIter it;
   gpointer id, value;
-  gboolean change = FALSE;
+  guint most = p->node->settings->state_txn_ops - 1; /* one for the claim */
 
   if (p->record_busy || !p->have_record || p->gone)
     return;
-  json_t *v = kr_membership_record_copy (p->node->membership, p->index),
-         *berths = json_object_get (v, "Berths");
+  KrDraft *draft = kr_draft_new (p->node->records);
   g_hash_table_iter_init (&it, p->leaving);
-  while (g_hash_table_iter_next (&it, &id, NULL)) {
-    if (json_object_del (berths, id) == 0)
-      change = TRUE;
+  while (kr_draft_ops (draft) < most && g_hash_table_iter_next (&it, &id, NULL)) {
+    const KrMember *m = kr_records_find (p->node->records, id);
+    if (m && m->part == p->index)
+      kr_draft_remove (draft, id);
     else
       g_hash_table_iter_remove (&it);
   }
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, &id, &value)) {
+  while (kr_draft_ops (draft) < most && g_hash_table_iter_next (&it, &id, &value)) {
     KrBerth *b = value;
-    json_t *o = json_object_get (berths, id);
-    if (!o || b->used || !b->used_wanted)
-      continue;
-    json_object_set_new (o, "U", json_integer (1));
-    json_object_set_new (o, "E", json_string (b->endpoint));
-    change = TRUE;
+    if (!b->used && b->used_wanted)
+      kr_draft_set (draft, id, b->endpoint);
+    else if (b->move_unknown)
+      kr_draft_touch (draft, id);
   }
-  if (p->phase == OPEN && !p->settled_written) {
-    json_object_set_new (v, "Settled", json_true ());
-    change = TRUE;
-  }
-  if (!change) {
-    json_decref (v);
+  gboolean settle =
+      p->phase == OPEN && !kr_membership_claim (p->node->membership, p->index)->settled;
+  if (!settle && kr_draft_ops (draft) == 0) {
+    kr_draft_free (draft);
     return;
   }
-  g_autofree char *key = kr_membership_record_key (p->index);
-  KrTxn *txn = kr_part_owner_txn (p);
   RecordWrite *w = g_new0 (RecordWrite, 1);
-  w->part = kr_part_ref (p);
-  w->value = v;
-  w->to = p->index;
-  kr_txn_when (txn, key, kr_membership_record (p->node->membership, p->index)->mark);
-  kr_txn_put (txn, key, json_incref (v), 0);
-  p->record_busy = TRUE;
-  kr_state_commit (p->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, p->cancel, record_written,
-                   w);
+  w->draft = draft;
+  if (settle)
+    w->claim = kr_membership_claim_value (p->node->membership, TRUE);
+  commit (p, settle ? kr_part_claim_txn (p, TRUE) : kr_part_owner_txn (p), w);
 }
 
-/* Gives an empty machine to another part: one transaction over both records, under our key. */
+static gboolean
+may_move (const KrBerth *b)
+{
+  return b->leaving_to >= 0 && b->launches->len == 0 && !b->deleting && !b->moving && !b->drain;
+}
+
+/* Gives empty machines to another part, as many as one transaction takes: it is over both parts'
+ * records, under our key. One part each time; the others follow. */
 void
-kr_part_move (KrPart *p, KrBerth *b)
+kr_part_moves (KrPart *p)
 {
-  guint to = (guint) b->leaving_to;
-  if (p->record_busy || b->launches->len || b->deleting)
+  GHashTableIter it;
+  gpointer id, value;
+  gint to = -1;
+  guint most = p->node->settings->state_txn_ops - 1; /* a further machine may touch two chunks */
+
+  /* Others' writes come first: a move is worth little while accepts wait. */
+  if (p->record_busy || p->phase != OPEN || p->gone || kr_state_spare_writes (p->node->state) == 0)
     return;
-  json_t *from_v = kr_membership_record_copy (p->node->membership, p->index),
-         *to_v = kr_membership_record_copy (p->node->membership, to);
-  json_t *entry = json_object_get (json_object_get (from_v, "Berths"), b->id);
-  if (!entry) {
-    json_decref (from_v);
-    json_decref (to_v);
+  KrDraft *draft = kr_draft_new (p->node->records);
+  RecordWrite *w = g_new0 (RecordWrite, 1);
+  w->draft = draft;
+  w->moving = g_ptr_array_new_with_free_func (g_free);
+  g_hash_table_iter_init (&it, p->berths);
+  while (kr_draft_ops (draft) < most && g_hash_table_iter_next (&it, &id, &value)) {
+    KrBerth *b = value;
+    const KrMember *m = kr_records_find (p->node->records, id);
+    if (!may_move (b) || !m || m->part != p->index || (to >= 0 && b->leaving_to != to))
+      continue;
+    to = b->leaving_to;
+    kr_draft_add (draft, (guint) to, id, m->address);
+    kr_draft_remove (draft, id);
+    b->moving = TRUE;
+    g_ptr_array_add (w->moving, g_strdup (id));
+  }
+  if (to < 0) {
+    kr_draft_free (draft);
+    g_ptr_array_unref (w->moving);
+    g_free (w);
     return;
   }
-  json_object_set (json_object_get (to_v, "Berths"), b->id, entry);
-  json_object_del (json_object_get (from_v, "Berths"), b->id);
-  KrTxn *txn = kr_part_owner_txn (p);
-  RecordWrite *w = g_new0 (RecordWrite, 1);
-  g_autofree char *from_key = kr_membership_record_key (p->index);
-  g_autofree char *to_key = kr_membership_record_key (to);
-  kr_txn_when (txn, from_key, kr_membership_record (p->node->membership, p->index)->mark);
-  kr_txn_when (txn, to_key, kr_membership_record (p->node->membership, to)->mark);
-  kr_txn_put (txn, from_key, json_incref (from_v), 0);
-  kr_txn_put (txn, to_key, json_incref (to_v), 0);
-  w->part = kr_part_ref (p);
-  w->value = from_v;
-  w->to_value = to_v;
-  w->to = to;
-  w->moving = g_strdup (b->id);
-  p->record_busy = b->moving = TRUE;
-  kr_state_commit (p->node->state, txn, KR_NORMAL, KR_STATE_TIMEOUT_MS, p->cancel, record_written,
-                   w);
+  w->to = (guint) to;
+  commit (p, kr_part_owner_txn (p), w);
+}
+
+static void
+walk_member (const char *id, const KrMember *m, gpointer data)
+{
+  KrPart *p = data;
+  KrBerth *b = kr_part_berth (p, id);
+  if (g_hash_table_contains (p->leaving, id))
+    return;
+  if (!b) {
+    b = kr_berth_new (id);
+    b->joined = b->idle_since = kr_now ();
+    g_hash_table_insert (p->berths, b->id, b);
+    kr_debug ("part %u: machine %s joined", p->index, id);
+  }
+  b->used = *m->address != 0;
+  if (!b->endpoint && b->used)
+    b->endpoint = g_strdup (m->address);
+  /* The chunk was written since: what named its earlier Mark will not be executed any more. */
+  if (b->move_unknown && m->mark != b->chunk_mark)
+    b->moving = b->move_unknown = FALSE;
+  b->chunk_mark = m->mark;
 }
 
 void
 kr_part_record_changed (KrPart *p)
 {
-  KrRecord *r = kr_membership_record (p->node->membership, p->index);
-  json_t *berths = json_object_get (r->value, "Berths"), *o;
-  const char *id;
   GHashTableIter it;
   gpointer value;
-  gint64 now = kr_now ();
 
   if (!p->have_record)
     return;
-  json_object_foreach (berths, id, o)
-  {
-    KrBerth *b = kr_part_berth (p, id);
-    if (g_hash_table_contains (p->leaving, id))
-      continue;
-    if (!b) {
-      b = kr_berth_new (id);
-      b->joined = b->idle_since = now;
-      g_hash_table_insert (p->berths, b->id, b);
-      kr_info ("part %u: machine %s joined", p->index, id);
-    }
-    b->used = json_integer_value (json_object_get (o, "U")) != 0;
-    if (!b->endpoint && json_is_string (json_object_get (o, "E")))
-      b->endpoint = g_strdup (json_string_value (json_object_get (o, "E")));
-  }
+  kr_records_walk (p->node->records, p->index, walk_member, p);
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
-    if (!json_object_get (berths, b->id)) {
+    const KrMember *m = kr_records_find (p->node->records, b->id);
+    if (!m || m->part != p->index) {
       kr_berth_clear (b, kr_part_saw, p);
       g_hash_table_iter_remove (&it);
     }
   }
-  p->settled_written = json_is_true (json_object_get (r->value, "Settled"));
   kr_part_write_record (p);
 }
--- a/src/part.c
+++ b/src/part.c
@@ -23,7 +23,6 @@
   g_hash_table_unref (p->berths);
   g_hash_table_unref (p->leaving);
   g_object_unref (p->cancel);
-  json_decref (p->claim);
   g_free (p);
 }
 
@@ -304,7 +303,9 @@
 {
   GHashTableIter it;
   gpointer value;
-  double age = (double) (now - p->taken_at) / G_USEC_PER_SEC;
+  double age = (double) (now - p->taken_at) / G_USEC_PER_SEC,
+         proven =
+             (double) (kr_membership_proven (p->node->membership) - p->taken_at) / G_USEC_PER_SEC;
 
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
@@ -314,7 +315,7 @@
     /* Restarted ourselves, no other owner since all were fenced: nobody has answered it since the
      * takeover, so its lease is over. */
     if (p->quiet_before && !b->answered &&
-        age > p->node->settings->lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S) {
+        proven > p->node->settings->lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S) {
       kr_info ("machine %s: not reached, its lease is over", b->id);
       kr_berth_clear (b, kr_part_saw, p);
       b->must_fence = FALSE;
@@ -393,7 +394,6 @@
   if (b && p->phase == OPEN && !b->drain && b->leaving_to < 0 && to != p->index &&
       to < p->node->settings->size) {
     b->leaving_to = (gint) to;
-    kr_part_move (p, b);
   }
 }
 
@@ -484,7 +484,10 @@
 
   if (b->deleting)
     return;
-  if (b->answered && !kr_part_needs_fence (b) && kr_berth_lease_over (b, now, s->lease_s)) {
+  /* Judged at the last moment at which the part was surely ours: a node cut off from the state
+   * service must not take a machine that its successor has fenced, and now answers, for silent. */
+  if (b->answered && !kr_part_needs_fence (b) &&
+      kr_berth_lease_over (b, kr_membership_proven (p->node->membership), s->lease_s)) {
     if (kr_berth_busy (b))
       kr_info ("machine %s: silent, its lease is over, %u tasks gone", b->id, kr_berth_busy (b));
     kr_berth_clear (b, kr_part_saw, p);
@@ -518,8 +521,6 @@
   }
   if (b->drain && b->launches->len == 0)
     delete_berth (p, b, "drained");
-  else if (b->leaving_to >= 0 && b->launches->len == 0)
-    kr_part_move (p, b);
   if (b->reserved_for && now >= b->reserved_until)
     g_clear_pointer (&b->reserved_for, g_free);
 }
@@ -544,6 +545,7 @@
     kr_part_check_open (p);
   }
   kr_part_write_record (p);
+  kr_part_moves (p);
   kr_part_preempt (p, now);
   kr_part_flush (p);
   /* Cut off from the workers, but not from the state service: somebody else may reach them. */
@@ -557,54 +559,16 @@
 }
 
 /* --- taking over and letting go ------------------------------------------------------ */
-static void load (KrPart *p);
-static void claimed (guint status, json_t *body, gpointer data);
-
 static gboolean
-load_again (gpointer data)
+scan_again (gpointer data)
 {
   KrPart *p = data;
   if (!p->gone)
-    load (p);
+    kr_membership_rescan (p->node->membership);
   kr_part_unref (p);
   return G_SOURCE_REMOVE;
 }
 
-static void
-loaded (guint status, json_t *body, gpointer data)
-{
-  KrPart *p = data;
-  KrRecord *r = kr_membership_record (p->node->membership, p->index);
-  KrItem item;
-
-  if (p->gone) {
-    kr_part_unref (p);
-    return;
-  }
-  if (status != 200 && status != 404) {
-    kr_timer_add (KR_RETRY_MS, load_again, p);
-    return;
-  }
-  if (status == 200 && kr_wire_item_parse (body, &item))
-    kr_membership_note_record (p->node->membership, p->index, item.value, item.mark);
-  /* Whoever owns the part writes its name here before it says or answers anything. So if ours
-   * stands here, only our own earlier life, which is over, has been in touch with the machines. */
-  const char *holder = json_string_value (json_object_get (r->value, "Holder"));
-  if (g_strcmp0 (holder, p->node->settings->node_name) == 0 &&
-      json_is_true (json_object_get (r->value, "Settled")))
-    p->quiet_before = TRUE;
-  g_autofree char *key = kr_membership_record_key (p->index);
-  KrTxn *txn = kr_part_owner_txn (p);
-  json_t *v = kr_membership_record_copy (p->node->membership, p->index);
-  json_object_set_new (v, "Holder", json_string (p->node->settings->node_name));
-  json_object_set_new (v, "Settled", json_false ());
-  kr_txn_when (txn, key, r->mark);
-  kr_txn_put (txn, key, json_incref (v), 0);
-  json_decref (p->claim);
-  p->claim = v;
-  kr_state_commit (p->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, p->cancel, claimed, p);
-}
-
 static void
 claimed (guint status, json_t *body, gpointer data)
 {
@@ -612,15 +576,18 @@
   GHashTableIter it;
   gpointer value;
 
+  p->claiming = FALSE;
   if (p->gone) {
     kr_part_unref (p);
     return;
   }
   if (status != 200) {
-    kr_timer_add (KR_RETRY_MS, load_again, p);
+    kr_timer_add (KR_RETRY_MS, scan_again, p);
     return;
   }
-  kr_membership_note_record (p->node->membership, p->index, p->claim, kr_wire_revision (body));
+  json_t *v = kr_membership_claim_value (p->node->membership, FALSE);
+  kr_membership_note_claim (p->node->membership, p->index, v, kr_wire_revision (body));
+  json_decref (v);
   p->have_record = TRUE;
   kr_part_record_changed (p);
   g_hash_table_iter_init (&it, p->berths);
@@ -628,16 +595,25 @@
     KrBerth *b = value;
     b->must_fence = b->used;
   }
-
   kr_follow_rescan (p->node->jobs);
   kr_part_unref (p);
 }
 
-static void
-load (KrPart *p)
+/* The scan began after the key became ours: every machine that an earlier owner may have used is in
+ * it, since that was durable before the first run, and an earlier owner's later writes fail. */
+void
+kr_part_scanned (KrPart *p)
 {
-  g_autofree char *key = kr_membership_record_key (p->index);
-  kr_state_get (p->node->state, key, KR_STATE_TIMEOUT_MS, p->cancel, loaded, kr_part_ref (p));
+  const KrClaim *c = kr_membership_claim (p->node->membership, p->index);
+  if (p->have_record || p->claiming)
+    return;
+  /* Whoever owns the part writes its name here before it says or answers anything. So if ours
+   * stands here, only our own earlier life, which is over, has been in touch with the machines. */
+  if (g_strcmp0 (c->holder, p->node->settings->node_name) == 0 && c->settled)
+    p->quiet_before = TRUE;
+  p->claiming = TRUE;
+  kr_state_commit (p->node->state, kr_part_claim_txn (p, FALSE), KR_FIRST, KR_STATE_TIMEOUT_MS,
+                   p->cancel, claimed, kr_part_ref (p));
 }
 
 KrPart *
@@ -655,7 +631,7 @@
   p->taken_at = p->last_beat = kr_now ();
   p->tick = kr_timer_add (KR_TICK_MS, tick, p);
   kr_info ("part %u: taking over with token %" G_GUINT64_FORMAT, index, token);
-  load (p);
+  kr_membership_rescan (node->membership);
   return p;
 }
 
--- a/src/part.h
+++ b/src/part.h
@@ -16,6 +16,8 @@
 void kr_part_jobs_scanned (KrPart *self, json_t *items);
 void kr_part_job_event (KrPart *self, const KrItem *item);
 void kr_part_record_changed (KrPart *self);
+/* All of c/ was read anew. */
+void kr_part_scanned (KrPart *self);
 void kr_part_machines_listed (KrPart *self, GHashTable *by_id); /* id -> KrMachine */
 
 /* Takes over `request`. */
@@ -25,5 +27,7 @@
 
 /* For the leader: {"Part","Needs":[...],"Berths":[...]} */
 json_t *kr_part_summary (KrPart *self);
+/* Marks a machine; kr_part_moves moves what is marked and empty, together. */
 void kr_part_give (KrPart *self, const char *machine, guint to);
+void kr_part_moves (KrPart *self);
 void kr_part_return (KrPart *self, const char *machine);
--- /dev/null
+++ b/src/record.h
@@ -0,0 +1,45 @@
+/* Which machines are in which part, as it is durable: chunks of at most some hundred machines below
+ * c/berths/, so that no value grows with the deployment. An entry is the machine's address once it
+ * is used (something may have been started there), else "". No I/O. */
+#pragma once
+#include "settings.h"
+#include "wire.h"
+
+typedef struct {
+  guint part, chunk;
+  const char *address; /* "": not used yet. Valid until the next change of the chunk */
+  guint64 mark;        /* of the chunk */
+} KrMember;
+
+typedef struct KrRecords KrRecords;
+typedef struct {
+  void (*changed) (guint part, gpointer data);
+  void (*left) (const char *machine, gpointer data); /* in no part any more */
+} KrRecordEvents;
+
+KrRecords *kr_records_new (const KrSettings *settings, const KrRecordEvents *events, gpointer data);
+void kr_records_free (KrRecords *self);
+/* Takes in what a key below c/berths/ shows, if it is newer than what is known. */
+void kr_records_note (KrRecords *self, const KrItem *item);
+/* NULL: in no part. */
+const KrMember *kr_records_find (KrRecords *self, const char *machine);
+/* Walks a part's machines. */
+typedef void (*KrRecordWalk) (const char *machine, const KrMember *member, gpointer data);
+void kr_records_walk (KrRecords *self, guint part, KrRecordWalk walk, gpointer data);
+/* Calls walk for all parts' machines. */
+void kr_records_walk_all (KrRecords *self, KrRecordWalk walk, gpointer data);
+
+/* Changes to be made in one transaction: every chunk that they touch is a condition and a put. */
+typedef struct KrDraft KrDraft;
+KrDraft *kr_draft_new (KrRecords *records);
+void kr_draft_free (KrDraft *self);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrDraft, kr_draft_free)
+void kr_draft_add (KrDraft *self, guint part, const char *machine, const char *address);
+void kr_draft_set (KrDraft *self, const char *machine, const char *address);
+void kr_draft_remove (KrDraft *self, const char *machine);
+/* The machine's chunk is written as it is: whatever else names its Mark can no longer succeed. */
+void kr_draft_touch (KrDraft *self, const char *machine);
+guint kr_draft_ops (const KrDraft *self);
+void kr_draft_write (const KrDraft *self, KrTxn *txn);
+/* The transaction was executed at this revision. */
+void kr_draft_done (const KrDraft *self, guint64 revision);
--- a/src/rent.c
+++ b/src/rent.c
@@ -27,15 +27,15 @@
 struct KrRent {
   KrNode *node;
   GCancellable *cancel;
-  GHashTable *listed;   /* id -> KrMachine, of the newest list */
-  GHashTable *fresh;    /* id -> KrMachine: rented or seen, not yet in a list */
-  GHashTable *recorded; /* id -> part + 1 */
-  GHashTable *left;     /* id -> gint64*: when it left the records */
-  GHashTable *pools;    /* "type zone kind" -> Pool */
-  Summary *summaries;   /* a part each */
-  json_t **wishes;      /* a part each: what its owner shall be told */
+  GHashTable *listed; /* id -> KrMachine, of the newest list */
+  GHashTable *fresh;  /* id -> KrMachine: rented or seen, not yet in a list */
+  GHashTable *left;   /* id -> gint64*: when it left the records */
+  GHashTable *pools;  /* "type zone kind" -> Pool */
+  Summary *summaries; /* a part each */
+  json_t **wishes;    /* a part each: what its owner shall be told */
   guint requests;
   gboolean listing, types_busy, assigning, had_list;
+  gboolean records_read; /* since we lead, and since a write of ours with unknown outcome */
   gint64 next_types, next_list, next_rent, next_move;
   gint64 leading_since;
   guint timer;
@@ -70,40 +70,30 @@
 
 /* --- records ------------------------------------------------------------------------- */
 void
-kr_rent_records_changed (KrRent *r)
+kr_rent_left (KrRent *r, const char *id)
 {
-  g_autoptr (GHashTable) now = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  GHashTableIter it;
-  gpointer id;
-  const char *name;
-  json_t *o;
-
-  for (guint p = 0; p < r->node->settings->size; p++)
-    json_object_foreach (
-        json_object_get (kr_membership_record (r->node->membership, p)->value, "Berths"), name, o)
-        g_hash_table_insert (now, g_strdup (name), GUINT_TO_POINTER (p + 1));
-  g_hash_table_iter_init (&it, r->recorded);
-  while (g_hash_table_iter_next (&it, &id, NULL))
-    if (!g_hash_table_contains (now, id)) {
-      gint64 *at = g_new (gint64, 1);
-      *at = kr_now ();
-      g_hash_table_insert (r->left, g_strdup (id), at);
-      g_hash_table_remove (r->fresh, id);
-    }
+  gint64 *at = g_new (gint64, 1);
+  *at = kr_now ();
+  g_hash_table_replace (r->left, g_strdup (id), at);
+  g_hash_table_remove (r->fresh, id);
   g_hash_table_foreach_remove (r->left, long_gone, NULL);
-  g_hash_table_unref (r->recorded);
-  r->recorded = g_steal_pointer (&now);
+}
+
+void
+kr_rent_scanned (KrRent *r)
+{
+  r->records_read = kr_membership_leads (r->node->membership);
 }
 
 void
 kr_rent_seen (KrRent *r, const KrReport *report)
 {
+  /* What left the records was deleted: a late copy of its report brings it back nowhere. */
   if (!g_hash_table_contains (r->fresh, report->machine) &&
-      !g_hash_table_contains (r->recorded, report->machine)) {
+      !g_hash_table_contains (r->left, report->machine)) {
     kr_info ("machine %s: reports, but is in no part", report->machine);
     KrMachine *m = machine_new (report->machine, report->type, report->zone, report->spot);
     m->state = KR_MACHINE_RUNNING;
-    g_hash_table_remove (r->left, report->machine);
     g_hash_table_insert (r->fresh, m->id, m);
   }
 }
@@ -147,8 +137,10 @@
       kr_part_return (part, id);
   }
   for (guint p = 0; p < r->node->settings->size; p++)
-    if (r->node->parts[p])
+    if (r->node->parts[p]) {
+      kr_part_moves (r->node->parts[p]);
       json_array_append_new (parts, kr_part_summary (r->node->parts[p]));
+    }
   return json_pack ("{so}", "Parts", parts);
 }
 
@@ -204,22 +196,32 @@
   json_array_append_new (r->wishes[part], o);
 }
 
+/* Before machines are given out, all records are read anew: an earlier leader, or a write of ours
+ * with unknown outcome, may have put them into a part already. */
+static void
+read_records (KrRent *r)
+{
+  r->records_read = FALSE;
+  kr_membership_rescan (r->node->membership);
+}
+
 /* --- giving new machines to parts ---------------------------------------------------- */
 typedef struct {
   KrRent *rent;
-  guint part;
-  json_t *value;
+  KrDraft *draft;
 } Assign;
 
 static void
 assigned (guint status, json_t *body, gpointer data)
 {
   Assign *a = data;
-  a->rent->assigning = FALSE;
+  KrRent *r = a->rent;
+  r->assigning = FALSE;
   if (status == 200)
-    kr_membership_note_record (a->rent->node->membership, a->part, a->value,
-                               kr_wire_revision (body));
-  json_decref (a->value);
+    kr_draft_done (a->draft, kr_wire_revision (body));
+  else if (status == 0)
+    read_records (r); /* it may have been executed: a machine must not come into two parts */
+  kr_draft_free (a->draft);
   g_free (a);
 }
 
@@ -236,7 +238,7 @@
     g_hash_table_iter_init (&it, sources[k]);
     while (g_hash_table_iter_next (&it, &id, &value)) {
       gint64 *left = g_hash_table_lookup (r->left, id);
-      if (g_hash_table_contains (r->recorded, id) ||
+      if (kr_records_find (r->node->records, id) ||
           (k == 1 && g_hash_table_contains (r->fresh, id)))
         continue;
       /* Deleted ones are still listed for a while. */
@@ -248,37 +250,28 @@
   return out;
 }
 
+/* Each machine goes where most is lacking, all in one transaction. */
 static void
-assign (KrRent *r, GPtrArray *machines, const double *lack)
+assign (KrRent *r, GPtrArray *machines, double *lack)
 {
   const KrSettings *s = r->node->settings;
-  guint best = 0;
-  if (r->assigning || machines->len == 0)
+  if (r->assigning || !r->records_read)
     return;
-  for (guint p = 1; p < s->size; p++)
-    if (lack[p] > lack[best])
-      best = p;
-  /* A record a transaction; the rest follows in the next round. Shared out by what parts lack. */
-  double sum = 0;
-  for (guint p = 0; p < s->size; p++)
-    sum += MAX (lack[p], 0.01);
-  guint n = (guint) ceil (machines->len * MAX (lack[best], 0.01) / sum);
   Assign *a = g_new (Assign, 1);
-  json_t *v = kr_membership_record_copy (r->node->membership, best);
-  KrTxn *txn = kr_txn_new ();
-
-  *a = (Assign){ r, best, v };
-  for (guint i = 0; i < MIN (n, machines->len); i++) {
+  *a = (Assign){ r, kr_draft_new (r->node->records) };
+  for (guint i = 0; i < machines->len && kr_draft_ops (a->draft) < s->state_txn_ops; i++) {
     const KrMachine *m = machines->pdata[i];
-    json_object_set_new (json_object_get (v, "Berths"), m->id, json_pack ("{sI}", "U", 0LL));
+    const KrType *t = kr_node_type (r->node, m->type);
+    guint best = 0;
+    for (guint p = 1; p < s->size; p++)
+      if (lack[p] > lack[best])
+        best = p;
+    kr_draft_add (a->draft, best, m->id, "");
+    lack[best] -= t ? t->cpus : 0;
   }
+  KrTxn *txn = kr_txn_new ();
   kr_txn_when (txn, KR_LEADER_KEY, kr_membership_leader (r->node->membership)->mark);
-  for (guint p = 0; p < s->size; p++) {
-    g_autofree char *key = kr_membership_record_key (p);
-    kr_txn_when (txn, key, kr_membership_record (r->node->membership, p)->mark);
-    if (p == best)
-      kr_txn_put (txn, key, json_incref (v), 0);
-  }
+  kr_draft_write (a->draft, txn);
   r->assigning = TRUE;
   kr_state_commit (r->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, r->cancel, assigned, a);
 }
@@ -314,7 +307,7 @@
   if (status != 200 && status != 503 && status != 400)
     return; /* unknown: the same request again in the next period */
   for (guint i = 0; i < n; i++)
-    if (!g_hash_table_contains (r->recorded, ids[i])) {
+    if (!kr_records_find (r->node->records, ids[i])) {
       KrMachine *m = machine_new (ids[i], o->type, o->zone, o->spot);
       g_hash_table_insert (r->fresh, m->id, m);
     }
@@ -437,12 +430,37 @@
   return n;
 }
 
+typedef struct {
+  KrRent *rent;
+  GHashTable *berths; /* id -> json_t, of the summaries */
+  GPtrArray *supplies;
+} Collect;
+
+static void
+collect_member (const char *id, const KrMember *member, gpointer data)
+{
+  const Collect *c = data;
+  const KrMachine *m = machine (c->rent, id);
+  json_t *b = g_hash_table_lookup (c->berths, id);
+  const char *type = m ? m->type : json_string_value (json_object_get (b, "Type"));
+  KrSupply *s = g_new0 (KrSupply, 1);
+  s->id = g_strdup (id);
+  s->part = (gint) member->part;
+  s->type = type ? kr_node_type (c->rent->node, type) : NULL;
+  s->zone = m ? m->zone : NULL;
+  s->spot = m ? m->spot : json_is_true (json_object_get (b, "Spot"));
+  s->idle_s = b ? json_number_value (json_object_get (b, "Idle")) : -1;
+  s->rest_s = json_number_value (json_object_get (b, "Rest"));
+  s->to = b ? (gint) json_integer_value (json_object_get (b, "To")) : -1;
+  s->up = !b || json_is_true (json_object_get (b, "Up"));
+  s->going = json_is_true (json_object_get (b, "Going")) || (m && m->state == KR_MACHINE_FAILED);
+  g_ptr_array_add (c->supplies, s);
+}
+
 static void
 collect (KrRent *r, GPtrArray *needs, GPtrArray *supplies, gint64 now)
 {
   g_autoptr (GHashTable) berths = g_hash_table_new (g_str_hash, g_str_equal);
-  GHashTableIter it;
-  gpointer id, value;
   json_t *o;
   size_t i;
 
@@ -455,24 +473,8 @@
     json_array_foreach (json_object_get (s->value, "Berths"), i, o)
         g_hash_table_insert (berths, (gpointer) json_string_value (json_object_get (o, "Id")), o);
   }
-  g_hash_table_iter_init (&it, r->recorded);
-  while (g_hash_table_iter_next (&it, &id, &value)) {
-    const KrMachine *m = machine (r, id);
-    json_t *b = g_hash_table_lookup (berths, id);
-    const char *type = m ? m->type : json_string_value (json_object_get (b, "Type"));
-    KrSupply *s = g_new0 (KrSupply, 1);
-    s->id = g_strdup (id);
-    s->part = (gint) GPOINTER_TO_UINT (value) - 1;
-    s->type = type ? kr_node_type (r->node, type) : NULL;
-    s->zone = m ? m->zone : NULL;
-    s->spot = m ? m->spot : json_is_true (json_object_get (b, "Spot"));
-    s->idle_s = b ? json_number_value (json_object_get (b, "Idle")) : -1;
-    s->rest_s = json_number_value (json_object_get (b, "Rest"));
-    s->to = b ? (gint) json_integer_value (json_object_get (b, "To")) : -1;
-    s->up = !b || json_is_true (json_object_get (b, "Up"));
-    s->going = json_is_true (json_object_get (b, "Going")) || (m && m->state == KR_MACHINE_FAILED);
-    g_ptr_array_add (supplies, s);
-  }
+  const Collect c = { r, berths, supplies };
+  kr_records_walk_all (r->node->records, collect_member, (gpointer) &c);
 }
 
 /* Toward each part's share: free machines first (not yet up, or idle), then of the busy ones those
@@ -650,8 +652,10 @@
   if (!leads)
     r->leading_since = 0;
   else {
-    if (!r->leading_since)
+    if (!r->leading_since) {
       r->leading_since = now;
+      read_records (r);
+    }
     lead (r, now);
   }
   return G_SOURCE_CONTINUE;
@@ -665,7 +669,6 @@
   r->cancel = kr_cancellable_child (node->cancel);
   r->listed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
   r->fresh = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
-  r->recorded = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   r->left = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
   r->summaries = g_new0 (Summary, node->settings->size);
--- a/src/rent.h
+++ b/src/rent.h
@@ -6,7 +6,10 @@
 
 KrRent *kr_rent_new (KrNode *node);
 void kr_rent_free (KrRent *self);
-void kr_rent_records_changed (KrRent *self);
+/* A machine is in no part any more. */
+void kr_rent_left (KrRent *self, const char *machine);
+/* All records were read anew. */
+void kr_rent_scanned (KrRent *self);
 /* A machine in no part's record has reported here. */
 void kr_rent_seen (KrRent *self, const KrReport *report);
 /* A peer's exchange: the leader's wishes in, summaries of our parts out. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1005,8 +1005,8 @@
   ((Machine *) g_hash_table_lookup (S.machines, id))->slow = factor;
 }
 
-const char *
-sim_busiest_machine (void)
+static const char *
+by_tasks (gboolean most)
 {
   GHashTableIter it;
   gpointer value;
@@ -1014,12 +1014,26 @@
   g_hash_table_iter_init (&it, S.machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     Machine *m = value;
-    if (!m->dead && m->tasks->len && (!best || m->tasks->len > best->tasks->len))
+    if (m->dead || !m->up || (most && !m->tasks->len))
+      continue;
+    if (!best || (most ? m->tasks->len > best->tasks->len : m->tasks->len < best->tasks->len))
       best = m;
   }
   return best ? best->id : NULL;
 }
 
+const char *
+sim_busiest_machine (void)
+{
+  return by_tasks (TRUE);
+}
+
+const char *
+sim_idlest_machine (void)
+{
+  return by_tasks (FALSE);
+}
+
 gboolean
 sim_machine_lives (const char *id)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -33,6 +33,8 @@
 void sim_machine_slow (const char *id, double factor);
 /* The machine that runs most tasks, or NULL. */
 const char *sim_busiest_machine (void);
+/* The machine that is up and has the fewest, or NULL. */
+const char *sim_idlest_machine (void);
 guint sim_machines (void);
 gboolean sim_machine_lives (const char *id);
 guint sim_tasks_running (const char *job);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -89,6 +89,36 @@
   finish (400);
 }
 
+/* The successor reaches one machine, but not another, nor the cloud; the old owner, without the
+ * state service and its peers, still has the second. It must not take the first, which its
+ * successor answers, for silent and start its tasks on the second. */
+static void
+test_owner_with_workers_only (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 20, 1, 90, 600);
+  sim_run (45);
+  g_autofree char *kept = g_strdup (sim_idlest_machine ());
+  g_assert_nonnull (kept);
+  sim_cut_both ("n0", "state", SIM_DROP);
+  for (guint i = 1; i < usual.nodes; i++) {
+    g_autofree char *n = g_strdup_printf ("n%u", i);
+    sim_cut_both ("n0", n, SIM_DROP);
+    sim_cut_both (kept, n, SIM_DROP);
+    sim_cut_both ("cloud", n, SIM_DROP);
+  }
+  sim_run (60);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  for (guint i = 1; i < usual.nodes; i++) {
+    g_autofree char *n = g_strdup_printf ("n%u", i);
+    sim_cut_both ("n0", n, SIM_OPEN);
+    sim_cut_both (kept, n, SIM_OPEN);
+    sim_cut_both ("cloud", n, SIM_OPEN);
+  }
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  finish (600);
+}
+
 /* The same, with packets held back: transactions and reports arrive late. */
 static void
 test_delayed_messages (void)
@@ -394,6 +424,7 @@
   g_test_add_func ("/service/quiet", test_quiet);
   g_test_add_func ("/service/machines-returned", test_machines_returned);
   g_test_add_func ("/service/takeover-with-owner-alive", test_takeover_with_owner_alive);
+  g_test_add_func ("/service/owner-with-workers-only", test_owner_with_workers_only);
   g_test_add_func ("/service/delayed-messages", test_delayed_messages);
   g_test_add_func ("/service/lost-commit-answers", test_lost_commit_answers);
   g_test_add_func ("/service/state-outage", test_state_outage);
