--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -16,6 +16,8 @@
   KrEstimateInput in;
   KrRankKey key;
   gboolean skip;
+  double patience; /* s from submission after which it stops whatever it may */
+  gboolean stops;  /* it has waited long enough to stop others' tasks */
 } Candidate;
 
 static void
@@ -42,6 +44,32 @@
                                               : j->spec->deadline_s);
 }
 
+/* Seconds that fetching a job's image takes, on a machine or (NULL) on the slowest type. */
+static double
+fetch_s (KrPart *p, const KrBerth *b, const KrJob *j)
+{
+  const KrType *t = b && b->type ? kr_node_type (p->node, b->type) : NULL;
+  double rate = t ? t->pull_gb_s : G_MAXDOUBLE;
+  for (guint i = 0; !t && p->node->types && i < p->node->types->len; i++)
+    rate = MIN (rate, ((KrType *) p->node->types->pdata[i])->pull_gb_s);
+  return rate > 0 ? j->spec->image_gb / rate : 0;
+}
+
+/* Whether a job has waited long enough to stop others' tasks: at once where its class's wait
+ * objective leaves no time. */
+static void
+judge_waiting (KrPart *p, Candidate *c, KrRank lowest, gint64 now)
+{
+  const KrJob *j = c->job;
+  double waited = c->in.now - j->at;
+  double goal = kr_settings_wait (p->node->settings, j->spec->lane);
+  /* Time left for waiting, when a report and a fetch still have to follow. */
+  c->patience = MIN (goal / 2, goal - p->node->settings->report_s - fetch_s (p, NULL, j) -
+                                   KR_DEFAULT_SLACK_S);
+  c->stops = j->spec->rank > lowest && !j->cancelled && c->team && now >= j->hold_until &&
+             waited >= MIN (c->patience, KR_PREEMPT_WAIT_S);
+}
+
 /* All live jobs with what runs of them; team -> KrRoom in use, everything not surely gone. */
 static GPtrArray *
 candidates (KrPart *p, gint64 now, GHashTable *teams)
@@ -85,8 +113,14 @@
         kr_place_give (g_hash_table_lookup (teams, c->team), c->job->spec);
     }
   }
+  KrRank lowest = KR_RANK_CRITICAL;
+  for (guint i = 0; i < out->len; i++) {
+    Candidate *c = out->pdata[i];
+    rerank (c);
+    lowest = MIN (lowest, c->job->spec->rank);
+  }
   for (guint i = 0; i < out->len; i++)
-    rerank (out->pdata[i]);
+    judge_waiting (p, out->pdata[i], lowest, now);
   return out;
 }
 
@@ -258,6 +292,18 @@
   }
 }
 
+/* Who may stop others' tasks goes first (exception to the paper's order): what is started instead
+ * would be stopped at once. Among those, and among the rest, the paper's order holds. */
+static int
+before (const Candidate *a, const Candidate *b)
+{
+  if (a->stops != b->stops)
+    return a->stops ? -1 : 1;
+  if (a->stops && a->job->spec->rank != b->job->spec->rank)
+    return a->job->spec->rank > b->job->spec->rank ? -1 : 1;
+  return kr_rank_compare (&a->key, &b->key);
+}
+
 /* The paper's allocation, max variant, triggered by a machine's report: its free room goes out one
  * task at a time, to the first in rank that fits, and all are ranked anew after each grant. */
 void
@@ -277,7 +323,7 @@
     Candidate *best = NULL;
     for (guint i = 0; i < all->len; i++) {
       Candidate *c = all->pdata[i];
-      if (c->skip || (best && kr_rank_compare (&best->key, &c->key) < 0))
+      if (c->skip || (best && before (best, c) < 0))
         continue;
       /* Room and limits only shrink within a round: what fails once is out for good. */
       if (!may_run_here (p, b, c, now) || !kr_place_has_room (&room, c->job->spec) ||
@@ -287,8 +333,16 @@
       }
       best = c;
     }
-    if (!best)
-      return;
+    if (!best) {
+      /* The job for which room was held here has all its tasks: the rest is for the others. */
+      KrJob *holder = b->reserved_for ? kr_part_job (p, b->reserved_for) : NULL;
+      if (!holder || kr_job_unstarted (holder))
+        return;
+      g_clear_pointer (&b->reserved_for, g_free);
+      for (guint i = 0; i < all->len; i++)
+        ((Candidate *) all->pdata[i])->skip = FALSE;
+      continue;
+    }
     KrJob *j = best->job;
     if (j->spec->form == KR_FORM_GANG) {
       plan_gang (p, best, teams, now);
@@ -314,17 +368,6 @@
   return !j->spec->image || g_hash_table_contains (b->images, j->spec->image);
 }
 
-/* Seconds that fetching a job's image takes, on a machine or (NULL) on the slowest type. */
-static double
-fetch_s (KrPart *p, const KrBerth *b, const KrJob *j)
-{
-  const KrType *t = b && b->type ? kr_node_type (p->node, b->type) : NULL;
-  double rate = t ? t->pull_gb_s : G_MAXDOUBLE;
-  for (guint i = 0; !t && i < p->node->types->len; i++)
-    rate = MIN (rate, ((KrType *) p->node->types->pdata[i])->pull_gb_s);
-  return rate > 0 ? j->spec->image_gb / rate : 0;
-}
-
 /* What stopping a task loses, in seconds of its run. */
 static double
 loss_of (const KrLaunch *l, const KrJob *v, gint64 now)
@@ -482,23 +525,16 @@
   g_autoptr (GHashTable) teams =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   g_autoptr (GPtrArray) all = candidates (p, now, teams);
-  KrRank lowest = KR_RANK_CRITICAL;
   g_ptr_array_sort (all, rank_first);
-  if (all->len)
-    lowest = ((Candidate *) all->pdata[all->len - 1])->job->spec->rank;
   for (guint i = 0; i < all->len; i++) {
     Candidate *c = all->pdata[i];
     KrJob *j = c->job;
     double waited = c->in.now - j->at;
-    double goal = kr_settings_wait (p->node->settings, j->spec->lane);
-    /* Time left for waiting, when a report and a fetch still have to follow. */
-    double patience = MIN (goal / 2, goal - p->node->settings->report_s - fetch_s (p, NULL, j) -
-                                         KR_DEFAULT_SLACK_S);
-    if (!kr_job_unstarted (j) || j->cancelled || !c->team || now < j->hold_until ||
-        waited < MIN (patience, KR_PREEMPT_WAIT_S) ||
-        (j->spec->rank == lowest && c->team->cpus <= 0))
+    gboolean guarantee = c->team && c->team->cpus > 0 && !j->cancelled && now >= j->hold_until &&
+                         waited >= MIN (c->patience, KR_PREEMPT_WAIT_S);
+    if (!kr_job_unstarted (j) || (!c->stops && !guarantee))
       continue;
-    double most = waited > patience ? G_MAXDOUBLE : waited;
+    double most = waited > c->patience ? G_MAXDOUBLE : waited;
     KrRoom used = *(KrRoom *) g_hash_table_lookup (teams, c->team);
     guint want = 0, held = held_places (p, c, teams, most, now);
     for (; want < kr_job_unstarted (j) && kr_place_team_ok (c->team, &used, j->spec); want++)
@@ -543,6 +579,7 @@
   g_autoptr (GHashTable) teams =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   g_autoptr (GPtrArray) all = candidates (p, now, teams);
+  gboolean waiting = FALSE;
   json_t *needs = json_array (), *berths = json_array ();
   GHashTableIter it;
   gpointer value;
@@ -561,6 +598,7 @@
       want = MIN (want, MAX (0, (c->team->cpus_max - used->cpus) / s->cpus));
     if (c->team->gpus_max > 0 && s->gpus > 0)
       want = MIN (want, MAX (0, (c->team->gpus_max - used->gpus) / s->gpus));
+    waiting |= want > 0;
     used->cpus += want * s->cpus;
     used->gpus += want * s->gpus;
     double slots = want + c->in.running;
@@ -590,5 +628,6 @@
                    b->drain || b->deleting || b->notice_at != 0 || silent (p, b, now), "To",
                    (json_int_t) b->leaving_to));
   }
-  return json_pack ("{sI so so}", "Part", (json_int_t) p->index, "Needs", needs, "Berths", berths);
+  return json_pack ("{sI sb so so}", "Part", (json_int_t) p->index, "Waiting", waiting, "Needs",
+                    needs, "Berths", berths);
 }
--- a/src/part.h
+++ b/src/part.h
@@ -25,7 +25,7 @@
 /* Live counts of a job; FALSE if it is not known here. */
 gboolean kr_part_counts (KrPart *self, const char *job, guint *done, guint *running);
 
-/* For the leader: {"Part","Needs":[...],"Berths":[...]} */
+/* For the leader: {"Part","Waiting","Needs":[...],"Berths":[...]} */
 json_t *kr_part_summary (KrPart *self);
 /* Marks a machine; kr_part_moves moves what is marked and empty, together. */
 void kr_part_give (KrPart *self, const char *machine, guint to);
--- a/src/rent.c
+++ b/src/rent.c
@@ -477,6 +477,12 @@
   kr_records_walk_all (r->node->records, collect_member, (gpointer) &c);
 }
 
+static gboolean
+waiting (KrRent *r, guint part)
+{
+  return json_is_true (json_object_get (r->summaries[part].value, "Waiting"));
+}
+
 /* Toward each part's share: free machines first (not yet up, or idle), then of the busy ones those
  * that are empty soonest, a few at a time, since a machine that empties itself stands partly idle.
  */
@@ -508,7 +514,9 @@
            !(have[most] <= 0 && targets[most] > 0)) || /* never none where something is wanted */
           have[s->part] - targets[s->part] < s->type->cpus / 2)
         continue;
-      if (!free && (!busy_too || leaving[s->part] >= 1 + count[s->part] / KR_LEAVING_PART))
+      /* A part where nothing waits loses nothing by emptying its machines. */
+      if (!free && waiting (r, (guint) s->part) &&
+          (!busy_too || leaving[s->part] >= 1 + count[s->part] / KR_LEAVING_PART))
         continue;
       if (!best || s->rest_s < best->rest_s)
         best = s;
