--- a/src/agent.h
+++ b/src/agent.h
@@ -17,7 +17,10 @@
   gboolean adopted;  /* found on the machine: its start time is unknown */
   KrKill kill;
   gboolean planned; /* place held, `run` goes out with the machine's next report */
-  gboolean counted; /* part: it counts as active of its job */
+  /* part: the live job as whose task it counts (KrLive), and its place there; NULL: exited, or of
+   * no known job */
+  gpointer of;
+  guint slot;
 } KrLaunch;
 
 typedef struct {
--- a/src/api.c
+++ b/src/api.c
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "part.h"
 #include "place.h"
+#include <math.h>
 #include <string.h>
 
 typedef struct {
@@ -251,9 +252,9 @@
     kr_request_reply (request, 422, kr_wire_error (why), 0);
   else if (too_busy (a, request))
     return;
-  else if (kr_state_write_wait (state) > KR_USER_WRITE_MS / 2000.0)
+  else if (kr_state_write_wait (state) > KR_USER_WAIT_S)
     kr_request_reply (request, 429, kr_wire_error ("too many writes"),
-                      (guint) kr_state_write_wait (state));
+                      (guint) ceil (kr_state_write_wait (state)));
   else {
     Visit *v = visit_new (a, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_MS);
     g_autofree char *key = kr_job_key (spec->id), *end = kr_job_end_key (spec->id);
--- a/src/constants.h
+++ b/src/constants.h
@@ -13,6 +13,7 @@
 #define KR_STATE_TIMEOUT_MS 2500   /* ms; state calls take 10 ms, now and then some hundreds */
 #define KR_USER_READ_MS 1700       /* ms; a user waits 2 s for a poll's answer */
 #define KR_USER_WRITE_MS 4000      /* ms; a user waits 5 s for the answer to a submission */
+#define KR_USER_WAIT_S 1.0         /* s; a write that would wait longer is refused at once */
 #define KR_CLOUD_TIMEOUT_MS 10000  /* ms; rentals are slow; the outcome matters */
 #define KR_WORKER_TIMEOUT_MS 1500  /* ms; a reachable worker answers in a few */
 #define KR_PEER_TIMEOUT_MS 1500    /* ms; a reachable peer answers in a few, if it is not starved */
@@ -36,6 +37,7 @@
 #define KR_CHUNK_BITS 24000     /* tasks a chunk of a done set: 4 KB in base64 */
 #define KR_COMMIT_BYTES 40000   /* bytes; a batch stays well below the protocol's 64 KiB */
 #define KR_FLUSH_MS 5000        /* ms; a job's progress is written this often at most */
+#define KR_ENDS_MIN 4           /* changes; two jobs' ends go out together at least */
 #define KR_RESERVE_SHARE 0.25   /* of a burst: what progress leaves to accepts and ends */
 #define KR_FLUSH_NEXT_MS 10     /* ms; between batches when more than one is due */
 #define KR_FINAL_CACHE 4096     /* jobs whose final answer a node remembers */
@@ -77,6 +79,7 @@
 #define KR_JOB_HOLD_MAX_S 120.0    /* s; longest such pause */
 #define KR_JOB_FAIL_BERTHS 2       /* machines on which a job must fail to be held back */
 #define KR_SICK_JOBS 2             /* jobs failing only there: the machine is sick */
+#define KR_RANK_MS 100             /* ms that the rank of an unchanged job is used again */
 #define KR_DEFAULT_WAIT_S 60.0     /* s; in which a job without such an objective should start */
 #define KR_PACE_TASKS 4            /* completed tasks before a pace or a mean says anything */
 #define KR_PACE_WEIGHT 0.3         /* of the newest task in a machine's pace */
--- a/src/flow.c
+++ b/src/flow.c
@@ -60,6 +60,12 @@
   b->at = now;
 }
 
+double
+kr_bucket_burst (KrBucket *b)
+{
+  return b->burst;
+}
+
 double
 kr_bucket_spare (KrBucket *b)
 {
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -8,35 +8,6 @@
 #include <math.h>
 
 /* --- scheduling ---------------------------------------------------------------------- */
-/* A job as the paper's functions see it, for one round. */
-typedef struct {
-  KrJob *job;
-  const KrTeam *team;
-  GArray *elapsed;
-  KrEstimateInput in;
-  KrRankKey key;
-  gboolean skip;
-  double patience; /* s from submission after which it stops whatever it may */
-  gboolean stops;  /* it has waited long enough to stop others' tasks */
-} Candidate;
-
-static void
-candidate_free (gpointer data)
-{
-  Candidate *c = data;
-  g_array_unref (c->elapsed);
-  g_free (c);
-}
-
-static void
-rerank (Candidate *c)
-{
-  c->in.elapsed = (const double *) (gpointer) c->elapsed->data;
-  c->in.running = c->elapsed->len;
-  c->in.unstarted = kr_job_unstarted (c->job);
-  c->key = kr_rank_key (&c->in, c->job->spec->id);
-}
-
 static double
 goal_of (KrPart *p, const KrJob *j)
 {
@@ -58,7 +29,7 @@
 /* Whether a job has waited long enough to stop others' tasks: at once where its class's wait
  * objective leaves no time. */
 static void
-judge_waiting (KrPart *p, Candidate *c, KrRank lowest, gint64 now)
+judge_waiting (KrPart *p, KrLive *c, KrRank lowest, gint64 now)
 {
   const KrJob *j = c->job;
   double waited = c->in.now - j->at;
@@ -70,58 +41,105 @@
              waited >= MIN (c->patience, KR_PREEMPT_WAIT_S);
 }
 
-/* All live jobs with what runs of them; team -> KrRoom in use, everything not surely gone. */
-static GPtrArray *
-candidates (KrPart *p, gint64 now, GHashTable *teams)
+/* --- live jobs ----------------------------------------------------------------------- */
+KrLive *
+kr_live_new (KrPart *p, KrJob *job)
 {
-  GPtrArray *out = g_ptr_array_new_with_free_func (candidate_free);
-  g_autoptr (GHashTable) by_id = g_hash_table_new (g_str_hash, g_str_equal);
-  GHashTableIter it;
-  gpointer value;
-  double real = kr_time_of_day ();
+  KrLive *c = g_new0 (KrLive, 1);
+  const GPtrArray *teams = p->node->settings->teams;
+  c->part = p;
+  c->job = job;
+  c->launches = g_ptr_array_new ();
+  c->elapsed = g_array_new (FALSE, FALSE, sizeof (double));
+  c->team = kr_settings_team (p->node->settings, job->spec->team);
+  for (guint i = 0; i < teams->len; i++)
+    if (teams->pdata[i] == c->team)
+      c->used = &p->used[i];
+  g_ptr_array_add (p->lives, c);
+  p->ranked_at = 0;
+  return c;
+}
 
-  g_hash_table_iter_init (&it, p->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    KrJob *j = value;
-    Candidate *c = g_new0 (Candidate, 1);
-    c->job = j;
-    c->team = kr_settings_team (p->node->settings, j->spec->team);
-    c->elapsed = g_array_new (FALSE, FALSE, sizeof (double));
-    c->in = (KrEstimateInput){ .sum = j->sum,
-                               .count = j->count,
-                               .now = real,
-                               .goal = goal_of (p, j),
-                               .submitted = j->at,
-                               .held = j->spec->form == KR_FORM_SERVICE,
-                               .guess_s = j->spec->estimate_s };
-    g_ptr_array_add (out, c);
-    g_hash_table_insert (by_id, j->spec->id, c);
-    if (c->team && !g_hash_table_contains (teams, c->team))
-      g_hash_table_insert (teams, (gpointer) c->team, g_new0 (KrRoom, 1));
-  }
-  g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    KrBerth *b = value;
-    for (guint i = 0; i < b->launches->len; i++) {
-      KrLaunch *l = b->launches->pdata[i];
-      Candidate *c = g_hash_table_lookup (by_id, l->job);
-      if (!c || l->state == KR_TASK_EXITED)
-        continue;
-      double e = kr_launch_ran_s (l, now);
-      g_array_append_val (c->elapsed, e);
-      if (c->team)
-        kr_place_give (g_hash_table_lookup (teams, c->team), c->job->spec);
-    }
-  }
+void
+kr_live_free (gpointer live)
+{
+  KrLive *c = live;
+  while (c->launches->len)
+    kr_live_drop (c->launches->pdata[0]);
+  g_ptr_array_unref (c->launches);
+  g_array_unref (c->elapsed);
+  g_ptr_array_remove_fast (c->part->lives, c);
+  kr_job_free (c->job);
+  g_free (c);
+}
+
+void
+kr_live_add (KrLive *c, KrLaunch *l)
+{
+  l->of = c;
+  l->slot = c->launches->len;
+  g_ptr_array_add (c->launches, l);
+  kr_job_add_active (c->job, l->index);
+  if (c->used)
+    kr_place_give (c->used, c->job->spec);
+}
+
+void
+kr_live_drop (KrLaunch *l)
+{
+  KrLive *c = l->of;
+  if (!c)
+    return;
+  g_ptr_array_remove_index_fast (c->launches, l->slot);
+  if (l->slot < c->launches->len)
+    ((KrLaunch *) c->launches->pdata[l->slot])->slot = l->slot;
+  l->of = NULL;
+  kr_job_drop_active (c->job, l->index);
+  if (c->used)
+    kr_place_take (c->used, c->job->spec);
+}
+
+static void
+rerank (KrPart *p, KrLive *c, gint64 now, double real)
+{
+  const KrJob *j = c->job;
+  g_array_set_size (c->elapsed, c->launches->len);
+  for (guint i = 0; i < c->launches->len; i++)
+    g_array_index (c->elapsed, double, i) = kr_launch_ran_s (c->launches->pdata[i], now);
+  c->in = (KrEstimateInput){ .sum = j->sum,
+                             .count = j->count,
+                             .unstarted = kr_job_unstarted (j),
+                             .running = c->elapsed->len,
+                             .elapsed = (const double *) (gpointer) c->elapsed->data,
+                             .now = real,
+                             .goal = goal_of (p, j),
+                             .submitted = j->at,
+                             .held = j->spec->form == KR_FORM_SERVICE,
+                             .guess_s = j->spec->estimate_s };
+  c->key = kr_rank_key (&c->in, j->spec->id);
+}
+
+/* Ranks all live jobs as of now; what was ranked within KR_RANK_MS and has not changed since stays.
+ */
+static void
+rank_all (KrPart *p, gint64 now)
+{
   KrRank lowest = KR_RANK_CRITICAL;
-  for (guint i = 0; i < out->len; i++) {
-    Candidate *c = out->pdata[i];
-    rerank (c);
+  double real = kr_time_of_day ();
+  gboolean all = now - p->ranked_at >= KR_RANK_MS * 1000;
+
+  for (guint i = 0; i < p->lives->len; i++) {
+    KrLive *c = p->lives->pdata[i];
+    if (all || c->in.running != c->launches->len || c->in.count != c->job->count ||
+        c->in.unstarted != kr_job_unstarted (c->job))
+      rerank (p, c, now, real);
     lowest = MIN (lowest, c->job->spec->rank);
+    c->skip = FALSE;
   }
-  for (guint i = 0; i < out->len; i++)
-    judge_waiting (p, out->pdata[i], lowest, now);
-  return out;
+  for (guint i = 0; all && i < p->lives->len; i++)
+    judge_waiting (p, p->lives->pdata[i], lowest, now);
+  if (all)
+    p->ranked_at = now;
 }
 
 static gboolean
@@ -135,10 +153,9 @@
     KrLaunch *l = b->launches->pdata[i];
     if (l->state == KR_TASK_EXITED)
       continue;
-    KrJob *j = kr_part_job (p, l->job);
-    if (!j)
+    if (!l->of)
       return FALSE; /* unknown load: nothing more until it is gone */
-    kr_place_take (room, j->spec);
+    kr_place_take (room, ((KrLive *) l->of)->job->spec);
   }
   return TRUE;
 }
@@ -179,16 +196,16 @@
   double rest = 0;
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
-    KrJob *j = kr_part_job (p, l->job);
-    double mean = j ? mean_of (j) : 0;
-    if (l->state != KR_TASK_EXITED)
-      rest = MAX (rest, mean - kr_launch_ran_s (l, now));
+    if (l->state == KR_TASK_EXITED)
+      continue;
+    double mean = l->of ? mean_of (((KrLive *) l->of)->job) : 0;
+    rest = MAX (rest, mean - kr_launch_ran_s (l, now));
   }
   return rest;
 }
 
 static gboolean
-may_run_here (KrPart *p, const KrBerth *b, const Candidate *c, gint64 now)
+may_run_here (KrPart *p, const KrBerth *b, const KrLive *c, gint64 now)
 {
   KrJob *j = c->job;
   if (j->cancelled || j->chunks_missing || !c->team || now < j->hold_until || kr_job_next (j) < 0)
@@ -206,18 +223,14 @@
 }
 
 static KrLaunch *
-launch (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, guint task)
+launch (KrPart *p, KrBerth *b, KrLive *c, guint task, gint64 now)
 {
   KrJob *j = c->job;
   KrLaunch *l =
       kr_berth_launch (b, j->spec->id, task, (p->token << KR_LAUNCH_BITS) + ++p->launches);
-  double zero = 0;
 
-  kr_job_add_active (j, task);
-  l->counted = TRUE;
-  kr_place_give (g_hash_table_lookup (teams, c->team), j->spec);
-  g_array_append_val (c->elapsed, zero);
-  rerank (c);
+  kr_live_add (c, l);
+  rerank (p, c, now, c->in.now);
   return l;
 }
 
@@ -231,10 +244,10 @@
 /* A gang is granted only whole: places are held on as many machines as it takes, and each machine's
  * next report brings its tasks there. A gang with some tasks lost is stopped and starts again. */
 static void
-plan_gang (KrPart *p, Candidate *c, GHashTable *teams, gint64 now)
+plan_gang (KrPart *p, KrLive *c, gint64 now)
 {
   KrJob *j = c->job;
-  KrRoom *used = g_hash_table_lookup (teams, c->team), after = *used;
+  KrRoom after = *c->used;
   g_autoptr (GPtrArray) places = g_ptr_array_new ();
   guint want = kr_job_unstarted (j);
   GHashTableIter it;
@@ -273,7 +286,7 @@
   kr_info ("job %s: a gang of %u gets its places", j->spec->id, want);
   guint64 attempt = 0; /* one for all: its tasks gather by it (docs/questions.md) */
   for (guint i = 0; i < want; i++) {
-    KrLaunch *l = launch (p, places->pdata[i], c, teams, (guint) kr_job_next (j));
+    KrLaunch *l = launch (p, places->pdata[i], c, (guint) kr_job_next (j), now);
     l->planned = TRUE;
     attempt = l->attempt = attempt ? attempt : l->attempt;
   }
@@ -295,7 +308,7 @@
 /* Who may stop others' tasks goes first (exception to the paper's order): what is started instead
  * would be stopped at once. Among those, and among the rest, the paper's order holds. */
 static int
-before (const Candidate *a, const Candidate *b)
+before (const KrLive *a, const KrLive *b)
 {
   if (a->stops != b->stops)
     return a->stops ? -1 : 1;
@@ -315,19 +328,17 @@
   KrJob *waiting = b->reserved_for ? kr_part_job (p, b->reserved_for) : NULL;
   if (b->reserved_for && (!waiting || !kr_job_unstarted (waiting)))
     g_clear_pointer (&b->reserved_for, g_free);
-  g_autoptr (GHashTable) teams =
-      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-  g_autoptr (GPtrArray) all = candidates (p, now, teams);
+  rank_all (p, now);
 
   for (;;) {
-    Candidate *best = NULL;
-    for (guint i = 0; i < all->len; i++) {
-      Candidate *c = all->pdata[i];
+    KrLive *best = NULL;
+    for (guint i = 0; i < p->lives->len; i++) {
+      KrLive *c = p->lives->pdata[i];
       if (c->skip || (best && before (best, c) < 0))
         continue;
       /* Room and limits only shrink within a round: what fails once is out for good. */
-      if (!may_run_here (p, b, c, now) || !kr_place_has_room (&room, c->job->spec) ||
-          !kr_place_team_ok (c->team, g_hash_table_lookup (teams, c->team), c->job->spec)) {
+      if (!kr_place_has_room (&room, c->job->spec) || !may_run_here (p, b, c, now) ||
+          !kr_place_team_ok (c->team, c->used, c->job->spec)) {
         c->skip = TRUE;
         continue;
       }
@@ -339,19 +350,19 @@
       if (!holder || kr_job_unstarted (holder))
         return;
       g_clear_pointer (&b->reserved_for, g_free);
-      for (guint i = 0; i < all->len; i++)
-        ((Candidate *) all->pdata[i])->skip = FALSE;
+      for (guint i = 0; i < p->lives->len; i++)
+        ((KrLive *) p->lives->pdata[i])->skip = FALSE;
       continue;
     }
     KrJob *j = best->job;
     if (j->spec->form == KR_FORM_GANG) {
-      plan_gang (p, best, teams, now);
+      plan_gang (p, best, now);
       best->skip = TRUE;
       if (!free_room (p, b, &room))
         return;
       continue;
     }
-    KrLaunch *l = launch (p, b, best, teams, (guint) kr_job_next (j));
+    KrLaunch *l = launch (p, b, best, (guint) kr_job_next (j), now);
     guint task = l->index;
     l->doubt_seq = b->seq;
     kr_place_take (&room, j->spec);
@@ -378,8 +389,7 @@
 
 /* The task on `b` that may be stopped for `c` and loses least; tasks in `out` are spoken for. */
 static KrLaunch *
-victim (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, GPtrArray *out, gint64 now,
-        double *loss)
+victim (KrPart *p, KrBerth *b, KrLive *c, GPtrArray *out, gint64 now, double *loss)
 {
   /* A guarantee may stop work of any Rank, but that of higher Rank only when the wait is over:
    * otherwise the two stop each other in turn. */
@@ -388,12 +398,11 @@
   KrLaunch *best = NULL;
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
-    KrJob *v = kr_part_job (p, l->job);
-    const KrTeam *vt = v ? kr_settings_team (p->node->settings, v->spec->team) : NULL;
-    if (!vt || l->state == KR_TASK_EXITED || l->state == KR_TASK_DOUBT ||
+    const KrLive *of = l->of;
+    const KrJob *v = of ? of->job : NULL;
+    if (!v || !of->team || l->state == KR_TASK_EXITED || l->state == KR_TASK_DOUBT ||
         (v->spec->rank > c->job->spec->rank && !upward) || g_ptr_array_find (out, l, NULL) ||
-        !kr_place_may_stop (c->job->spec, c->team, g_hash_table_lookup (teams, c->team), v->spec,
-                            vt, g_hash_table_lookup (teams, vt)))
+        !kr_place_may_stop (c->job->spec, c->team, c->used, v->spec, of->team, of->used))
       continue;
     double x = l->kill ? 0 : loss_of (l, v, now); /* those stopping already come first */
     if (!best || x < *loss) {
@@ -406,7 +415,7 @@
 
 /* Whom to stop on `b` so that one task of `c` fits; NULL if that is not enough. */
 static GPtrArray *
-victims (KrPart *p, KrBerth *b, Candidate *c, GHashTable *teams, gint64 now, double *total)
+victims (KrPart *p, KrBerth *b, KrLive *c, gint64 now, double *total)
 {
   g_autoptr (GPtrArray) out = g_ptr_array_new ();
   KrRoom room;
@@ -415,12 +424,12 @@
     return NULL;
   while (!kr_place_has_room (&room, c->job->spec)) {
     double loss = 0;
-    KrLaunch *l = victim (p, b, c, teams, out, now, &loss);
+    KrLaunch *l = victim (p, b, c, out, now, &loss);
     if (!l)
       return NULL;
     g_ptr_array_add (out, l);
     *total += loss;
-    kr_place_give (&room, kr_part_job (p, l->job)->spec);
+    kr_place_give (&room, ((KrLive *) l->of)->job->spec);
   }
   return g_steal_pointer (&out);
 }
@@ -428,7 +437,7 @@
 /* Holds a machine for a waiting job, and stops there what has run no longer than `most` seconds:
  * the rest may end by itself first. */
 static void
-hold (KrPart *p, KrBerth *b, Candidate *c, GPtrArray *stop, double most, gint64 now)
+hold (KrPart *p, KrBerth *b, KrLive *c, GPtrArray *stop, double most, gint64 now)
 {
   gboolean any = FALSE;
   if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0) {
@@ -438,7 +447,7 @@
   b->reserved_until = now + kr_seconds (KR_RESERVE_S);
   for (guint i = 0; i < stop->len; i++) {
     KrLaunch *l = stop->pdata[i];
-    if (l->kill || loss_of (l, kr_part_job (p, l->job), now) > most)
+    if (l->kill || loss_of (l, ((KrLive *) l->of)->job, now) > most)
       continue;
     l->kill = KR_KILL_SLACK;
     any = TRUE;
@@ -449,7 +458,7 @@
 }
 
 static guint
-places_on (KrPart *p, const KrBerth *b, const Candidate *c)
+places_on (KrPart *p, const KrBerth *b, const KrLive *c)
 {
   const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
   return t ? MAX (1, (guint) (1 / kr_place_share (c->job->spec, t))) : 0;
@@ -457,7 +466,7 @@
 
 /* Tasks of `c` that the machines held for it have room for, once what may be stopped there has. */
 static guint
-held_places (KrPart *p, Candidate *c, GHashTable *teams, double most, gint64 now)
+held_places (KrPart *p, KrLive *c, double most, gint64 now)
 {
   GHashTableIter it;
   gpointer value;
@@ -469,7 +478,7 @@
     if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0 || now >= b->reserved_until ||
         !kr_part_usable (p, b, now))
       continue;
-    g_autoptr (GPtrArray) stop = victims (p, b, c, teams, now, &total);
+    g_autoptr (GPtrArray) stop = victims (p, b, c, now, &total);
     if (!stop)
       continue; /* no longer of use: runs out */
     hold (p, b, c, stop, most, now);
@@ -478,37 +487,59 @@
   return n;
 }
 
-/* The free machine where making room for one task of `c` loses least. */
-static KrBerth *
-best_to_hold (KrPart *p, Candidate *c, GHashTable *teams, gint64 now, GPtrArray **stop)
+/* A machine that could be held, whom to stop there, and what that loses. */
+typedef struct {
+  KrBerth *berth;
+  GPtrArray *stop;
+  double total;
+} Holdable;
+
+static void
+holdable_free (gpointer p)
 {
-  KrBerth *best = NULL;
-  double best_total = G_MAXDOUBLE, total;
+  Holdable *h = p;
+  g_ptr_array_unref (h->stop);
+  g_free (h);
+}
+
+static int
+least_loss (gconstpointer a, gconstpointer b)
+{
+  const Holdable *x = *(Holdable *const *) a, *y = *(Holdable *const *) b;
+  return x->total < y->total ? -1 : x->total > y->total;
+}
+
+/* The machines not held yet, those first where making room for one task of `c` loses least. */
+static GPtrArray *
+holdable (KrPart *p, KrLive *c, gint64 now)
+{
+  GPtrArray *all = g_ptr_array_new_with_free_func (holdable_free);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
+    double total;
     if ((b->reserved_for && now < b->reserved_until) || b->leaving_to >= 0 ||
         !kr_part_usable (p, b, now) || !may_run_here (p, b, c, now))
       continue;
-    g_autoptr (GPtrArray) out = victims (p, b, c, teams, now, &total);
-    if (out && !has_image (b, c->job))
+    GPtrArray *stop = victims (p, b, c, now, &total);
+    if (!stop)
+      continue;
+    if (!has_image (b, c->job))
       total += fetch_s (p, b, c->job); /* as good as run time lost */
-    if (out && total < best_total) {
-      best = b;
-      best_total = total;
-      g_clear_pointer (stop, g_ptr_array_unref);
-      *stop = g_steal_pointer (&out);
-    }
+    Holdable *h = g_new (Holdable, 1);
+    *h = (Holdable){ b, stop, total };
+    g_ptr_array_add (all, h);
   }
-  return best;
+  g_ptr_array_sort (all, least_loss);
+  return all;
 }
 
 static int
 rank_first (gconstpointer a, gconstpointer b)
 {
-  const Candidate *x = *(Candidate *const *) a, *y = *(Candidate *const *) b;
+  const KrLive *x = *(KrLive *const *) a, *y = *(KrLive *const *) b;
   if (x->job->spec->rank != y->job->spec->rank)
     return x->job->spec->rank > y->job->spec->rank ? -1 : 1;
   return kr_rank_compare (&x->key, &y->key);
@@ -522,12 +553,11 @@
 {
   if (p->phase != OPEN || !p->node->types)
     return;
-  g_autoptr (GHashTable) teams =
-      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-  g_autoptr (GPtrArray) all = candidates (p, now, teams);
-  g_ptr_array_sort (all, rank_first);
-  for (guint i = 0; i < all->len; i++) {
-    Candidate *c = all->pdata[i];
+  rank_all (p, now);
+  g_autoptr (GPtrArray) order = g_ptr_array_copy (p->lives, NULL, NULL);
+  g_ptr_array_sort (order, rank_first);
+  for (guint i = 0; i < order->len; i++) {
+    KrLive *c = order->pdata[i];
     KrJob *j = c->job;
     double waited = c->in.now - j->at;
     gboolean guarantee = c->team && c->team->cpus > 0 && !j->cancelled && now >= j->hold_until &&
@@ -535,17 +565,17 @@
     if (!kr_job_unstarted (j) || (!c->stops && !guarantee))
       continue;
     double most = waited > c->patience ? G_MAXDOUBLE : waited;
-    KrRoom used = *(KrRoom *) g_hash_table_lookup (teams, c->team);
-    guint want = 0, held = held_places (p, c, teams, most, now);
+    KrRoom used = *c->used;
+    guint want = 0, held = held_places (p, c, most, now);
     for (; want < kr_job_unstarted (j) && kr_place_team_ok (c->team, &used, j->spec); want++)
       kr_place_give (&used, j->spec);
-    while (held < want) {
-      g_autoptr (GPtrArray) stop = NULL;
-      KrBerth *b = best_to_hold (p, c, teams, now, &stop);
-      if (!b)
-        break;
-      hold (p, b, c, stop, most, now);
-      held += places_on (p, b, c);
+    if (held >= want)
+      continue;
+    g_autoptr (GPtrArray) more = holdable (p, c, now);
+    for (guint k = 0; k < more->len && held < want; k++) {
+      const Holdable *h = more->pdata[k];
+      hold (p, h->berth, c, h->stop, most, now);
+      held += places_on (p, h->berth, c);
     }
   }
 }
@@ -576,16 +606,15 @@
 kr_part_summary (KrPart *p)
 {
   gint64 now = kr_now ();
-  g_autoptr (GHashTable) teams =
-      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-  g_autoptr (GPtrArray) all = candidates (p, now, teams);
+  rank_all (p, now);
   gboolean waiting = FALSE;
+  g_autofree KrRoom *rooms = g_memdup2 (p->used, p->node->settings->teams->len * sizeof (KrRoom));
   json_t *needs = json_array (), *berths = json_array ();
   GHashTableIter it;
   gpointer value;
 
-  for (guint i = 0; i < all->len; i++) {
-    Candidate *c = all->pdata[i];
+  for (guint i = 0; i < p->lives->len; i++) {
+    KrLive *c = p->lives->pdata[i];
     const KrSpec *s = c->job->spec;
     if (c->job->cancelled || !c->team)
       continue;
@@ -593,7 +622,7 @@
     if (now < c->job->hold_until)
       want = 0;
     /* Not beyond what the team's limit lets run. */
-    KrRoom *used = g_hash_table_lookup (teams, c->team);
+    KrRoom *used = &rooms[c->used - p->used];
     if (c->team->cpus_max > 0 && s->cpus > 0)
       want = MIN (want, MAX (0, (c->team->cpus_max - used->cpus) / s->cpus));
     if (c->team->gpus_max > 0 && s->gpus > 0)
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -2,9 +2,28 @@
  * part-record.c, part-progress.c and part-dispatch.c. */
 #pragma once
 #include "part.h"
+#include "place.h"
+#include "rank.h"
 
 typedef enum { LOADING, FENCING, OPEN } Phase;
 
+/* A live job with what may be on machines of it, kept as that changes: a round of grants must not
+ * cost a walk over all machines. */
+typedef struct {
+  KrPart *part;
+  KrJob *job;
+  const KrTeam *team; /* NULL: unknown */
+  KrRoom *used;       /* the team's room in use, everything not surely gone */
+  GPtrArray *launches;
+  /* as the paper's functions see it */
+  GArray *elapsed;
+  KrEstimateInput in;
+  KrRankKey key;
+  double patience; /* s from submission after which it stops whatever it may */
+  gboolean stops;  /* it has waited long enough to stop others' tasks */
+  gboolean skip;   /* out of this round */
+} KrLive;
+
 struct KrPart {
   grefcount refs;
   KrNode *node;
@@ -13,14 +32,18 @@
   Phase phase;
   gboolean gone, have_record, have_jobs;
   GCancellable *cancel;
-  GHashTable *jobs;    /* id -> KrJob */
+  GHashTable *jobs;    /* id -> KrLive */
+  GPtrArray *lives;    /* the same, to walk */
+  KrRoom *used;        /* a team each */
+  gint64 ranked_at;    /* monotonic us */
   GHashTable *berths;  /* id -> KrBerth */
   GHashTable *leaving; /* ids to be taken out of the record: deleted */
   guint64 launches;    /* counter below the token */
   gint64 taken_at, last_beat;
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
   gboolean record_busy, flushing;
-  gboolean claiming; /* the claim is being written */
+  gint64 next_record; /* monotonic us: the record is not written before */
+  gboolean claiming;  /* the claim is being written */
   guint tick, preempt_soon;
 };
 
@@ -47,6 +70,10 @@
 void kr_part_cancel_launches (KrPart *p, KrJob *j);
 
 /* part-dispatch.c */
+KrLive *kr_live_new (KrPart *p, KrJob *job); /* takes `job` */
+void kr_live_free (gpointer live);
+void kr_live_add (KrLive *live, KrLaunch *l);
+void kr_live_drop (KrLaunch *l);
 gboolean kr_part_usable (KrPart *p, const KrBerth *b, gint64 now);
 /* Adds `run` orders for the machine's free room. */
 void kr_part_grant (KrPart *p, KrBerth *b, json_t *orders, gint64 now);
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -132,7 +132,7 @@
 
   g_hash_table_iter_init (&it, p->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
-    KrJob *j = value;
+    KrJob *j = ((KrLive *) value)->job;
     if (j->writing || j->chunks_missing)
       continue;
     if (is_final (j) && (!j->cancelled || may_cancel))
@@ -157,7 +157,9 @@
     return;
   g_autoptr (GPtrArray) jobs = due (p, now, &finals);
   guint most = p->node->settings->state_txn_ops;
-  if (!finals)
+  if (finals)
+    most = MIN (most, MAX (KR_ENDS_MIN, kr_state_burst_writes (p->node->state)));
+  else
     most = MIN (most, kr_state_spare_writes (p->node->state));
   if (jobs->len == 0 || most == 0)
     return;
@@ -280,6 +282,30 @@
   return G_SOURCE_REMOVE;
 }
 
+/* What machines report of jobs that have been read. */
+static void
+count_launches (KrPart *p)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    KrBerth *b = value;
+    for (guint k = 0; k < b->launches->len; k++) {
+      KrLaunch *l = b->launches->pdata[k];
+      if (l->of)
+        continue;
+      KrJob *j = kr_part_job (p, l->job);
+      kr_part_count_launch (p, l);
+      if (j && l->state == KR_TASK_EXITED && l->why == KR_WHY_DONE &&
+          j->spec->form != KR_FORM_SERVICE && !kr_job_is_done (j, l->index)) {
+        kr_job_set_done (j, l->index);
+        j->dirty = TRUE;
+      }
+    }
+  }
+}
+
 void
 kr_part_job_event (KrPart *p, const KrItem *item)
 {
@@ -300,7 +326,9 @@
   j = kr_job_decode (item->value, item->mark);
   if (!j)
     return;
-  g_hash_table_insert (p->jobs, j->spec->id, j);
+  g_hash_table_insert (p->jobs, j->spec->id, kr_live_new (p, j));
+  if (p->have_jobs)
+    count_launches (p); /* of a job that was read only now */
   kr_info ("job %s: %s, %s, %u tasks of %g CPUs, part %u", id, j->spec->lane, j->spec->team,
            j->spec->tasks, j->spec->cpus, p->index);
   for (guint c = 1; c <= j->chunks_missing; c++) {
@@ -319,8 +347,6 @@
 {
   json_t *o;
   size_t i;
-  GHashTableIter it;
-  gpointer value;
 
   if (!p->have_record)
     return;
@@ -334,20 +360,7 @@
     return;
   p->have_jobs = TRUE;
   p->phase = FENCING;
-  g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    KrBerth *b = value;
-    for (guint k = 0; k < b->launches->len; k++) {
-      KrLaunch *l = b->launches->pdata[k];
-      KrJob *j = kr_part_job (p, l->job);
-      kr_part_count_launch (p, l);
-      if (j && l->state == KR_TASK_EXITED && l->why == KR_WHY_DONE &&
-          j->spec->form != KR_FORM_SERVICE && !kr_job_is_done (j, l->index)) {
-        kr_job_set_done (j, l->index);
-        j->dirty = TRUE;
-      }
-    }
-  }
+  count_launches (p);
   kr_info ("part %u: %u jobs, %u machines read", p->index, g_hash_table_size (p->jobs),
            g_hash_table_size (p->berths));
   kr_part_check_open (p);
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -96,7 +96,11 @@
   gpointer id, value;
   guint most = p->node->settings->state_txn_ops - 1; /* one for the claim */
 
-  if (p->record_busy || !p->have_record || p->gone)
+  /* Not more often than each second, and never at the cost of accepts: machines that boot by the
+   * dozen would take the whole budget one by one. A takeover does not wait. */
+  if (p->record_busy || !p->have_record || p->gone ||
+      (p->phase == OPEN && kr_membership_claim (p->node->membership, p->index)->settled &&
+       (kr_now () < p->next_record || kr_state_spare_writes (p->node->state) == 0)))
     return;
   KrDraft *draft = kr_draft_new (p->node->records);
   g_hash_table_iter_init (&it, p->leaving);
@@ -123,6 +127,7 @@
   }
   RecordWrite *w = g_new0 (RecordWrite, 1);
   w->draft = draft;
+  p->next_record = kr_now () + KR_TICK_MS * G_GINT64_CONSTANT (1000);
   if (settle)
     w->claim = kr_membership_claim_value (p->node->membership, TRUE);
   commit (p, settle ? kr_part_claim_txn (p, TRUE) : kr_part_owner_txn (p), w);
--- a/src/part.c
+++ b/src/part.c
@@ -19,8 +19,10 @@
 {
   if (!g_ref_count_dec (&p->refs))
     return;
-  g_hash_table_unref (p->jobs);
+  g_hash_table_unref (p->jobs); /* before the machines: it lets go of their launches */
   g_hash_table_unref (p->berths);
+  g_ptr_array_unref (p->lives);
+  g_free (p->used);
   g_hash_table_unref (p->leaving);
   g_object_unref (p->cancel);
   g_free (p);
@@ -41,31 +43,23 @@
 KrJob *
 kr_part_job (KrPart *p, const char *id)
 {
-  return g_hash_table_lookup (p->jobs, id);
+  KrLive *l = g_hash_table_lookup (p->jobs, id);
+  return l ? l->job : NULL;
 }
 
 /* --- what reports show --------------------------------------------------------------- */
 void
 kr_part_count_launch (KrPart *p, KrLaunch *l)
 {
-  KrJob *j = kr_part_job (p, l->job);
-  if (!j || l->counted || l->state == KR_TASK_EXITED)
+  KrLive *live = g_hash_table_lookup (p->jobs, l->job);
+  if (!live || l->of || l->state == KR_TASK_EXITED)
     return;
+  const KrJob *j = live->job;
   /* Guards against a second copy: a completed, cancelled or elsewhere active task must not run. */
   if (j->cancelled || kr_job_is_done (j, l->index) ||
       (l->index < j->spec->tasks && j->active[l->index]))
     l->kill = KR_KILL_NOW;
-  kr_job_add_active (j, l->index);
-  l->counted = TRUE;
-}
-
-static void
-uncount_launch (KrPart *p, KrLaunch *l)
-{
-  KrJob *j = kr_part_job (p, l->job);
-  if (l->counted && j)
-    kr_job_drop_active (j, l->index);
-  l->counted = FALSE;
+  kr_live_add (live, l);
 }
 
 static void
@@ -134,7 +128,7 @@
     break;
   case KR_SAW_EXITED:
     kr_debug ("task %s/%u: exited on %s (%d)", l->job, l->index, b->id, l->why);
-    uncount_launch (p, l);
+    kr_live_drop (l);
     if (!j)
       break;
     if (l->why == KR_WHY_DONE) {
@@ -165,7 +159,7 @@
   case KR_SAW_GONE:
     if (l->state != KR_TASK_EXITED)
       kr_debug ("task %s/%u: gone from %s", l->job, l->index, b->id);
-    uncount_launch (p, l);
+    kr_live_drop (l);
     if (j && j->cancelled)
       kr_part_flush (p);
     break;
@@ -176,7 +170,7 @@
 static double
 slack (KrPart *p, const KrLaunch *l)
 {
-  KrJob *j = kr_part_job (p, l->job);
+  const KrJob *j = l->of ? ((KrLive *) l->of)->job : NULL;
   return l->kill == KR_KILL_SLACK && j && j->spec->checkpoint_s > 0
              ? j->spec->save_s + KR_DEFAULT_SLACK_S
              : 0;
@@ -195,7 +189,7 @@
 {
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
-    KrJob *j = kr_part_job (p, l->job);
+    KrJob *j = l->of ? ((KrLive *) l->of)->job : kr_part_job (p, l->job);
     if (l->state == KR_TASK_EXITED) {
       /* Cleared only once the outcome is durable: until then the worker is the only witness. */
       if (l->why != KR_WHY_DONE || (j && j->spec->form == KR_FORM_SERVICE) ||
@@ -500,7 +494,7 @@
   gboolean cancelled = FALSE, kills = FALSE;
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
-    KrJob *j = kr_part_job (p, l->job);
+    const KrJob *j = l->of ? ((KrLive *) l->of)->job : NULL;
     if (l->state == KR_TASK_EXITED)
       continue;
     kills |= l->kill != KR_KILL_NO;
@@ -625,8 +619,10 @@
   p->index = index;
   p->token = token;
   p->cancel = kr_cancellable_child (node->cancel);
-  p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) kr_job_free);
+  p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_live_free);
   p->berths = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_berth_free);
+  p->lives = g_ptr_array_new ();
+  p->used = g_new0 (KrRoom, node->settings->teams->len);
   p->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->taken_at = p->last_beat = kr_now ();
   p->tick = kr_timer_add (KR_TICK_MS, tick, p);
--- a/src/state.c
+++ b/src/state.c
@@ -54,6 +54,12 @@
   return kr_bucket_wait_s (st->writes);
 }
 
+guint
+kr_state_burst_writes (KrState *st)
+{
+  return (guint) kr_bucket_burst (st->writes);
+}
+
 guint
 kr_state_spare_writes (KrState *st)
 {
--- a/src/state.h
+++ b/src/state.h
@@ -19,6 +19,8 @@
                      KrReply reply, gpointer data); /* lease 0: a new one */
 /* Seconds that a further write would wait now. */
 double kr_state_write_wait (KrState *self);
+/* Puts and deletes that leave no debt: what a full budget holds. */
+guint kr_state_burst_writes (KrState *self);
 /* Puts and deletes that may go out now for what can wait. */
 guint kr_state_spare_writes (KrState *self);
 /* This node's part (0 to 1) of the requests and changes of all nodes together. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define MAX_NODES 8
+#define TXN_BYTES 65536 /* of a transaction, by the protocol */
 
 /* --- events ---------------------------------------------------------------------------- */
 typedef struct {
@@ -47,6 +48,8 @@
   guint64 revision, next_lease;
   gboolean outage, refuse[MAX_NODES];
   guint lose_commits;
+  double write_tokens;
+  gint64 write_at;
   /* cloud */
   GHashTable *machines; /* id -> Machine */
   GHashTable *charters;
@@ -476,9 +479,12 @@
 changes_after (const char *prefix, guint64 from)
 {
   json_t *a = json_array ();
-  for (guint i = 0; i < S.changes->len; i++) {
+  guint first = S.changes->len;
+  while (first && g_array_index (S.changes, Change, first - 1).mark > from)
+    first--;
+  for (guint i = first; i < S.changes->len; i++) {
     Change *c = &g_array_index (S.changes, Change, i);
-    if (c->mark <= from || !g_str_has_prefix (c->key, prefix))
+    if (!g_str_has_prefix (c->key, prefix))
       continue;
     json_array_append_new (
         a, c->value ? json_pack ("{ss sO sI}", "Put", c->key, "Value", c->value, "Mark",
@@ -589,6 +595,23 @@
 
   g_assert_cmpuint (json_array_size (t), <=, 12); /* the limits that the settings tell */
   g_assert_cmpuint (json_array_size (w), <=, 48);
+  S.write_tokens = MIN (S.o.write_rps, S.write_tokens + (S.now - S.write_at) / 1e6 * S.o.write_rps);
+  S.write_at = S.now;
+  if (S.write_tokens < 0) {
+    answer_call (c, 429, NULL);
+    json_decref (failed);
+    return;
+  }
+  S.write_tokens -= (double) json_array_size (t);
+  if (json_dumpb (c->body, NULL, 0, JSON_COMPACT) > TXN_BYTES)
+    broken ("a transaction of more than %d bytes", TXN_BYTES);
+  json_array_foreach (t, i, o)
+  {
+    json_t *v = json_object_get (o, "Value");
+    if (v && json_dumpb (v, NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY) > S.o.value_kb * 1024)
+      broken ("a value of more than %g KiB: %s", S.o.value_kb,
+              json_string_value (json_object_get (o, "Put")));
+  }
   json_array_foreach (t, i, o)
   {
     guint64 lease = (guint64) json_integer_value (json_object_get (o, "Permit"));
@@ -1064,7 +1087,7 @@
     Machine *m = value;
     for (guint i = 0; i < m->tasks->len; i++) {
       Task *t = m->tasks->pdata[i];
-      n += g_str_equal (t->job, job) && g_str_equal (t->state, "running");
+      n += (!job || g_str_equal (t->job, job)) && g_str_equal (t->state, "running");
     }
   }
   return n;
@@ -1098,7 +1121,7 @@
     guint n = (guint) json_integer_value (json_object_get (c->body, "Number"));
     if (!known) {
       known = json_array ();
-      for (guint k = 0; k < n && sim_machines () < 8; k++) {
+      for (guint k = 0; k < n && sim_machines () < S.o.machines; k++) {
         json_array_append_new (known, json_sprintf ("host-%06u", S.next_machine));
         machine_new (FALSE);
       }
@@ -1307,9 +1330,9 @@
       json_sprintf ("10.0.0.%u:8081", i + 1), "others", others, "external", "cloud",
       "10.2.0.2:8443", "state", "10.2.0.1:2379", "facts", "size", (int) S.o.nodes, "clock_error_ms",
       5.0, "teams", teams, "workers", "report_s", S.o.report_s, "lease_s", S.o.lease_s, "cancel_s",
-      S.o.cancel_s, "state", "rps", 150.0, "write_rps", 50.0, "value_kb", 16.0, "txn_ops", 12,
-      "cloud", "rps", 3.0, "list_lag_s", 2.0, "resources", "core_share", 0.1, "ram_mb", 60.0,
-      "sockets", 900);
+      S.o.cancel_s, "state", "rps", 150.0, "write_rps", S.o.write_rps, "value_kb", S.o.value_kb,
+      "txn_ops", 12, "cloud", "rps", 3.0, "list_lag_s", 2.0, "resources", "core_share", 0.1,
+      "ram_mb", 60.0, "sockets", 900);
   g_autoptr (GError) error = NULL;
   KrSettings *s = kr_settings_from_json (root, &error);
   g_assert_no_error (error);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -11,6 +11,8 @@
   double team_limit; /* cpus_max of every team; 0: none */
   double report_s, lease_s, cancel_s;
   double spot_price;
+  guint machines; /* that the cloud has at most */
+  double value_kb, write_rps;
 } SimOptions;
 
 void sim_start (guint32 seed, const SimOptions *options);
@@ -37,7 +39,7 @@
 const char *sim_idlest_machine (void);
 guint sim_machines (void);
 gboolean sim_machine_lives (const char *id);
-guint sim_tasks_running (const char *job);
+guint sim_tasks_running (const char *job); /* NULL: of all jobs */
 
 /* A user: submits (and repeats until accepted), polls every 5 s, checks every answer. */
 void sim_submit (const char *id, const char *team, const char *rank, guint tasks, double cpus,
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -3,7 +3,15 @@
 #include <string.h>
 
 static const SimOptions usual = {
-  .nodes = 3, .machine_cpus = 8, .report_s = 2, .lease_s = 12, .cancel_s = 40, .spot_price = 0.2
+  .nodes = 3,
+  .machine_cpus = 8,
+  .report_s = 2,
+  .lease_s = 12,
+  .cancel_s = 40,
+  .spot_price = 0.2,
+  .machines = 8,
+  .value_kb = 16,
+  .write_rps = 50,
 };
 static guint32 seed;
 
@@ -363,6 +371,40 @@
   sim_stop ();
 }
 
+/* Seven nodes, some hundred machines, small values and few writes: most machines go to one part,
+ * whose record would not fit one value; then crashes, one and all. */
+static void
+test_large (void)
+{
+  SimOptions o = usual;
+  o.nodes = 7;
+  o.machine_cpus = 4;
+  o.machines = 300;
+  o.value_kb = 8;
+  o.write_rps = 15;
+  begin (&o);
+  for (guint i = 0; i < 12; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0000%02u", i);
+    g_autofree char *team = g_strdup_printf ("team%u", i < 8 ? 0 : i % 5);
+    sim_submit (id, team, i % 3 ? "normal" : "urgent", 400, 1, 25, 600);
+  }
+  sim_run (45);
+  g_assert_cmpuint (sim_machines (), >, 250);
+  g_assert_cmpuint (sim_tasks_running (NULL), >, 800);
+  sim_node_kill (0);
+  sim_run (0.3);
+  sim_node_start (0);
+  sim_run (20);
+  for (guint i = 0; i < o.nodes; i++)
+    sim_node_kill (i);
+  sim_run (5);
+  for (guint i = 0; i < o.nodes; i++)
+    sim_node_start (i);
+  sim_run (15);
+  g_assert_cmpuint (sim_tasks_running (NULL), >, 500);
+  finish (600);
+}
+
 /* Troubles drawn at random, all at once: what is asserted is that no rule breaks and all ends. */
 static void
 test_storm (void)
@@ -440,6 +482,7 @@
   g_test_add_func ("/service/sick-machine", test_sick_machine);
   g_test_add_func ("/service/slow-machine", test_slow_machine);
   g_test_add_func ("/service/requests", test_requests);
+  g_test_add_func ("/service/large", test_large);
   g_test_add_func ("/service/storm", test_storm);
   return g_test_run ();
 }
