--- a/src/agent.h
+++ b/src/agent.h
@@ -36,6 +36,7 @@
   /* part */
   gboolean used, used_wanted; /* durable; to be made durable */
   gboolean drain, deleting, fencing;
+  guint tries;               /* to fence it, not answered */
   gint leaving_to;           /* part that it goes to when empty; -1: none */
   gboolean moving;           /* the move may be under way: nothing may start */
   gboolean move_unknown;     /* its outcome is not known */
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -44,7 +44,9 @@
   gboolean record_busy, flushing;
   gint64 next_record; /* monotonic us: the record is not written before */
   gboolean claiming;  /* the claim is being written */
-  guint tick, preempt_soon;
+  guint tick, fence_tick, preempt_soon;
+  guint fencing;    /* calls of it under way */
+  gint64 listed_at; /* monotonic us of the newest list */
 };
 
 KrPart *kr_part_ref (KrPart *p);
--- a/src/part.c
+++ b/src/part.c
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "constants.h"
 #include "log.h"
+#include "rent.h"
 #include "worker.h"
 #include <string.h>
 
@@ -208,13 +209,14 @@
 typedef struct {
   KrPart *part;
   char *id;
+  gboolean fence;
 } Contact;
 
 static Contact *
 contact_new (KrPart *p, KrBerth *b)
 {
   Contact *c = g_new (Contact, 1);
-  *c = (Contact){ kr_part_ref (p), g_strdup (b->id) };
+  *c = (Contact){ kr_part_ref (p), g_strdup (b->id), FALSE };
   return c;
 }
 
@@ -226,6 +228,18 @@
   g_free (c);
 }
 
+static void
+fence_tried (Contact *c, KrBerth *b, gboolean reached)
+{
+  if (!c->fence)
+    return;
+  c->part->fencing--;
+  if (b) {
+    b->fencing = FALSE;
+    b->tries += !reached;
+  }
+}
+
 static void
 take_report (KrPart *p, KrBerth *b, const KrReport *r)
 {
@@ -240,11 +254,9 @@
 {
   Contact *c = data;
   KrBerth *b = c->part->gone ? NULL : kr_part_berth (c->part, c->id);
-  if (b) {
-    b->fencing = FALSE;
-    if (report && (status == 200 || status == 409))
-      take_report (c->part, b, report);
-  }
+  fence_tried (c, b, report != NULL);
+  if (b && report && (status == 200 || status == 409))
+    take_report (c->part, b, report);
   contact_free (c);
 }
 
@@ -277,8 +289,7 @@
   KrBerth *b = p->gone ? NULL : kr_part_berth (p, c->id);
 
   if (!b || status != 200 || !report || !g_str_equal (report->machine, c->id)) {
-    if (b)
-      b->fencing = FALSE;
+    fence_tried (c, b, FALSE);
     contact_free (c);
     return;
   }
@@ -292,37 +303,68 @@
   return b->must_fence && !b->fenced;
 }
 
+/* Why a used machine that has not been reached since the takeover is given up; NULL: not yet. What
+ * counts is its silence to calls that did go out, not how far we have come. */
+static const char *
+give_up (KrPart *p, const KrBerth *b, guint unreached, guint used, double age)
+{
+  if (b->heard || !b->tries)
+    return NULL;
+  /* It was up, so lists showed it; the newest, read since, does not. */
+  if (p->listed_at > p->taken_at && !b->listed)
+    return "not reached, and no longer listed";
+  /* One lost machine must not keep a part with hundreds of others closed for a whole lease. */
+  if (b->tries >= KR_FENCE_TRIES && unreached <= used / KR_FENCE_FEW && age > KR_FENCE_FEW_S)
+    return "not reached while others were";
+  if (!p->quiet_before && b->tries >= KR_FENCE_TRIES && age > KR_FENCE_GRACE_S)
+    return "not reached by the new owner";
+  return NULL;
+}
+
 static void
 fence (KrPart *p, gint64 now)
 {
+  const KrSettings *s = p->node->settings;
   GHashTableIter it;
   gpointer value;
+  guint unreached = 0, used = 0;
   double age = (double) (now - p->taken_at) / G_USEC_PER_SEC,
          proven =
              (double) (kr_membership_proven (p->node->membership) - p->taken_at) / G_USEC_PER_SEC;
 
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const KrBerth *b = value;
+    used += b->must_fence;
+    unreached += kr_part_needs_fence (b) && !b->heard;
+  }
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
+    const char *why;
     if (!kr_part_needs_fence (b) || b->deleting)
       continue;
     /* Restarted ourselves, no other owner since all were fenced: nobody has answered it since the
      * takeover, so its lease is over. */
     if (p->quiet_before && !b->answered &&
-        proven > p->node->settings->lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S) {
+        proven > s->lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S) {
       kr_info ("machine %s: not reached, its lease is over", b->id);
       kr_berth_clear (b, kr_part_saw, p);
       b->must_fence = FALSE;
       continue;
     }
-    if (age > KR_FENCE_GRACE_S && !p->quiet_before) {
-      delete_berth (p, b, "not reached by the new owner");
+    if ((why = give_up (p, b, unreached, used, age))) {
+      delete_berth (p, b, why);
       continue;
     }
-    if (b->endpoint && !b->fencing) {
-      b->fencing = TRUE;
-      kr_worker_show (p->node->workers, b->endpoint, p->cancel, shown, contact_new (p, b));
-    }
+    /* One that we answer will show our token by itself. */
+    if (!b->endpoint || b->fencing || p->fencing >= KR_FENCE_WINDOW ||
+        (b->answered && now - b->answered < kr_seconds (2 * s->report_s)))
+      continue;
+    Contact *c = contact_new (p, b);
+    c->fence = b->fencing = TRUE;
+    p->fencing++;
+    kr_worker_show (p->node->workers, b->endpoint, p->cancel, shown, c);
   }
 }
 
@@ -399,6 +441,7 @@
   gint64 now = kr_now ();
   double lag = p->node->settings->cloud_list_lag_s;
 
+  p->listed_at = now;
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
@@ -419,8 +462,8 @@
         delete_berth (p, b, "it has failed");
       else if (m->state == KR_MACHINE_STARTING && !b->heard && m->held_s > boot)
         delete_berth (p, b, "it never came up");
-    } else if (b->listed && !b->missing_since)
-      b->missing_since = now;
+    } else if ((b->listed || (b->used && !b->heard)) && !b->missing_since)
+      b->missing_since = now; /* what is used was up once, and so listed */
     else if (!b->listed && !b->heard && now - b->joined > kr_seconds (KR_NEVER_LISTED_S + 4 * lag))
       delete_berth (p, b, "never listed"); /* adopted from a stale list */
     /* A list may be older than the one before: wait for the worst lag, then have the cloud say so
@@ -534,10 +577,6 @@
       watch_berth (p, l->data, now);
     }
   }
-  if (p->phase == FENCING) {
-    fence (p, now);
-    kr_part_check_open (p);
-  }
   kr_part_write_record (p);
   kr_part_moves (p);
   kr_part_preempt (p, now);
@@ -552,6 +591,21 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Takeovers are worked on more often than a tick: each second closed is a second lost for all. */
+static gboolean
+fence_tick (gpointer data)
+{
+  KrPart *p = data;
+  if (p->phase == FENCING) {
+    fence (p, kr_now ());
+    kr_part_check_open (p);
+  }
+  if (p->phase != OPEN)
+    return G_SOURCE_CONTINUE;
+  p->fence_tick = 0;
+  return G_SOURCE_REMOVE;
+}
+
 /* --- taking over and letting go ------------------------------------------------------ */
 static gboolean
 scan_again (gpointer data)
@@ -590,6 +644,8 @@
     b->must_fence = b->used;
   }
   kr_follow_rescan (p->node->jobs);
+  if (g_hash_table_size (p->berths))
+    kr_rent_list_soon (p->node->rent);
   kr_part_unref (p);
 }
 
@@ -626,6 +682,7 @@
   p->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->taken_at = p->last_beat = kr_now ();
   p->tick = kr_timer_add (KR_TICK_MS, tick, p);
+  p->fence_tick = kr_timer_add (KR_FENCE_MS, fence_tick, p);
   kr_info ("part %u: taking over with token %" G_GUINT64_FORMAT, index, token);
   kr_membership_rescan (node->membership);
   return p;
@@ -654,6 +711,7 @@
   kr_info ("part %u: no longer ours", p->index);
   p->gone = TRUE;
   kr_timer_remove (p->tick);
+  kr_timer_clear (&p->fence_tick);
   kr_timer_clear (&p->preempt_soon);
   g_cancellable_cancel (p->cancel);
   kr_part_unref (p);
--- a/src/rent.c
+++ b/src/rent.c
@@ -79,6 +79,12 @@
   g_hash_table_foreach_remove (r->left, long_gone, NULL);
 }
 
+void
+kr_rent_list_soon (KrRent *r)
+{
+  r->next_list = 0;
+}
+
 void
 kr_rent_scanned (KrRent *r)
 {
--- a/src/rent.h
+++ b/src/rent.h
@@ -8,6 +8,8 @@
 void kr_rent_free (KrRent *self);
 /* A machine is in no part any more. */
 void kr_rent_left (KrRent *self, const char *machine);
+/* The list is read now: a part is being taken over. */
+void kr_rent_list_soon (KrRent *self);
 /* All records were read anew. */
 void kr_rent_scanned (KrRent *self);
 /* A machine in no part's record has reported here. */
