--- a/src/rent.c
+++ b/src/rent.c
@@ -489,14 +489,28 @@
   return json_is_true (json_object_get (r->summaries[part].value, "Waiting"));
 }
 
+/* CPUs that each part has or is getting; `up`: of machines that are up only. */
+static void
+count_cpus (const GPtrArray *supplies, gboolean up, guint size, double *have)
+{
+  memset (have, 0, size * sizeof *have);
+  for (guint i = 0; i < supplies->len; i++) {
+    const KrSupply *s = supplies->pdata[i];
+    if (s->part >= 0 && !s->going && s->type && (s->up || !up))
+      have[s->to >= 0 ? s->to : s->part] += s->type->cpus;
+  }
+}
+
 /* Toward each part's share: free machines first (not yet up, or idle), then of the busy ones those
  * that are empty soonest, a few at a time, since a machine that empties itself stands partly idle.
- */
+ * Those that are up are shared for themselves: a part whose machines are all still to come would
+ * otherwise wait beside idle ones. */
 static void
-move (KrRent *r, GPtrArray *supplies, const double *targets, double *have, gint64 now)
+move (KrRent *r, GPtrArray *supplies, const double *targets, gint64 now)
 {
   guint size = r->node->settings->size;
   g_autofree guint *leaving = g_new0 (guint, size), *count = g_new0 (guint, size);
+  g_autofree double *have = g_new0 (double, size);
   gboolean busy_too = now >= r->next_move;
 
   for (guint i = 0; i < supplies->len; i++) {
@@ -506,6 +520,8 @@
       leaving[s->part] += s->to >= 0;
     }
   }
+  gboolean up = TRUE;
+  count_cpus (supplies, up, size, have);
   for (guint n = 0; n < KR_MOVES_MAX; n++) {
     guint most = 0;
     KrSupply *best = NULL;
@@ -516,6 +532,7 @@
       KrSupply *s = supplies->pdata[i];
       gboolean free = !s->up || s->idle_s >= 0;
       if (s->part < 0 || s->part == (gint) most || s->going || s->to >= 0 || !s->type ||
+          s->up != up ||
           (targets[most] - have[most] < s->type->cpus / 2 &&
            !(have[most] <= 0 && targets[most] > 0)) || /* never none where something is wanted */
           have[s->part] - targets[s->part] < s->type->cpus / 2)
@@ -527,8 +544,13 @@
       if (!best || s->rest_s < best->rest_s)
         best = s;
     }
-    if (!best)
+    if (!best && !up)
       break;
+    if (!best) {
+      up = FALSE;
+      count_cpus (supplies, up, size, have);
+      continue;
+    }
     wish (r, (guint) best->part, best->id, (gint) most);
     leaving[best->part]++;
     have[best->part] -= best->type->cpus;
@@ -569,12 +591,9 @@
   kr_shares_match (needs, supplies);
   for (guint i = 0; i < supplies->len; i++) {
     const KrSupply *s = supplies->pdata[i];
-    if (s->going || !s->type)
-      continue;
-    all += s->type->cpus;
-    if (s->part >= 0)
-      have[s->to >= 0 ? s->to : s->part] += s->type->cpus;
+    all += s->going || !s->type ? 0 : s->type->cpus;
   }
+  count_cpus (supplies, FALSE, size, have);
   /* Urgent work's needs come first: it may stop other work in its part, but not in another. */
   for (guint urgent = 2; urgent-- > 0;) {
     g_autofree double *demand = g_new0 (double, size), *share = g_new0 (double, size);
@@ -596,7 +615,7 @@
       lack[p] = MAX (0, targets[p] - have[p]);
     assign (r, news, lack);
   } else
-    move (r, supplies, targets, have, now);
+    move (r, supplies, targets, now);
   for (guint i = 0; i < supplies->len; i++) {
     KrSupply *s = supplies->pdata[i];
     if (s->part >= 0 && s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S && s->to < 0)
