No job waits for ever to begin; deaf machines, late copies, lost presence: guards and tests

A stream of late jobs kept a large one from beginning (test: never within 264 s): its first task now goes ahead of all. A late copy of a deleted machine's report brought it back into a record. Stand-ins: late copies of reports, one-way cuts, values and transactions over the limits, change limits, answers missing for 75 s.

--- a/src/agent.c
+++ b/src/agent.c
@@ -88,14 +88,30 @@
   }
 }
 
+/* A launch that was not seen yet. */
+static KrLaunch *
+in_doubt (const KrBerth *b)
+{
+  for (guint i = 0; i < b->launches->len; i++) {
+    KrLaunch *l = b->launches->pdata[i];
+    if (l->state == KR_TASK_DOUBT && !l->planned && !l->kill)
+      return l;
+  }
+  return NULL;
+}
+
 gboolean
 kr_berth_apply (KrBerth *b, const KrReport *r, gboolean beat, guint64 token, gint64 now,
                 KrSawFunc saw, gpointer data)
 {
   if (r->session < b->session || (r->session == b->session && r->seq <= b->seq))
     return FALSE; /* guards against reports that a cut held back */
-  if (r->session > b->session)
+  if (r->session > b->session) {
+    KrLaunch *l = in_doubt (b);
+    if (l)
+      saw (b, l, KR_SAW_UNHEARD, data);
     kr_berth_clear (b, saw, data); /* its lease ran out: the worker killed everything */
+  }
   b->session = r->session;
   b->seq = r->seq;
   b->heard = now;
@@ -122,6 +138,7 @@
   else if (!b->notice_at)
     b->notice_at = now + kr_seconds (r->notice_s);
 
+  gboolean unheard = FALSE;
   for (guint i = b->launches->len; i-- > 0;) {
     KrLaunch *l = b->launches->pdata[i];
     if (reported (r, l))
@@ -132,6 +149,9 @@
      * been written before the worker took the response with the run. */
     if (l->state == KR_TASK_DOUBT && !(beat && r->seq > l->doubt_seq))
       continue;
+    if (l->state == KR_TASK_DOUBT && !l->kill && !unheard)
+      saw (b, l, KR_SAW_UNHEARD, data);
+    unheard |= l->state == KR_TASK_DOUBT;
     l = g_ptr_array_steal_index (b->launches, i);
     saw (b, l, KR_SAW_GONE, data);
     kr_launch_free (l);
@@ -148,6 +168,8 @@
       before = KR_TASK_DOUBT;
     } else
       before = l->state;
+    if (before == KR_TASK_DOUBT && !l->adopted)
+      saw (b, l, KR_SAW_HEARD, data);
     l->state = t->state;
     l->why = t->why;
     if (t->state == KR_TASK_RUNNING && !l->since) {
--- a/src/agent.h
+++ b/src/agent.h
@@ -16,6 +16,7 @@
   gint64 since;      /* monotonic us: when it was seen running first; 0: not yet */
   gboolean adopted;  /* found on the machine: its start time is unknown */
   KrKill kill;
+  gboolean first;   /* begins a job that had waited for long: it is not stopped soon */
   gboolean planned; /* place held, `run` goes out with the machine's next report */
   /* part: the live job as whose task it counts (KrLive), and its place there; NULL: exited, or of
    * no known job */
@@ -44,7 +45,8 @@
   gint64 idle_since, joined; /* monotonic us */
   gint64 missing_since;      /* monotonic us: listed once, then not; 0: listed */
   gboolean listed;
-  gint64 pause_until;   /* monotonic us: no launches after an error */
+  gint64 pause_until;   /* monotonic us: no launches after an error, or after unheard ones */
+  guint unheard;        /* launches in a row that never appeared */
   double pace;          /* of its tasks' run times to their jobs' means, a moving average */
   guint paced;          /* tasks in it */
   GHashTable *bad_jobs; /* jobs whose tasks failed here */
@@ -55,6 +57,8 @@
 
 typedef enum {
   KR_SAW_NEW,     /* an attempt that we did not know */
+  KR_SAW_HEARD,   /* a launch of ours is there; other news of it may follow */
+  KR_SAW_UNHEARD, /* a launch of ours never came: once a report, GONE follows */
   KR_SAW_RUNNING, /* it runs now */
   KR_SAW_EXITED,  /* see launch->why */
   KR_SAW_GONE     /* it is surely not on the machine any more */
--- a/src/constants.h
+++ b/src/constants.h
@@ -86,6 +86,11 @@
 #define KR_SICK_JOBS 2             /* jobs failing only there: the machine is sick */
 #define KR_RANK_MS 100             /* ms that the rank of an unchanged job is used again */
 #define KR_DEFAULT_WAIT_S 60.0     /* s; in which a job without such an objective should start */
+#define KR_BEGIN_S 120.0           /* s without a first task before a job goes first */
+#define KR_BEGIN_KEEP_S 30.0       /* s that such a task is not stopped for others */
+#define KR_UNHEARD_S 2.0           /* s; first pause of a machine that launches do not reach */
+#define KR_UNHEARD_SHIFT 3         /* each further pause is 2^this times as long: a worker whose */
+#define KR_UNHEARD_MAX 2           /* answers are lost comes back every dozen seconds; how often */
 #define KR_PACE_TASKS 4            /* completed tasks before a pace or a mean says anything */
 #define KR_PACE_WEIGHT 0.3         /* of the newest task in a machine's pace */
 #define KR_PACE_SLOW 2.5           /* times the mean: machines of a type differ by a tenth */
@@ -121,4 +126,4 @@
 #define KR_IDLE_RETURN_S 15.0   /* s a machine is idle and unneeded before it is returned */
 #define KR_BOOT_FACTOR 6.0      /* times ReadyS before a starting machine is given up */
 #define KR_BOOT_MIN_S 60.0      /* s; at least this, whatever ReadyS is */
-#define KR_NEEDS_STALE_S 20.0   /* s a silent part's last needs are still used */
+#define KR_NEEDS_STALE_S 60.0   /* s a silent part's last needs are still used: peers may be cut */
--- a/src/membership.c
+++ b/src/membership.c
@@ -21,6 +21,8 @@
   GHashTable *present; /* node -> gint64* since when (monotonic us) */
   guint64 lease;
   gboolean lease_busy;
+  gint64 presence_at; /* monotonic us: our presence is not written again before */
+  gboolean shown;     /* our presence, under this incarnation, is what the watch showed last */
   gint64 renewal_sent, proven;
   guint lease_timer, duty_timer;
 };
@@ -155,6 +157,8 @@
     kr_info ("node %s: gone", name);
 }
 
+static void put_presence (KrMembership *m);
+
 static void
 on_event (const KrItem *item, gpointer data)
 {
@@ -162,9 +166,13 @@
   guint size = m->settings->size;
   const char *k = item->key;
 
-  if (g_str_has_prefix (k, "c/node/"))
-    note_node (m, k + strlen ("c/node/"), item->value != NULL);
-  else if (g_str_equal (k, KR_LEADER_KEY))
+  if (g_str_has_prefix (k, "c/node/")) {
+    const char *name = k + strlen ("c/node/");
+    note_node (m, name, item->value != NULL);
+    if (g_str_equal (name, m->settings->node_name))
+      m->shown =
+          g_strcmp0 (json_string_value (json_object_get (item->value, "Inc")), m->incarnation) == 0;
+  } else if (g_str_equal (k, KR_LEADER_KEY))
     set_holder (m, size, item->value, item->mark);
   else if (g_str_has_prefix (k, "c/owner/")) {
     guint p = (guint) atoi (k + strlen ("c/owner/"));
@@ -203,6 +211,8 @@
     }
     on_event (&item, m);
   }
+  if (!g_hash_table_contains (nodes, m->settings->node_name))
+    m->shown = FALSE;
   for (guint p = 0; p <= size; p++)
     if (!found[p])
       set_holder (m, p, NULL, revision);
@@ -321,6 +331,10 @@
 
   if (!m->seen || !m->lease)
     return G_SOURCE_CONTINUE;
+  /* A late copy of our earlier life's request may have put its presence over ours, to end with its
+   * lease. */
+  if (!m->shown && now >= m->presence_at)
+    put_presence (m);
   for (guint p = 0; p <= s->size; p++) {
     KrHolder *h = &m->holders[p];
     if (h->busy)
@@ -351,6 +365,16 @@
     m->lease = 0;
 }
 
+static void
+put_presence (KrMembership *m)
+{
+  m->presence_at = kr_now () + KR_NODE_RENEW_MS * G_GINT64_CONSTANT (1000);
+  g_autofree char *key = g_strconcat ("c/node/", m->settings->node_name, NULL);
+  KrTxn *txn = kr_txn_new ();
+  kr_txn_put (txn, key, json_pack ("{ss}", "Inc", m->incarnation), m->lease);
+  kr_state_commit (m->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, m->cancel, node_key_done, m);
+}
+
 static void
 lease_done (guint status, json_t *body, gpointer data)
 {
@@ -362,10 +386,7 @@
   } else if (status == 200 && m->lease) {
     m->proven = m->renewal_sent;
   } else if (status == 200 && (m->lease = kr_wire_lease_parse (body))) {
-    g_autofree char *key = g_strconcat ("c/node/", m->settings->node_name, NULL);
-    KrTxn *txn = kr_txn_new ();
-    kr_txn_put (txn, key, json_pack ("{ss}", "Inc", m->incarnation), m->lease);
-    kr_state_commit (m->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, m->cancel, node_key_done, m);
+    put_presence (m);
   }
 }
 
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -39,6 +39,7 @@
                                    KR_DEFAULT_SLACK_S);
   c->stops = j->spec->rank > lowest && !j->cancelled && c->team && now >= j->hold_until &&
              waited >= MIN (c->patience, KR_PREEMPT_WAIT_S);
+  c->starves = waited > KR_BEGIN_S && j->n_done == 0 && j->n_active == 0;
 }
 
 /* --- live jobs ----------------------------------------------------------------------- */
@@ -230,6 +231,8 @@
       kr_berth_launch (b, j->spec->id, task, (p->token << KR_LAUNCH_BITS) + ++p->launches);
 
   kr_live_add (c, l);
+  l->first = c->starves;
+  c->starves = FALSE;
   rerank (p, c, now, c->in.now);
   return l;
 }
@@ -305,11 +308,15 @@
   }
 }
 
-/* Who may stop others' tasks goes first (exception to the paper's order): what is started instead
- * would be stopped at once. Among those, and among the rest, the paper's order holds. */
+/* Exceptions to the paper's order, within each of which it holds: a job of which nothing has begun
+ * for long gets its first task, since late jobs, of which a stream never ends, go before all
+ * others; then who may stop others' tasks, since what is started instead would be stopped at once.
+ */
 static int
 before (const KrLive *a, const KrLive *b)
 {
+  if (a->starves != b->starves)
+    return a->starves ? -1 : 1;
   if (a->stops != b->stops)
     return a->stops ? -1 : 1;
   if (a->stops && a->job->spec->rank != b->job->spec->rank)
@@ -400,7 +407,8 @@
     KrLaunch *l = b->launches->pdata[i];
     const KrLive *of = l->of;
     const KrJob *v = of ? of->job : NULL;
-    if (!v || !of->team || l->state == KR_TASK_EXITED || l->state == KR_TASK_DOUBT ||
+    if (!v || !of->team || (l->first && kr_launch_ran_s (l, now) < KR_BEGIN_KEEP_S) ||
+        l->state == KR_TASK_EXITED || l->state == KR_TASK_DOUBT ||
         (v->spec->rank > c->job->spec->rank && !upward) || g_ptr_array_find (out, l, NULL) ||
         !kr_place_may_stop (c->job->spec, c->team, c->used, v->spec, of->team, of->used))
       continue;
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -19,9 +19,10 @@
   GArray *elapsed;
   KrEstimateInput in;
   KrRankKey key;
-  double patience; /* s from submission after which it stops whatever it may */
-  gboolean stops;  /* it has waited long enough to stop others' tasks */
-  gboolean skip;   /* out of this round */
+  double patience;  /* s from submission after which it stops whatever it may */
+  gboolean stops;   /* it has waited long enough to stop others' tasks */
+  gboolean starves; /* nothing of it has begun for long */
+  gboolean skip;    /* out of this round */
 } KrLive;
 
 struct KrPart {
--- a/src/part.c
+++ b/src/part.c
@@ -120,6 +120,16 @@
     if (p->have_jobs)
       kr_part_count_launch (p, l);
     break;
+  case KR_SAW_HEARD:
+    b->unheard = 0;
+    break;
+  case KR_SAW_UNHEARD:
+    /* Reports arrive, our answers do not: it looks idle and would be given work for ever. */
+    b->pause_until = now + kr_seconds (KR_UNHEARD_S *
+                                       (1u << KR_UNHEARD_SHIFT * MIN (b->unheard, KR_UNHEARD_MAX)));
+    b->unheard++;
+    kr_info ("machine %s: a launch did not reach it, no further ones for a while", b->id);
+    break;
   case KR_SAW_RUNNING:
     kr_debug ("task %s/%u: runs on %s", l->job, l->index, b->id);
     if (j && j->spec->image)
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -57,6 +57,7 @@
   /* users */
   GHashTable *jobs; /* id -> User */
   GString *broken;
+  gint64 calm_at; /* 0: not yet */
   guint started;
 } S;
 
@@ -298,11 +299,20 @@
   return FALSE;
 }
 
+static void count_unheard (const char *machine);
+
 static void
 answer_call (Call *c, guint status, json_t *body)
 {
   c->status = status;
   c->answer = body;
+  if (cut_between (c->to, c->from) == SIM_DROP) {
+    json_t *orders = json_object_get (body, "Orders"), *o;
+    size_t i;
+    json_array_foreach (
+        orders, i, o) if (g_strcmp0 (json_string_value (json_object_get (o, "Order")), "run") == 0)
+        count_unheard (c->from);
+  }
   deliver (c->to, c->from, answer_arrives, c);
 }
 
@@ -574,6 +584,33 @@
     ((Lease *) value)->until = S.now + (gint64) ((Lease *) value)->life_ms * 1000;
 }
 
+guint
+sim_recorded (void)
+{
+  GHashTableIter it;
+  gpointer key, value;
+  guint n = 0;
+  g_hash_table_iter_init (&it, S.store);
+  while (g_hash_table_iter_next (&it, &key, &value))
+    if (g_str_has_prefix (key, "c/berths/"))
+      n += (guint) json_object_size (((Entry *) value)->value);
+  return n;
+}
+
+void
+sim_state_remove (const char *key)
+{
+  S.revision++;
+  change (key, NULL, 0);
+  wake_follows ();
+}
+
+gboolean
+sim_state_has (const char *key)
+{
+  return g_hash_table_contains (S.store, key);
+}
+
 void
 sim_state_refuse (guint node, gboolean on)
 {
@@ -741,7 +778,8 @@
   gint64 rented, up_at;
   gboolean up, dead, sick, busy; /* busy: a report is under way */
   double slow;                   /* times as long as a job's run time; 0: as long */
-  guint64 session, seq, token, changed_token;
+  guint64 session, seq, token;
+  guint unheard;
   gint64 last_ok, next_beat, last_beat, sent;
   guint node; /* reports to */
   GPtrArray *tasks;
@@ -759,7 +797,9 @@
   guint8 *completed;
   guint n_completed;
   gint64 complete_at;
-  guint polls_failed;
+  gint64 answered_at; /* a question about it was answered last */
+  gint64 began_at;    /* its first task started; 0: not yet */
+  gint64 submitted_at;
 } User;
 
 static void
@@ -790,6 +830,8 @@
   double used = 0;
 
   S.started++;
+  if (u && !u->began_at)
+    u->began_at = S.now;
   g_hash_table_iter_init (&it, S.machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     Machine *o = value;
@@ -921,6 +963,28 @@
   g_free (b);
 }
 
+/* A late copy of a report: nobody reads its answer. */
+typedef struct {
+  char *from, *to;
+  json_t *report;
+} Copy;
+
+static void
+copy_answered (guint status, json_t *body, gpointer data)
+{
+}
+
+static gboolean
+copy_arrives (gpointer data)
+{
+  Copy *c = data;
+  call_new (c->from, "POST", c->to, "/agent/beat", c->report, 4, copy_answered, NULL);
+  g_free (c->from);
+  g_free (c->to);
+  g_free (c);
+  return FALSE;
+}
+
 static gboolean
 machine_step (gpointer data)
 {
@@ -968,7 +1032,13 @@
     m->busy = TRUE;
     m->sent = m->last_beat = S.now;
     m->next_beat = S.now + (gint64) (S.o.report_s * g_rand_double_range (S.rng, 0.75, 1.25) * 1e6);
-    call_new (m->id, "POST", address, "/agent/beat", report (m), 4, beat_done, b);
+    json_t *r = report (m);
+    if (g_rand_double (S.rng) < S.o.copies) {
+      Copy *c = g_new (Copy, 1);
+      *c = (Copy){ g_strdup (m->id), g_strdup (address), json_deep_copy (r) };
+      later (exp (g_rand_double_range (S.rng, 0, log (60))), copy_arrives, c);
+    }
+    call_new (m->id, "POST", address, "/agent/beat", r, 4, beat_done, b);
   }
   return FALSE;
 }
@@ -1045,6 +1115,20 @@
   return best ? best->id : NULL;
 }
 
+static void
+count_unheard (const char *machine)
+{
+  Machine *m = g_hash_table_lookup (S.machines, machine);
+  if (m)
+    m->unheard++;
+}
+
+guint
+sim_unheard (const char *id)
+{
+  return ((Machine *) g_hash_table_lookup (S.machines, id))->unheard;
+}
+
 const char *
 sim_busiest_machine (void)
 {
@@ -1173,10 +1257,34 @@
   return g_strdup_printf ("10.0.0.%u:8080", n + 1);
 }
 
+void
+sim_calm (void)
+{
+  S.calm_at = S.now;
+}
+
+/* No question about it answered for 75 s, although there are no troubles. */
+static void
+check_known (User *u)
+{
+  if (!S.calm_at || !u->accepted || S.now - MAX (u->answered_at, S.calm_at) <= 75000000)
+    return;
+  broken ("forgotten: no answer about %s for 75 s", u->id);
+  u->answered_at = S.now;
+}
+
+double
+sim_began (const char *id)
+{
+  const User *u = g_hash_table_lookup (S.jobs, id);
+  return u->began_at ? (u->began_at - u->submitted_at) / 1e6 : -1;
+}
+
 static void
 tell (User *u, const char *word)
 {
   gboolean final = g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
+  u->answered_at = S.now;
   if (final && !g_str_equal (u->told, word))
     broken ("went_back: %s was %s, is %s", u->id, u->told, word);
   if (g_str_equal (word, "done") && u->n_completed < u->tasks)
@@ -1205,9 +1313,10 @@
 submitted (guint status, json_t *body, gpointer data)
 {
   User *u = data;
-  if (status == 200 || status == 201)
+  if (status == 200 || status == 201) {
     u->accepted = TRUE;
-  else if (u->accepted && (status == 400 || status == 422))
+    u->answered_at = S.now;
+  } else if (u->accepted && (status == 400 || status == 422))
     broken ("forgotten: %s is refused", u->id);
   later (u->accepted ? 5 : 1, user_step, u);
 }
@@ -1230,6 +1339,7 @@
   g_autofree char *poll = g_strdup_printf ("/api/jobs/%s", u->id);
   g_autofree char *abort = g_strdup_printf ("/api/jobs/%s/abort", u->id);
   gboolean final = g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
+  check_known (u);
   if (!u->accepted)
     call_new ("user", "POST", node, "/api/jobs", json_incref (u->body), 5, submitted, u);
   else if (u->aborting && !final)
@@ -1250,6 +1360,7 @@
   u->cpus = cpus;
   u->run_s = run_s;
   u->told = g_strdup ("");
+  u->submitted_at = S.now;
   u->completed = g_malloc0 (tasks);
   u->body =
       json_pack ("{ss ss ss ss ss sI sf sf sf sn sf sn sn sb sb sb sf sf sf sf}", "Id", id, "Lane",
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -13,6 +13,7 @@
   double spot_price;
   guint machines; /* that the cloud has at most */
   double value_kb, write_rps;
+  double copies; /* share of reports of which a copy comes late, from a second to a minute */
 } SimOptions;
 
 void sim_start (guint32 seed, const SimOptions *options);
@@ -37,6 +38,8 @@
 const char *sim_busiest_machine (void);
 /* The machine that is up and has the fewest, or NULL. */
 const char *sim_idlest_machine (void);
+/* Runs sent to a machine in answers that a cut dropped. */
+guint sim_unheard (const char *id);
 guint sim_machines (void);
 gboolean sim_machine_lives (const char *id);
 guint sim_tasks_running (const char *job); /* NULL: of all jobs */
@@ -48,9 +51,18 @@
 /* What its user was told last: "", pending, running, done, cancelled. */
 const char *sim_told (const char *id);
 gboolean sim_all_over (void);
+/* From now on there are no troubles: no accepted job may be without an answer for 75 s. */
+void sim_calm (void);
 /* One request to a node's public address; the answer's status (0: none) after up to 5 s. */
 guint sim_request (guint node, const char *method, const char *path, const char *body);
 
 /* Rules broken so far, as text; empty: none. */
 const char *sim_broken (void);
+/* Machines in all parts' records. */
+guint sim_recorded (void);
+/* A key vanishes from the state service; whether it is there. */
+void sim_state_remove (const char *key);
+gboolean sim_state_has (const char *key);
 guint sim_started (void);
+/* Seconds from its submission to its first task's start; -1: none yet. */
+double sim_began (const char *job);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -35,6 +35,7 @@
 finish (double within_s)
 {
   double end = sim_now () + within_s;
+  sim_calm ();
   while (!sim_all_over () && sim_now () < end)
     sim_run (5);
   g_assert_cmpstr (sim_broken (), ==, "");
@@ -75,14 +76,31 @@
 static void
 test_machines_returned (void)
 {
-  begin (&usual);
+  SimOptions o = usual;
+  o.copies = 0.5; /* late copies of what they reported bring none of them back */
+  begin (&o);
   submit_some (10, 10);
   sim_run (150);
   g_assert_true (sim_all_over ());
   g_assert_cmpuint (sim_machines (), ==, 0);
+  g_assert_cmpuint (sim_recorded (), ==, 0);
   finish (0);
 }
 
+/* Something late (a copy of an earlier life's request, which ended with that life's lease) took a
+ * node's presence away: it comes back. */
+static void
+test_presence_comes_back (void)
+{
+  begin (&usual);
+  g_assert_true (sim_state_has ("c/node/berth-1"));
+  sim_state_remove ("c/node/berth-1");
+  sim_run (3);
+  g_assert_true (sim_state_has ("c/node/berth-1"));
+  submit_some (5, 5);
+  finish (100);
+}
+
 /* An owner cut off from the state service goes on serving its machines while another takes over:
  * fencing alone must keep a task from running twice. */
 static void
@@ -371,6 +389,108 @@
   sim_stop ();
 }
 
+/* A machine's reports arrive, but neither answers nor commands reach it: its tasks run elsewhere
+ * once its lease is over, and it does not swallow one launch after the other. */
+static void
+test_deaf_machine (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 16, 1, 60, 600);
+  sim_run (35);
+  g_autofree char *m = g_strdup (sim_busiest_machine ());
+  g_assert_nonnull (m);
+  for (guint i = 0; i < usual.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    sim_cut (node, m, SIM_DROP);
+  }
+  sim_submit ("wk-000002", "team0", "normal", 600, 1, 10, 900);
+  sim_run (120);
+  g_test_message ("unheard %u", sim_unheard (m));
+  g_assert_cmpuint (sim_unheard (m), >, 0);
+  g_assert_cmpuint (sim_unheard (m), <=, 16);
+  finish (300);
+}
+
+/* Copies of reports come late, up to many leases, also after restarts and to those who own the part
+ * no longer. */
+static void
+test_late_copies (void)
+{
+  SimOptions o = usual;
+  o.copies = 0.3;
+  begin (&o);
+  submit_some (60, 8);
+  for (guint i = 0; i < 6; i++) {
+    sim_run (12);
+    sim_node_kill (i % 3);
+    sim_run (i % 2 ? 0.2 : 8);
+    sim_node_start (i % 3);
+  }
+  finish (400);
+}
+
+/* Processes are back within a fraction of a second, again and again while keys pass on. */
+static void
+test_back_at_once (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (30);
+  for (guint i = 0; i < 40; i++) {
+    sim_node_kill (i % 3);
+    if (i % 4 == 0)
+      sim_node_kill ((i + 1) % 3);
+    sim_run (0.1 + 0.05 * (i % 7));
+    sim_node_start (i % 3);
+    if (i % 4 == 0)
+      sim_node_start ((i + 1) % 3);
+    sim_run (0.1 * (i % 9));
+  }
+  finish (400);
+}
+
+/* Nodes do not reach each other for a minute: each serves on, and what the leader knew of the
+ * others' needs still counts. */
+static void
+test_peers_refuse (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (20);
+  for (guint i = 0; i < 3; i++) {
+    char a[] = { 'n', (char) ('0' + i), 0 }, b[] = { 'n', (char) ('0' + (i + 1) % 3), 0 };
+    sim_cut_both (a, b, SIM_DROP);
+  }
+  sim_run (60);
+  for (guint i = 0; i < 3; i++) {
+    char a[] = { 'n', (char) ('0' + i), 0 }, b[] = { 'n', (char) ('0' + (i + 1) % 3), 0 };
+    sim_cut_both (a, b, SIM_OPEN);
+  }
+  finish (300);
+}
+
+/* A stream of small jobs that are late as soon as they come keeps the part full, and late jobs go
+ * first: the large one begins all the same. */
+static void
+test_large_job_begins (void)
+{
+  SimOptions o = usual;
+  o.machines = 2;
+  begin (&o);
+  sim_submit ("wk-000000", "team0", "normal", 2, 1, 10, 1);
+  sim_run (30);
+  sim_submit ("wk-000001", "team0", "normal", 300, 1, 10, 3000);
+  for (guint i = 0; i < 26; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0001%02u", i);
+    sim_submit (id, "team0", "normal", 16, 1, 10, 1);
+    sim_run (9);
+  }
+  double began = sim_began ("wk-000001");
+  g_assert_cmpfloat (began, >, 0);
+  g_assert_cmpfloat (began, <, 240);
+  finish (900);
+}
+
 /* Seven nodes, some hundred machines, small values and few writes: most machines go to one part,
  * whose record would not fit one value; then crashes, one and all. */
 static void
@@ -465,6 +585,7 @@
   g_test_message ("seed %u", seed);
   g_test_add_func ("/service/quiet", test_quiet);
   g_test_add_func ("/service/machines-returned", test_machines_returned);
+  g_test_add_func ("/service/presence-comes-back", test_presence_comes_back);
   g_test_add_func ("/service/takeover-with-owner-alive", test_takeover_with_owner_alive);
   g_test_add_func ("/service/owner-with-workers-only", test_owner_with_workers_only);
   g_test_add_func ("/service/delayed-messages", test_delayed_messages);
@@ -482,6 +603,11 @@
   g_test_add_func ("/service/sick-machine", test_sick_machine);
   g_test_add_func ("/service/slow-machine", test_slow_machine);
   g_test_add_func ("/service/requests", test_requests);
+  g_test_add_func ("/service/deaf-machine", test_deaf_machine);
+  g_test_add_func ("/service/late-copies", test_late_copies);
+  g_test_add_func ("/service/back-at-once", test_back_at_once);
+  g_test_add_func ("/service/peers-refuse", test_peers_refuse);
+  g_test_add_func ("/service/large-job-begins", test_large_job_begins);
   g_test_add_func ("/service/large", test_large);
   g_test_add_func ("/service/storm", test_storm);
   return g_test_run ();
