--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -180,7 +180,11 @@
 {
   begin (&usual);
   submit_some (40, 15);
-  sim_run (30);
+  sim_run (20);
+  sim_node_kill (2); /* its renewals come at other moments than the others' */
+  sim_run (0.7);
+  sim_node_start (2);
+  sim_run (10);
   sim_state_outage (TRUE);
   sim_run (5);
   /* In an outage nothing can be known: never a guess. */
