--- a/src/constants.h
+++ b/src/constants.h
@@ -124,7 +124,7 @@
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
 #define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
-#define KR_IDLE_RETURN_S 15.0   /* s a machine is idle and unneeded before it is returned */
+#define KR_IDLE_RETURN_S 5.0    /* s a machine is idle and unneeded before it is returned */
 #define KR_BOOT_FACTOR 6.0      /* times ReadyS before a starting machine is given up */
 #define KR_BOOT_MIN_S 60.0      /* s; at least this, whatever ReadyS is */
 #define KR_NEEDS_STALE_S 60.0   /* s a silent part's last needs are still used: peers may be cut */
