--- a/src/constants.h
+++ b/src/constants.h
@@ -66,11 +66,11 @@
 #define KR_HOME_HEALTHY_MS 8000  /* ms the home node must be present before it gets parts back */
 #define KR_SILENCE_S 3.0         /* s beyond two reports without any machine: hand the part on */
 #define KR_SILENCE_HOLD_MS 30000 /* ms a node keeps off a part it handed on for silence */
-#define KR_FENCE_GRACE_S 12.0    /* s; a used machine not reached by then is deleted */
+#define KR_FENCE_GRACE_S 6.0     /* s; a used machine not reached by then is deleted */
 #define KR_FENCE_MS 250          /* ms between looks at a takeover */
 #define KR_FENCE_WINDOW 32       /* machines asked at once: each call has a connection of its own */
 #define KR_FENCE_TRIES 2         /* calls without an answer before a machine is given up */
-#define KR_FENCE_FEW 8           /* of the used machines, the inverse share that counts as few */
+#define KR_FENCE_FEW 5           /* of the used machines, the inverse share that counts as few */
 #define KR_FENCE_FEW_S 4.0       /* s; then few that were not reached are deleted */
 #define KR_LEASE_MARGIN_S 1.0    /* s over a worker's lease: timers' steps and our own lateness */
 #define KR_CLOCK_DRIFT 0.001     /* two clocks may drift apart by 0.0005 each */
