--- a/src/membership.c
+++ b/src/membership.c
@@ -18,15 +18,21 @@
   KrHolder *holders; /* size parts, then the leader */
   KrRecords *records;
   KrClaim *claims;     /* size */
-  GHashTable *present; /* node -> gint64* since when (monotonic us) */
+  GHashTable *present; /* node -> Present */
   guint64 lease;
   gboolean lease_busy;
   gint64 presence_at; /* monotonic us: our presence is not written again before */
+  gboolean away;      /* what our presence says: we keep off our home part */
   gboolean shown;     /* our presence, under this incarnation, is what the watch showed last */
   gint64 renewal_sent, proven;
   guint lease_timer, duty_timer;
 };
 
+typedef struct {
+  gint64 since;  /* monotonic us */
+  gboolean away; /* it keeps off its home part for now */
+} Present;
+
 /* A change of one holder's key under way. */
 typedef struct {
   KrMembership *m;
@@ -95,6 +101,13 @@
   return mine (m, &m->holders[part]);
 }
 
+static gboolean
+keeps_off (KrMembership *m)
+{
+  return m->settings->self < m->settings->size &&
+         kr_now () < m->holders[m->settings->self].keep_off;
+}
+
 gint64
 kr_membership_proven (KrMembership *m)
 {
@@ -116,6 +129,7 @@
 
   if (mark < h->mark || (mark == h->mark && !!node == !!h->node))
     return;
+  gboolean before = mine (m, h);
   g_clear_pointer (&h->node, g_free);
   g_clear_pointer (&h->incarnation, g_free);
   h->mark = mark;
@@ -126,6 +140,8 @@
     h->from = (guint64) json_integer_value (json_object_get (value, "From"));
   } else
     h->free_since = kr_now ();
+  if (!before && mine (m, h))
+    h->ours_since = kr_now ();
   if (which == m->settings->size)
     kr_info ("leader: %s (token %" G_GUINT64_FORMAT ")", node ? node : "none", mark);
   else {
@@ -145,16 +161,23 @@
                   json_is_true (json_object_get (value, "Settled")), mark };
 }
 
+/* value: NULL: it is gone. */
 static void
-note_node (KrMembership *m, const char *name, gboolean there)
+note_node (KrMembership *m, const char *name, json_t *value)
 {
-  if (there && !g_hash_table_contains (m->present, name)) {
-    gint64 *since = g_new (gint64, 1);
-    *since = kr_now ();
-    g_hash_table_insert (m->present, g_strdup (name), since);
+  Present *there = g_hash_table_lookup (m->present, name);
+  if (!value) {
+    if (g_hash_table_remove (m->present, name))
+      kr_info ("node %s: gone", name);
+    return;
+  }
+  if (!there) {
+    there = g_new0 (Present, 1);
+    there->since = kr_now ();
+    g_hash_table_insert (m->present, g_strdup (name), there);
     kr_info ("node %s: present", name);
-  } else if (!there && g_hash_table_remove (m->present, name))
-    kr_info ("node %s: gone", name);
+  }
+  there->away = json_is_true (json_object_get (value, "Away"));
 }
 
 static void put_presence (KrMembership *m);
@@ -168,7 +191,7 @@
 
   if (g_str_has_prefix (k, "c/node/")) {
     const char *name = k + strlen ("c/node/");
-    note_node (m, name, item->value != NULL);
+    note_node (m, name, item->value);
     if (g_str_equal (name, m->settings->node_name))
       m->shown =
           g_strcmp0 (json_string_value (json_object_get (item->value, "Inc")), m->incarnation) == 0;
@@ -220,7 +243,7 @@
   for (GList *l = known; l; l = l->next) {
     g_autofree char *name = g_strdup (l->data);
     if (!g_hash_table_contains (nodes, name))
-      note_node (m, name, FALSE);
+      note_node (m, name, NULL);
   }
   m->seen = TRUE;
   if (m->scans == scans)
@@ -333,6 +356,8 @@
     return G_SOURCE_CONTINUE;
   /* A late copy of our earlier life's request may have put its presence over ours, to end with its
    * lease. */
+  if (m->away != keeps_off (m))
+    m->shown = FALSE;
   if (!m->shown && now >= m->presence_at)
     put_presence (m);
   for (guint p = 0; p <= s->size; p++) {
@@ -346,8 +371,11 @@
       /* Our own earlier life held it: nobody else can have acted in between. */
       take (m, p);
     } else if (p < s->size && mine (m, h) && p != s->self && p < s->names->len) {
-      gint64 *since = g_hash_table_lookup (m->present, s->names->pdata[p]);
-      if (since && now - *since > KR_HOME_HEALTHY_MS * G_GINT64_CONSTANT (1000)) {
+      const Present *home = g_hash_table_lookup (m->present, s->names->pdata[p]);
+      /* Not to one that has just handed it on for silence: the part would go to and fro, closed
+       * each time, for as long as its home keeps off. */
+      if (home && !home->away &&
+          now - MAX (home->since, h->ours_since) > KR_HOME_HEALTHY_MS * G_GINT64_CONSTANT (1000)) {
         kr_info ("part %u: handing it back to %s", p, (char *) s->names->pdata[p]);
         kr_membership_release (m, p, KR_HOME_HEALTHY_MS);
       }
@@ -371,7 +399,8 @@
   m->presence_at = kr_now () + KR_NODE_RENEW_MS * G_GINT64_CONSTANT (1000);
   g_autofree char *key = g_strconcat ("c/node/", m->settings->node_name, NULL);
   KrTxn *txn = kr_txn_new ();
-  kr_txn_put (txn, key, json_pack ("{ss}", "Inc", m->incarnation), m->lease);
+  m->away = keeps_off (m);
+  kr_txn_put (txn, key, json_pack ("{ss sb}", "Inc", m->incarnation, "Away", m->away), m->lease);
   kr_state_commit (m->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, m->cancel, node_key_done, m);
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -11,6 +11,7 @@
   guint64 mark;      /* the token */
   guint64 from;      /* Mark of the key it replaced: an own earlier one, or 0 */
   gint64 free_since; /* monotonic us, while nobody has it */
+  gint64 ours_since; /* monotonic us, while it is ours */
   gint64 keep_off;   /* monotonic us until which we do not take it */
   gboolean busy;     /* a change of ours is under way */
 } KrHolder;
--- a/src/state.c
+++ b/src/state.c
@@ -34,7 +34,6 @@
   st->write_rps = s->state_write_rps;
   st->requests = kr_bucket_new (st->rps / s->size, 1);
   st->writes = kr_bucket_new (st->write_rps / s->size, 1);
-  st->heard = kr_now ();
   return st;
 }
 
@@ -76,7 +75,7 @@
 double
 kr_state_silence (KrState *st)
 {
-  return (double) (kr_now () - st->heard) / G_USEC_PER_SEC;
+  return st->heard ? (double) (kr_now () - st->heard) / G_USEC_PER_SEC : G_MAXINT;
 }
 
 static void
--- a/src/state.h
+++ b/src/state.h
@@ -25,7 +25,8 @@
 guint kr_state_spare_writes (KrState *self);
 /* This node's part (0 to 1) of the requests and changes of all nodes together. */
 void kr_state_set_share (KrState *self, double share);
-/* Time since the service last answered anything but 503, in seconds. */
+/* Time since the service last answered anything but 503, in seconds; very long if it never did: a
+ * node that has just started must not tell others that it is served. */
 double kr_state_silence (KrState *self);
 
 /* Reads a prefix whole, then follows its changes. After a gap it reads the prefix anew. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -611,6 +611,13 @@
   return g_hash_table_contains (S.store, key);
 }
 
+guint64
+sim_state_mark (const char *key)
+{
+  const Entry *e = g_hash_table_lookup (S.store, key);
+  return e ? e->mark : 0;
+}
+
 void
 sim_state_refuse (guint node, gboolean on)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -63,6 +63,7 @@
 /* A key vanishes from the state service; whether it is there. */
 void sim_state_remove (const char *key);
 gboolean sim_state_has (const char *key);
+guint64 sim_state_mark (const char *key); /* 0: not there */
 guint sim_started (void);
 /* Seconds from its submission to its first task's start; -1: none yet. */
 double sim_began (const char *job);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -198,6 +198,16 @@
     sim_state_outage (FALSE);
     sim_run (7.4);
   }
+  /* One that starts during an outage has heard nothing, and says so. */
+  sim_state_outage (TRUE);
+  sim_run (3.5);
+  sim_node_kill (2);
+  sim_node_start (2);
+  for (guint i = 0; i < 20; i++) {
+    sim_run (0.3);
+    g_assert_cmpuint (sim_request (i % 2, "GET", "/ready", NULL), ==, 200);
+  }
+  sim_state_outage (FALSE);
   finish (400);
 }
 
@@ -263,6 +273,32 @@
   finish (400);
 }
 
+/* A home node that no machine reaches hands its part on, once: it is not handed back while the home
+ * keeps off, and the machines go on. */
+static void
+test_home_without_workers (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 400, 1, 20, 900);
+  sim_run (40);
+  for (guint i = 0; i < 12; i++) {
+    g_autofree char *m = g_strdup_printf ("host-%06u", i);
+    sim_cut_both ("n0", m, SIM_DROP);
+  }
+  sim_run (18);
+  guint64 token = sim_state_mark ("c/owner/0");
+  for (guint i = 0; i < 8; i++) {
+    sim_run (2);
+    g_assert_cmpuint (sim_tasks_running (NULL), >, 0);
+  }
+  g_assert_cmpuint (sim_state_mark ("c/owner/0"), ==, token);
+  for (guint i = 0; i < 12; i++) {
+    g_autofree char *m = g_strdup_printf ("host-%06u", i);
+    sim_cut_both ("n0", m, SIM_OPEN);
+  }
+  finish (400);
+}
+
 /* One node stays away: its part goes to another. */
 static void
 test_node_lost (void)
@@ -605,6 +641,7 @@
   g_test_add_func ("/service/restart-at-once", test_restart_at_once);
   g_test_add_func ("/service/all-crash", test_all_crash);
   g_test_add_func ("/service/crash-with-machines-cut-off", test_crash_with_machines_cut_off);
+  g_test_add_func ("/service/home-without-workers", test_home_without_workers);
   g_test_add_func ("/service/node-lost", test_node_lost);
   g_test_add_func ("/service/cancel-unreachable", test_cancel_unreachable);
   g_test_add_func ("/service/limit-in-doubt", test_limit_in_doubt);
