--- a/src/constants.h
+++ b/src/constants.h
@@ -112,13 +112,19 @@
 #define KR_STALE_LIST_S 40.0    /* s, and four lags: what left may still be listed */
 #define KR_LEFT_MEMORY_S 3600.0 /* s; far beyond any list's lag */
 #define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
-#define KR_RENT_MS 1000         /* ms; renting period: each round of the leader */
-#define KR_MOVE_MS 5000         /* ms; shares period for busy machines; free ones: each round */
-#define KR_MOVES_MAX 64         /* machines a round: as many as some transactions take */
-#define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
-#define KR_RENT_LEAST 0.05      /* machines' worth of need below which none is rented */
-#define KR_RENT_MAX 50          /* machines a request, by the protocol */
-#define KR_DELETE_MAX 100       /* names a deletion, by the protocol */
+#define KR_UNASKED_S                                                                               \
+  4.0                      /* s without the leader's exchange before needs go to the state service \
+                            */
+#define KR_TOLD_S 10.0     /* s; needs told longer ago count no more */
+#define KR_TELL_MS 2000    /* ms between such writes */
+#define KR_NEED_BYTES 256  /* bytes; one need in JSON with room to spare */
+#define KR_RENT_MS 1000    /* ms; renting period: each round of the leader */
+#define KR_MOVE_MS 5000    /* ms; shares period for busy machines; free ones: each round */
+#define KR_MOVES_MAX 64    /* machines a round: as many as some transactions take */
+#define KR_LEAVING_PART 6  /* of a part's machines, the inverse share that may be emptying */
+#define KR_RENT_LEAST 0.05 /* machines' worth of need below which none is rented */
+#define KR_RENT_MAX 50     /* machines a request, by the protocol */
+#define KR_DELETE_MAX 100  /* names a deletion, by the protocol */
 #define KR_DELETE_GATHER_MS 20  /* ms; deletions of one moment go out in one call */
 #define KR_CLOUD_BURST_S 2      /* s worth of calls that the cloud takes at once, by the protocol */
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
--- a/src/membership.c
+++ b/src/membership.c
@@ -52,6 +52,12 @@
   return g_strdup_printf ("c/claim/%u", part);
 }
 
+char *
+kr_membership_needs_key (guint part)
+{
+  return g_strdup_printf ("c/needs/%u", part);
+}
+
 static char *
 holder_key (KrMembership *m, guint which)
 {
@@ -205,6 +211,10 @@
     guint p = (guint) atoi (k + strlen ("c/claim/"));
     if (p < size && item->value)
       kr_membership_note_claim (m, p, item->value, item->mark);
+  } else if (g_str_has_prefix (k, "c/needs/")) {
+    guint p = (guint) atoi (k + strlen ("c/needs/"));
+    if (p < size && item->value)
+      m->events.needs (p, item->value, m->data);
   } else
     kr_records_note (m->records, item);
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -26,6 +26,7 @@
 typedef struct KrMembership KrMembership;
 typedef struct {
   void (*holder_changed) (guint part, gpointer data);
+  void (*needs) (guint part, json_t *value, gpointer data); /* told through the state service */
   void (*scanned) (gpointer data); /* all of c/ was read anew, beginning after the last rescan */
 } KrMembershipEvents;
 
@@ -57,4 +58,5 @@
 
 char *kr_membership_owner_key (guint part);
 char *kr_membership_claim_key (guint part);
+char *kr_membership_needs_key (guint part);
 #define KR_LEADER_KEY "c/leader"
--- a/src/node.c
+++ b/src/node.c
@@ -86,6 +86,13 @@
     kr_rent_left (n->rent, machine);
 }
 
+static void
+needs_told (guint part, json_t *value, gpointer data)
+{
+  KrNode *n = data;
+  kr_rent_needs (n->rent, part, value);
+}
+
 static void
 scanned (gpointer data)
 {
@@ -230,7 +237,7 @@
 KrNode *
 kr_node_new (const KrSettings *s, GError **error)
 {
-  const KrMembershipEvents events = { holder_changed, scanned };
+  const KrMembershipEvents events = { holder_changed, needs_told, scanned };
   const KrRecordEvents record_events = { record_changed, machine_left };
   KrNode *n = g_new0 (KrNode, 1);
   guint conns = (guint) (s->sockets * KR_CLIENT_SOCKET_SHARE);
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -43,6 +43,7 @@
   gint64 taken_at, last_beat;
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
   gboolean record_busy, flushing;
+  gint64 next_tell;   /* monotonic us: needs are not told before */
   gint64 next_record; /* monotonic us: the record is not written before */
   gboolean claiming;  /* the claim is being written */
   guint tick, fence_tick, preempt_soon;
@@ -67,6 +68,8 @@
 /* Writes our name and whether every used machine was fenced. */
 KrTxn *kr_part_claim_txn (KrPart *p, gboolean settled);
 void kr_part_write_record (KrPart *p);
+/* Tells the leader through the state service what is needed, where it does not reach us. */
+void kr_part_tell_needs (KrPart *p);
 
 /* part-progress.c */
 void kr_part_flush (KrPart *p);
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -3,6 +3,7 @@
 #include "constants.h"
 #include "log.h"
 #include "part-private.h"
+#include "rent.h"
 
 /* A write of the record under way. */
 typedef struct {
@@ -133,6 +134,36 @@
   commit (p, settle ? kr_part_claim_txn (p, TRUE) : kr_part_owner_txn (p), w);
 }
 
+static void
+told (guint status, json_t *body, gpointer data)
+{
+  kr_part_unref (data);
+}
+
+/* Guards against peers that refuse: the leader would rent nothing for a part that it cannot hear,
+ * and with new needs none of its jobs would begin until the cut is over. */
+void
+kr_part_tell_needs (KrPart *p)
+{
+  gint64 now = kr_now ();
+  if (p->phase != OPEN || now < p->next_tell ||
+      now - kr_rent_asked (p->node->rent) < kr_seconds (KR_UNASKED_S) ||
+      g_hash_table_size (p->jobs) == 0 || kr_state_spare_writes (p->node->state) == 0)
+    return;
+  p->next_tell = now + KR_TELL_MS * G_GINT64_CONSTANT (1000);
+  json_t *s = kr_part_summary (p), *needs = json_object_get (s, "Needs");
+  gsize most = (gsize) (p->node->settings->state_value_kb * 1024 - KR_VALUE_SLACK) / KR_NEED_BYTES;
+  json_object_del (s, "Berths"); /* the records tell */
+  json_object_set_new (s, "At", json_real (kr_time_of_day ()));
+  while (json_array_size (needs) > most)
+    json_array_remove (needs, json_array_size (needs) - 1);
+  g_autofree char *key = kr_membership_needs_key (p->index);
+  KrTxn *txn = kr_part_owner_txn (p);
+  kr_txn_put (txn, key, s, 0);
+  kr_state_commit (p->node->state, txn, KR_NORMAL, KR_STATE_TIMEOUT_MS, p->cancel, told,
+                   kr_part_ref (p));
+}
+
 static gboolean
 may_move (const KrBerth *b)
 {
--- a/src/part.c
+++ b/src/part.c
@@ -589,6 +589,7 @@
   }
   kr_part_write_record (p);
   kr_part_moves (p);
+  kr_part_tell_needs (p);
   kr_part_preempt (p, now);
   kr_part_flush (p);
   /* Cut off from the workers, but not from the state service: somebody else may reach them. */
--- a/src/rent.c
+++ b/src/rent.c
@@ -38,6 +38,7 @@
   gboolean records_read; /* since we lead, and since a write of ours with unknown outcome */
   gint64 next_types, next_list, next_rent, next_move;
   gint64 leading_since;
+  gint64 asked; /* monotonic us: when a leader, we or another, last asked for our summaries */
   guint timer;
 };
 
@@ -123,12 +124,30 @@
   r->summaries[p].at = kr_now ();
 }
 
+void
+kr_rent_needs (KrRent *r, guint part, json_t *summary)
+{
+  double age = kr_time_of_day () - json_number_value (json_object_get (summary, "At"));
+  /* A scan may bring what was told in an earlier cut; and an exchange tells more. */
+  if (age < KR_TOLD_S && kr_membership_leads (r->node->membership) &&
+      kr_now () - r->summaries[part].at > kr_seconds (KR_UNASKED_S))
+    take_summary (r, summary);
+}
+
+gint64
+kr_rent_asked (KrRent *r)
+{
+  return r->asked;
+}
+
 json_t *
 kr_rent_sync (KrRent *r, json_t *wishes)
 {
   json_t *parts = json_array (), *o;
   size_t i;
 
+  r->asked = kr_now ();
+
   json_array_foreach (wishes, i, o)
   {
     guint p = (guint) json_integer_value (json_object_get (o, "Part"));
@@ -743,6 +762,7 @@
   r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
   r->summaries = g_new0 (Summary, node->settings->size);
   r->wishes = g_new0 (json_t *, node->settings->size);
+  r->asked = kr_now ();
   r->timer = kr_timer_add (KR_SYNC_MS, tick, r);
   tick (r);
   return r;
--- a/src/rent.h
+++ b/src/rent.h
@@ -14,5 +14,9 @@
 void kr_rent_scanned (KrRent *self);
 /* A machine in no part's record has reported here. */
 void kr_rent_seen (KrRent *self, const KrReport *report);
+/* Needs that an owner told through the state service, as no leader asked for them. */
+void kr_rent_needs (KrRent *self, guint part, json_t *summary);
+/* Since when (monotonic us) no leader has asked us. */
+gint64 kr_rent_asked (KrRent *self);
 /* A peer's exchange: the leader's wishes in, summaries of our parts out. */
 json_t *kr_rent_sync (KrRent *self, json_t *wishes);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -495,19 +495,22 @@
   finish (400);
 }
 
-/* Nodes do not reach each other for a minute: each serves on, and what the leader knew of the
- * others' needs still counts. */
+/* Nodes do not reach each other for a minute: each part's jobs begin all the same, since their
+ * owners tell the leader through the state service. */
 static void
 test_peers_refuse (void)
 {
   begin (&usual);
-  submit_some (40, 15);
-  sim_run (20);
   for (guint i = 0; i < 3; i++) {
     char a[] = { 'n', (char) ('0' + i), 0 }, b[] = { 'n', (char) ('0' + (i + 1) % 3), 0 };
     sim_cut_both (a, b, SIM_DROP);
   }
+  sim_run (5);
+  submit_some (40, 15);
   sim_run (60);
+  g_assert_cmpfloat (sim_began ("wk-000001"), >, 0);
+  g_assert_cmpfloat (sim_began ("wk-000002"), >, 0);
+  g_assert_cmpfloat (sim_began ("wk-000003"), >, 0);
   for (guint i = 0; i < 3; i++) {
     char a[] = { 'n', (char) ('0' + i), 0 }, b[] = { 'n', (char) ('0' + (i + 1) % 3), 0 };
     sim_cut_both (a, b, SIM_OPEN);
