--- a/src/ledger.h
+++ b/src/ledger.h
@@ -21,7 +21,6 @@
   gboolean dirty;       /* progress not yet written */
   gboolean writing;     /* a write is under way */
   gint64 flushed_at;    /* monotonic us of the last write of its progress */
-  gboolean ended;       /* moved to end/ */
   /* failures */
   GHashTable *failed_on; /* machines on which a task failed since the last success */
   double hold_s;         /* pause after the next failure */
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -54,13 +54,24 @@
   }
 }
 
+/* Between all nodes. */
 static void
-crash_all (double away_s)
+cut_peers (SimCut how)
 {
-  for (guint i = 0; i < usual.nodes; i++)
+  for (guint i = 0; i < usual.nodes; i++) {
+    g_autofree char *a = g_strdup_printf ("n%u", i);
+    g_autofree char *b = g_strdup_printf ("n%u", (i + 1) % usual.nodes);
+    sim_cut_both (a, b, how);
+  }
+}
+
+static void
+crash_all (guint nodes, double away_s)
+{
+  for (guint i = 0; i < nodes; i++)
     sim_node_kill (i);
   sim_run (away_s);
-  for (guint i = 0; i < usual.nodes; i++)
+  for (guint i = 0; i < nodes; i++)
     sim_node_start (i);
 }
 
@@ -251,7 +262,7 @@
   begin (&usual);
   submit_some (40, 15);
   sim_run (30);
-  crash_all (20);
+  crash_all (usual.nodes, 20);
   finish (300);
 }
 
@@ -266,7 +277,7 @@
 
   g_autofree char *m = g_strdup (sim_busiest_machine ());
   cut_off (m, SIM_DROP);
-  crash_all (8);
+  crash_all (usual.nodes, 8);
   sim_run (20);
   g_assert_true (sim_machine_lives (m));
   cut_off (m, SIM_OPEN);
@@ -501,20 +512,14 @@
 test_peers_refuse (void)
 {
   begin (&usual);
-  for (guint i = 0; i < 3; i++) {
-    char a[] = { 'n', (char) ('0' + i), 0 }, b[] = { 'n', (char) ('0' + (i + 1) % 3), 0 };
-    sim_cut_both (a, b, SIM_DROP);
-  }
+  cut_peers (SIM_DROP);
   sim_run (5);
   submit_some (40, 15);
   sim_run (60);
   g_assert_cmpfloat (sim_began ("wk-000001"), >, 0);
   g_assert_cmpfloat (sim_began ("wk-000002"), >, 0);
   g_assert_cmpfloat (sim_began ("wk-000003"), >, 0);
-  for (guint i = 0; i < 3; i++) {
-    char a[] = { 'n', (char) ('0' + i), 0 }, b[] = { 'n', (char) ('0' + (i + 1) % 3), 0 };
-    sim_cut_both (a, b, SIM_OPEN);
-  }
+  cut_peers (SIM_OPEN);
   finish (300);
 }
 
@@ -564,11 +569,7 @@
   sim_run (0.3);
   sim_node_start (0);
   sim_run (20);
-  for (guint i = 0; i < o.nodes; i++)
-    sim_node_kill (i);
-  sim_run (5);
-  for (guint i = 0; i < o.nodes; i++)
-    sim_node_start (i);
+  crash_all (o.nodes, 5);
   sim_run (15);
   g_assert_cmpuint (sim_tasks_running (NULL), >, 500);
   finish (600);
