--- a/src/constants.h
+++ b/src/constants.h
@@ -122,6 +122,7 @@
 #define KR_MOVE_MS 5000    /* ms; shares period for busy machines; free ones: each round */
 #define KR_MOVES_MAX 64    /* machines a round: as many as some transactions take */
 #define KR_LEAVING_PART 6  /* of a part's machines, the inverse share that may be emptying */
+#define KR_RENT_GOAL 0.75  /* of the time to a goal: needs are told toward that moment */
 #define KR_RENT_LEAST 0.05 /* machines' worth of need below which none is rented */
 #define KR_RENT_MAX 50     /* machines a request, by the protocol */
 #define KR_DELETE_MAX 100  /* names a deletion, by the protocol */
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -626,7 +626,11 @@
     const KrSpec *s = c->job->spec;
     if (c->job->cancelled || !c->team)
       continue;
-    double want = kr_rank_want (&c->in);
+    /* Toward a moment before the goal: fetches, reports and moves take time that the paper's
+     * estimate does not count, and a job given just what it needs ends just too late. */
+    KrEstimateInput sooner = c->in;
+    sooner.goal = sooner.submitted + KR_RENT_GOAL * (sooner.goal - sooner.submitted);
+    double want = kr_rank_want (&sooner);
     if (now < c->job->hold_until)
       want = 0;
     /* Not beyond what the team's limit lets run. */
