Read once more: one lease formula, one way from a launch to its job, nothing twice

Behaviour is unchanged. The takeover's lease test calls kr_lease_over instead of repeating it; a draft looks a chunk up in one place; a deletion under way is its list alone; kr_live_job replaces casts; a comment moved to its check; tests: cut_workers and cut_successors replace loops written twice.

--- a/src/agent.c
+++ b/src/agent.c
@@ -182,10 +182,16 @@
   return TRUE;
 }
 
+gboolean
+kr_lease_over (gint64 since, gint64 now, double lease_s)
+{
+  return now - since > kr_seconds (lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S);
+}
+
 gboolean
 kr_berth_lease_over (const KrBerth *b, gint64 now, double lease_s)
 {
-  return now - b->answered > kr_seconds (lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S);
+  return kr_lease_over (b->answered, now, lease_s);
 }
 
 double
--- a/src/agent.h
+++ b/src/agent.h
@@ -75,6 +75,8 @@
                          gint64 now, KrSawFunc saw, gpointer data);
 /* Everything on it is gone (deleted, taken, or its lease surely over). */
 void kr_berth_clear (KrBerth *self, KrSawFunc saw, gpointer data);
+/* Whether a lease that nobody has renewed since then has surely run out. */
+gboolean kr_lease_over (gint64 since, gint64 now, double lease_s);
 /* Whether the worker's lease has surely run out since we last answered it. Only meaningful for a
  * machine that is fenced: no one else answers it. */
 gboolean kr_berth_lease_over (const KrBerth *self, gint64 now, double lease_s);
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -106,11 +106,6 @@
   gpointer data;
 } Doomed;
 
-typedef struct {
-  KrCloud *cloud;
-  GPtrArray *doomed; /* Doomed */
-} Deletion;
-
 static void
 doomed_free (gpointer p)
 {
@@ -125,27 +120,25 @@
 static void
 delete_done (guint status, json_t *body, gpointer data)
 {
-  Deletion *x = data;
-  for (guint i = 0; i < x->doomed->len; i++) {
-    Doomed *d = x->doomed->pdata[i];
+  GPtrArray *doomed = data;
+  for (guint i = 0; i < doomed->len; i++) {
+    Doomed *d = doomed->pdata[i];
     d->reply (status, body, d->data);
   }
-  g_ptr_array_unref (x->doomed);
-  g_free (x);
+  g_ptr_array_unref (doomed);
 }
 
 static void
 delete_send (gboolean granted, gpointer data)
 {
   KrCloud *c = data;
-  Deletion *x = g_new (Deletion, 1);
+  GPtrArray *doomed = g_ptr_array_new_with_free_func (doomed_free);
   g_autoptr (GPtrArray) ids = g_ptr_array_new ();
 
   c->deleting = FALSE;
-  *x = (Deletion){ c, g_ptr_array_new_with_free_func (doomed_free) };
-  while (x->doomed->len < KR_DELETE_MAX && c->doomed.length) {
+  while (doomed->len < KR_DELETE_MAX && c->doomed.length) {
     Doomed *d = g_queue_pop_head (&c->doomed);
-    g_ptr_array_add (x->doomed, d);
+    g_ptr_array_add (doomed, d);
     if (!d->cancel || !g_cancellable_is_cancelled (d->cancel))
       g_ptr_array_add (ids, d->id);
   }
@@ -153,9 +146,9 @@
   if (granted && ids->len > 1)
     kr_client_call (c->client, "POST", c->host, KR_PATH_DELETE,
                     kr_wire_deletion ((char **) ids->pdata), KR_CLOUD_TIMEOUT_MS, NULL, delete_done,
-                    x);
+                    doomed);
   else
-    delete_done (429, NULL, x);
+    delete_done (429, NULL, doomed);
   delete_more (c);
 }
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -364,10 +364,10 @@
 
   if (!m->seen || !m->lease)
     return G_SOURCE_CONTINUE;
-  /* A late copy of our earlier life's request may have put its presence over ours, to end with its
-   * lease. */
   if (m->away != keeps_off (m))
     m->shown = FALSE;
+  /* Also where a late copy of our earlier life's request put its presence over ours, to end with
+   * its lease. */
   if (!m->shown && now >= m->presence_at)
     put_presence (m);
   for (guint p = 0; p <= s->size; p++) {
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -100,6 +100,12 @@
     kr_place_take (c->used, c->job->spec);
 }
 
+KrJob *
+kr_live_job (const KrLaunch *l)
+{
+  return l->of ? ((const KrLive *) l->of)->job : NULL;
+}
+
 static void
 rerank (KrPart *p, KrLive *c, gint64 now, double real)
 {
@@ -156,7 +162,7 @@
       continue;
     if (!l->of)
       return FALSE; /* unknown load: nothing more until it is gone */
-    kr_place_take (room, ((KrLive *) l->of)->job->spec);
+    kr_place_take (room, kr_live_job (l)->spec);
   }
   return TRUE;
 }
@@ -199,7 +205,7 @@
     KrLaunch *l = b->launches->pdata[i];
     if (l->state == KR_TASK_EXITED)
       continue;
-    double mean = l->of ? mean_of (((KrLive *) l->of)->job) : 0;
+    double mean = l->of ? mean_of (kr_live_job (l)) : 0;
     rest = MAX (rest, mean - kr_launch_ran_s (l, now));
   }
   return rest;
@@ -437,7 +443,7 @@
       return NULL;
     g_ptr_array_add (out, l);
     *total += loss;
-    kr_place_give (&room, ((KrLive *) l->of)->job->spec);
+    kr_place_give (&room, kr_live_job (l)->spec);
   }
   return g_steal_pointer (&out);
 }
@@ -455,7 +461,7 @@
   b->reserved_until = now + kr_seconds (KR_RESERVE_S);
   for (guint i = 0; i < stop->len; i++) {
     KrLaunch *l = stop->pdata[i];
-    if (l->kill || loss_of (l, ((KrLive *) l->of)->job, now) > most)
+    if (l->kill || loss_of (l, kr_live_job (l), now) > most)
       continue;
     l->kill = KR_KILL_SLACK;
     any = TRUE;
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -80,6 +80,8 @@
 void kr_live_free (gpointer live);
 void kr_live_add (KrLive *live, KrLaunch *l);
 void kr_live_drop (KrLaunch *l);
+/* The live job as whose task a launch counts, or NULL. */
+KrJob *kr_live_job (const KrLaunch *l);
 gboolean kr_part_usable (KrPart *p, const KrBerth *b, gint64 now);
 /* Adds `run` orders for the machine's free room. */
 void kr_part_grant (KrPart *p, KrBerth *b, json_t *orders, gint64 now);
--- a/src/part.c
+++ b/src/part.c
@@ -181,7 +181,7 @@
 static double
 slack (KrPart *p, const KrLaunch *l)
 {
-  const KrJob *j = l->of ? ((KrLive *) l->of)->job : NULL;
+  const KrJob *j = kr_live_job (l);
   return l->kill == KR_KILL_SLACK && j && j->spec->checkpoint_s > 0
              ? j->spec->save_s + KR_DEFAULT_SLACK_S
              : 0;
@@ -200,7 +200,7 @@
 {
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
-    KrJob *j = l->of ? ((KrLive *) l->of)->job : kr_part_job (p, l->job);
+    KrJob *j = l->of ? kr_live_job (l) : kr_part_job (p, l->job);
     if (l->state == KR_TASK_EXITED) {
       /* Cleared only once the outcome is durable: until then the worker is the only witness. */
       if (l->why != KR_WHY_DONE || (j && j->spec->form == KR_FORM_SERVICE) ||
@@ -338,9 +338,7 @@
   GHashTableIter it;
   gpointer value;
   guint unreached = 0, used = 0;
-  double age = (double) (now - p->taken_at) / G_USEC_PER_SEC,
-         proven =
-             (double) (kr_membership_proven (p->node->membership) - p->taken_at) / G_USEC_PER_SEC;
+  double age = (double) (now - p->taken_at) / G_USEC_PER_SEC;
 
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
@@ -357,7 +355,7 @@
     /* Restarted ourselves, no other owner since all were fenced: nobody has answered it since the
      * takeover, so its lease is over. */
     if (p->quiet_before && !b->answered &&
-        proven > s->lease_s * (1 + KR_CLOCK_DRIFT) + KR_LEASE_MARGIN_S) {
+        kr_lease_over (p->taken_at, kr_membership_proven (p->node->membership), s->lease_s)) {
       kr_info ("machine %s: not reached, its lease is over", b->id);
       kr_berth_clear (b, kr_part_saw, p);
       b->must_fence = FALSE;
@@ -547,7 +545,7 @@
   gboolean cancelled = FALSE, kills = FALSE;
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
-    const KrJob *j = l->of ? ((KrLive *) l->of)->job : NULL;
+    const KrJob *j = kr_live_job (l);
     if (l->state == KR_TASK_EXITED)
       continue;
     kills |= l->kill != KR_KILL_NO;
--- a/src/record.c
+++ b/src/record.c
@@ -160,16 +160,33 @@
   g_free (d);
 }
 
+/* A chunk as the draft would make it; NULL: untouched. */
 static json_t *
-changed (KrDraft *d, guint part, guint chunk)
+drafted (const KrDraft *d, guint part, guint chunk)
 {
   for (guint i = 0; i < d->changes->len; i++) {
-    Change *c = &g_array_index (d->changes, Change, i);
+    const Change *c = &g_array_index (d->changes, Change, i);
     if (c->part == part && c->chunk == chunk)
       return c->machines;
   }
+  return NULL;
+}
+
+/* A chunk as it is known; NULL: there is none yet. */
+static const Chunk *
+known (const KrDraft *d, guint part, guint chunk)
+{
   const GArray *all = d->records->parts[part];
-  const Chunk *old = chunk < all->len ? &g_array_index (all, Chunk, chunk) : NULL;
+  return chunk < all->len ? &g_array_index (all, Chunk, chunk) : NULL;
+}
+
+static json_t *
+changed (KrDraft *d, guint part, guint chunk)
+{
+  json_t *machines = drafted (d, part, chunk);
+  if (machines)
+    return machines;
+  const Chunk *old = known (d, part, chunk);
   /* Shallow: entries are never changed in place. */
   Change c = { part, chunk, old && old->machines ? json_copy (old->machines) : json_object (),
                old ? old->mark : 0 };
@@ -181,14 +198,9 @@
 static guint
 filled (const KrDraft *d, guint part, guint chunk)
 {
-  for (guint i = 0; i < d->changes->len; i++) {
-    const Change *c = &g_array_index (d->changes, Change, i);
-    if (c->part == part && c->chunk == chunk)
-      return (guint) json_object_size (c->machines);
-  }
-  const GArray *all = d->records->parts[part];
-  return chunk < all->len ? (guint) json_object_size (g_array_index (all, Chunk, chunk).machines)
-                          : 0;
+  const json_t *machines = drafted (d, part, chunk);
+  const Chunk *old = known (d, part, chunk);
+  return (guint) json_object_size (machines ? machines : old ? old->machines : NULL);
 }
 
 void
--- a/src/rent.c
+++ b/src/rent.c
@@ -147,7 +147,6 @@
   size_t i;
 
   r->asked = kr_now ();
-
   json_array_foreach (wishes, i, o)
   {
     guint p = (guint) json_integer_value (json_object_get (o, "Part"));
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -65,6 +65,28 @@
   }
 }
 
+/* Between a node and all machines that there may be. */
+static void
+cut_workers (const char *node, SimCut how)
+{
+  for (guint i = 0; i < 12; i++) {
+    g_autofree char *m = g_strdup_printf ("host-%06u", i);
+    sim_cut_both (node, m, how);
+  }
+}
+
+/* Between those who may take over from n0 and n0, a machine, and the cloud. */
+static void
+cut_successors (const char *machine, SimCut how)
+{
+  for (guint i = 1; i < usual.nodes; i++) {
+    g_autofree char *n = g_strdup_printf ("n%u", i);
+    sim_cut_both ("n0", n, how);
+    sim_cut_both (machine, n, how);
+    sim_cut_both ("cloud", n, how);
+  }
+}
+
 static void
 crash_all (guint nodes, double away_s)
 {
@@ -138,20 +160,10 @@
   g_autofree char *kept = g_strdup (sim_idlest_machine ());
   g_assert_nonnull (kept);
   sim_cut_both ("n0", "state", SIM_DROP);
-  for (guint i = 1; i < usual.nodes; i++) {
-    g_autofree char *n = g_strdup_printf ("n%u", i);
-    sim_cut_both ("n0", n, SIM_DROP);
-    sim_cut_both (kept, n, SIM_DROP);
-    sim_cut_both ("cloud", n, SIM_DROP);
-  }
+  cut_successors (kept, SIM_DROP);
   sim_run (60);
   g_assert_cmpstr (sim_broken (), ==, "");
-  for (guint i = 1; i < usual.nodes; i++) {
-    g_autofree char *n = g_strdup_printf ("n%u", i);
-    sim_cut_both ("n0", n, SIM_OPEN);
-    sim_cut_both (kept, n, SIM_OPEN);
-    sim_cut_both ("cloud", n, SIM_OPEN);
-  }
+  cut_successors (kept, SIM_OPEN);
   sim_cut_both ("n0", "state", SIM_OPEN);
   finish (600);
 }
@@ -309,10 +321,7 @@
   begin (&usual);
   sim_submit ("wk-000001", "team0", "normal", 400, 1, 20, 900);
   sim_run (40);
-  for (guint i = 0; i < 12; i++) {
-    g_autofree char *m = g_strdup_printf ("host-%06u", i);
-    sim_cut_both ("n0", m, SIM_DROP);
-  }
+  cut_workers ("n0", SIM_DROP);
   sim_run (18);
   guint64 token = sim_state_mark ("c/owner/0");
   for (guint i = 0; i < 8; i++) {
@@ -320,10 +329,7 @@
     g_assert_cmpuint (sim_tasks_running (NULL), >, 0);
   }
   g_assert_cmpuint (sim_state_mark ("c/owner/0"), ==, token);
-  for (guint i = 0; i < 12; i++) {
-    g_autofree char *m = g_strdup_printf ("host-%06u", i);
-    sim_cut_both ("n0", m, SIM_OPEN);
-  }
+  cut_workers ("n0", SIM_OPEN);
   finish (400);
 }
 
