The leader acts when parts have answered and rents faster; silent machines are not idle

Cause: on both fleets the first wave waited for machines: the leader saw needs a second late, asked one call a second and pool, and had 2.6 and 1.9 of the cloud's 6 calls a second. Two faults seen on the way by /service/deaf-machine: a machine whose lease had run out counted as idle and went back at once, and one that hears nothing was given work again each time its lease ran out between two reports. Status line at debug: where the CPUs are.

--- a/src/agent.c
+++ b/src/agent.c
@@ -1,5 +1,6 @@
 #include "agent.h"
 #include "constants.h"
+#include "log.h"
 #include <math.h>
 #include <string.h>
 
@@ -78,16 +79,6 @@
   return FALSE;
 }
 
-void
-kr_berth_clear (KrBerth *b, KrSawFunc saw, gpointer data)
-{
-  while (b->launches->len) {
-    KrLaunch *l = g_ptr_array_steal_index (b->launches, b->launches->len - 1);
-    saw (b, l, KR_SAW_GONE, data);
-    kr_launch_free (l);
-  }
-}
-
 /* A launch that was not seen yet. */
 static KrLaunch *
 in_doubt (const KrBerth *b)
@@ -100,18 +91,29 @@
   return NULL;
 }
 
+void
+kr_berth_clear (KrBerth *b, KrSawFunc saw, gpointer data)
+{
+  /* Also where the lease ran out between two reports: a deaf machine that goes from node to node
+   * comes back to its owner only after that, and would be given work each time. */
+  KrLaunch *lost = in_doubt (b);
+  if (lost)
+    saw (b, lost, KR_SAW_UNHEARD, data);
+  while (b->launches->len) {
+    KrLaunch *l = g_ptr_array_steal_index (b->launches, b->launches->len - 1);
+    saw (b, l, KR_SAW_GONE, data);
+    kr_launch_free (l);
+  }
+}
+
 gboolean
 kr_berth_apply (KrBerth *b, const KrReport *r, gboolean beat, guint64 token, gint64 now,
                 KrSawFunc saw, gpointer data)
 {
   if (r->session < b->session || (r->session == b->session && r->seq <= b->seq))
     return FALSE; /* guards against reports that a cut held back */
-  if (r->session > b->session) {
-    KrLaunch *l = in_doubt (b);
-    if (l)
-      saw (b, l, KR_SAW_UNHEARD, data);
+  if (r->session > b->session)
     kr_berth_clear (b, saw, data); /* its lease ran out: the worker killed everything */
-  }
   b->session = r->session;
   b->seq = r->seq;
   b->heard = now;
@@ -131,6 +133,8 @@
     b->type = g_strdup (r->type);
     b->zone = g_strdup (r->zone);
     b->spot = r->spot;
+    if (!b->known)
+      kr_debug ("machine %s: up", b->id);
     b->known = TRUE;
   }
   if (isnan (r->notice_s))
--- a/src/constants.h
+++ b/src/constants.h
@@ -49,14 +49,16 @@
 #define KR_STATE_WEIGHT_NODE 1.0  /* users' requests come to all nodes alike */
 #define KR_STATE_WEIGHT_PART 1.0  /* a part with teams: ends, progress, records */
 #define KR_STATE_WEIGHT_LEAD 1.0  /* the leader: machines given to parts */
-#define KR_CLOUD_WEIGHT_NODE 0.25 /* machine types only */
-#define KR_CLOUD_WEIGHT_PART 1.0  /* a part with teams: the list, deletions */
-#define KR_CLOUD_WEIGHT_LEAD 3.0  /* the leader: the list, rentals */
+#define KR_CLOUD_WEIGHT_NODE 0.05 /* machine types only */
+#define KR_CLOUD_WEIGHT_PART 0.5  /* a part with teams: the list, deletions (100 a call) */
+#define KR_CLOUD_WEIGHT_LEAD 4.0  /* the leader: the list, rentals (50 a call) */
 
 /* --- Machines' records --------------------------------------------------------------- */
 #define KR_CHUNK_MACHINES 80 /* machines a chunk: txn_ops of them stay below 64 KiB */
 #define KR_MACHINE_BYTES 64  /* bytes; an entry (id and address) with room to spare */
 #define KR_VALUE_SLACK 256   /* bytes of a value kept free beside the entries */
+#define KR_RECORD_SHARE 0.5  /* of a node's writes: what a part's record may take */
+#define KR_RECORD_MIN_S 0.2  /* s between two writes of it: machines boot by the dozen */
 #define KR_CHUNKS_MAX 10000  /* chunks a part: any more is no key of ours */
 
 /* --- Ownership ----------------------------------------------------------------------- */
@@ -79,6 +81,7 @@
 
 /* --- Scheduling ---------------------------------------------------------------------- */
 #define KR_TICK_MS 1000            /* ms; the part's periodic duties */
+#define KR_STATUS_TICKS 5          /* ticks between status lines (debug) */
 #define KR_TIME_TO_GOAL_MIN_S 1.0  /* s; floor of goal minus now: slots needed stay finite */
 #define KR_DEFAULT_GOAL_S 600.0    /* s; goal of a job with neither deadline nor objective */
 #define KR_JOB_HOLD_S 5.0          /* s; first pause of a job that fails on several machines */
@@ -112,20 +115,25 @@
 #define KR_STALE_LIST_S 40.0    /* s, and four lags: what left may still be listed */
 #define KR_LEFT_MEMORY_S 3600.0 /* s; far beyond any list's lag */
 #define KR_SYNC_MS 1000         /* ms between the leader's rounds with the parts */
+#define KR_LEAD_MS 100     /* ms between looks at what is due, and a new leader's first rounds */
+#define KR_ANSWERS_MS 300  /* ms that a round waits for the slowest part */
+#define KR_LEAD_WAIT_S 1.5 /* s a new leader waits for parts that do not answer */
+#define KR_WISHES_MAX 1500 /* machines in one of them: far below the 64 KiB of a body */
 #define KR_UNASKED_S                                                                               \
-  4.0                      /* s without the leader's exchange before needs go to the state service \
-                            */
-#define KR_TOLD_S 10.0     /* s; needs told longer ago count no more */
-#define KR_TELL_MS 2000    /* ms between such writes */
-#define KR_NEED_BYTES 256  /* bytes; one need in JSON with room to spare */
-#define KR_RENT_MS 1000    /* ms; renting period: each round of the leader */
-#define KR_MOVE_MS 5000    /* ms; shares period for busy machines; free ones: each round */
-#define KR_MOVES_MAX 64    /* machines a round: as many as some transactions take */
-#define KR_LEAVING_PART 6  /* of a part's machines, the inverse share that may be emptying */
-#define KR_RENT_GOAL 0.75  /* of the time to a goal: needs are told toward that moment */
-#define KR_RENT_LEAST 0.05 /* machines' worth of need below which none is rented */
-#define KR_RENT_MAX 50     /* machines a request, by the protocol */
-#define KR_DELETE_MAX 100  /* names a deletion, by the protocol */
+  4.0                     /* s without the leader's exchange before needs go to the state service  \
+                           */
+#define KR_TOLD_S 10.0    /* s; needs told longer ago count no more */
+#define KR_TELL_MS 2000   /* ms between such writes */
+#define KR_NEED_BYTES 256 /* bytes; one need in JSON with room to spare */
+#define KR_RENT_MS 250  /* ms; renting period: a pool gives 50 machines a call, and may have 1,000 \
+                         */
+#define KR_MOVE_MS 5000 /* ms; shares period for busy machines; free ones: each round */
+#define KR_MOVES_MAX 64 /* machines a round: as many as some transactions take */
+#define KR_LEAVING_PART 6       /* of a part's machines, the inverse share that may be emptying */
+#define KR_RENT_GOAL 0.75       /* of the time to a goal: needs are told toward that moment */
+#define KR_RENT_LEAST 0.05      /* machines' worth of need below which none is rented */
+#define KR_RENT_MAX 50          /* machines a request, by the protocol */
+#define KR_DELETE_MAX 100       /* names a deletion, by the protocol */
 #define KR_DELETE_GATHER_MS 20  /* ms; deletions of one moment go out in one call */
 #define KR_CLOUD_BURST_S 2      /* s worth of calls that the cloud takes at once, by the protocol */
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
--- a/src/node.c
+++ b/src/node.c
@@ -190,11 +190,12 @@
 serve_peer (KrRequest *request, gpointer data)
 {
   KrNode *n = data;
-  if (g_str_equal (kr_request_path (request), "/sync"))
-    kr_request_reply (request, 200,
-                      kr_rent_sync (n->rent, json_object_get (kr_request_json (request), "Wishes")),
-                      0);
-  else if (g_str_equal (kr_request_path (request), "/health"))
+  if (g_str_equal (kr_request_path (request), KR_PEER_SUMMARIES))
+    kr_request_reply (request, 200, kr_rent_summaries (n->rent), 0);
+  else if (g_str_equal (kr_request_path (request), KR_PEER_WISHES)) {
+    kr_rent_fulfil (n->rent, json_object_get (kr_request_json (request), "Wishes"));
+    kr_request_reply (request, 200, NULL, 0);
+  } else if (g_str_equal (kr_request_path (request), "/health"))
     kr_request_reply (request, 200, json_pack ("{sf}", "Silence", kr_state_silence (n->state)), 0);
   else
     kr_request_reply (request, 404, NULL, 0);
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -665,15 +665,16 @@
   g_hash_table_iter_init (&it, p->berths);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrBerth *b = value;
-    double idle = b->launches->len || !b->known || p->phase != OPEN
+    /* A silent one is not idle: it may hang and go on. How long to wait is watch_berth's to say. */
+    gboolean lost = silent (p, b, now);
+    double idle = b->launches->len || !b->known || lost || p->phase != OPEN
                       ? -1
                       : (double) (now - b->idle_since) / G_USEC_PER_SEC;
-    json_array_append_new (
-        berths,
-        json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot", b->spot,
-                   "Up", b->known, "Idle", idle, "Rest", rest_s (p, b, now), "Going",
-                   b->drain || b->deleting || b->notice_at != 0 || silent (p, b, now), "To",
-                   (json_int_t) b->leaving_to));
+    json_array_append_new (berths, json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type",
+                                              b->type, "Spot", b->spot, "Up", b->known, "Idle",
+                                              idle, "Rest", rest_s (p, b, now), "Going",
+                                              b->drain || b->deleting || b->notice_at != 0 || lost,
+                                              "To", (json_int_t) b->leaving_to));
   }
   return json_pack ("{sI sb so so}", "Part", (json_int_t) p->index, "Waiting", waiting, "Needs",
                     needs, "Berths", berths);
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -47,6 +47,7 @@
   gint64 next_record; /* monotonic us: the record is not written before */
   gboolean claiming;  /* the claim is being written */
   guint tick, fence_tick, preempt_soon;
+  guint ticks;      /* so far */
   guint fencing;    /* calls of it under way */
   gint64 listed_at; /* monotonic us of the newest list */
 };
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -128,7 +128,9 @@
   }
   RecordWrite *w = g_new0 (RecordWrite, 1);
   w->draft = draft;
-  p->next_record = kr_now () + KR_TICK_MS * G_GINT64_CONSTANT (1000);
+  /* The record has half of this node's writes at most, and a machine that boots waits for it. */
+  double pause = kr_draft_ops (draft) / (KR_RECORD_SHARE * kr_state_burst_writes (p->node->state));
+  p->next_record = kr_now () + kr_seconds (CLAMP (pause, KR_RECORD_MIN_S, KR_TICK_MS / 1000.0));
   if (settle)
     w->claim = kr_membership_claim_value (p->node->membership, TRUE);
   commit (p, settle ? kr_part_claim_txn (p, TRUE) : kr_part_owner_txn (p), w);
--- a/src/part.c
+++ b/src/part.c
@@ -506,7 +506,7 @@
   if (kr_berth_apply (b, r, TRUE, p->token, now, kr_part_saw, p)) {
     kr_part_check_open (p);
     b->answered = now;
-    if (!b->used && !b->used_wanted) {
+    if (!b->used) {
       b->used_wanted = TRUE; /* durable before the first run */
       kr_part_write_record (p);
     }
@@ -522,6 +522,49 @@
 }
 
 /* --- periodic duties ----------------------------------------------------------------- */
+/* For those who ask where the CPUs are that are paid for. */
+static void
+log_status (KrPart *p, gint64 now)
+{
+  GHashTableIter it;
+  gpointer value;
+  double running = 0, fetching = 0, doubt = 0, held = 0, leaving = 0, unusable = 0, open = 0;
+  guint up = 0, starting = 0, waiting = 0;
+
+  g_hash_table_iter_init (&it, p->berths);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const KrBerth *b = value;
+    const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
+    double left = t ? t->cpus : 0;
+    if (!b->known) {
+      starting++;
+      continue;
+    }
+    up++;
+    for (guint i = 0; i < b->launches->len; i++) {
+      const KrLaunch *l = b->launches->pdata[i];
+      const KrJob *j = kr_live_job (l);
+      if (!j || l->state == KR_TASK_EXITED)
+        continue;
+      left -= j->spec->cpus;
+      *(l->state == KR_TASK_DOUBT     ? &doubt
+        : l->state == KR_TASK_PULLING ? &fetching
+                                      : &running) += j->spec->cpus;
+    }
+    *(!kr_part_usable (p, b, now) ? &unusable
+      : b->leaving_to >= 0        ? &leaving
+      : b->reserved_for           ? &held
+                                  : &open) += left;
+  }
+  for (guint i = 0; i < p->lives->len; i++)
+    waiting += kr_job_unstarted (((KrLive *) p->lives->pdata[i])->job);
+  kr_debug (
+      "part %u: %u jobs, %u tasks wait; %u machines up, %u starting; CPUs: %.0f running, %.0f "
+      "fetching, %.0f in doubt; free: %.0f held, %.0f leaving, %.0f not usable, %.0f open",
+      p->index, p->lives->len, waiting, up, starting, running, fetching, doubt, held, leaving,
+      unusable, open);
+}
+
 static void
 watch_berth (KrPart *p, KrBerth *b, gint64 now)
 {
@@ -536,6 +579,7 @@
     if (kr_berth_busy (b))
       kr_info ("machine %s: silent, its lease is over, %u tasks gone", b->id, kr_berth_busy (b));
     kr_berth_clear (b, kr_part_saw, p);
+    b->idle_since = now;
     if (now - b->heard > kr_seconds (s->lease_s + KR_LOST_DELETE_S) &&
         now - p->last_beat < kr_seconds (2 * s->report_s)) {
       delete_berth (p, b, "silent for long");
@@ -585,6 +629,8 @@
       watch_berth (p, l->data, now);
     }
   }
+  if (p->have_jobs && p->ticks++ % KR_STATUS_TICKS == 0)
+    log_status (p, now);
   kr_part_write_record (p);
   kr_part_moves (p);
   kr_part_tell_needs (p);
--- a/src/rent.c
+++ b/src/rent.c
@@ -36,9 +36,13 @@
   guint requests;
   gboolean listing, types_busy, assigning, had_list;
   gboolean records_read; /* since we lead, and since a write of ours with unknown outcome */
-  gint64 next_types, next_list, next_rent, next_move;
+  gint64 next_types, next_list, next_move, next_round;
   gint64 leading_since;
-  gint64 asked; /* monotonic us: when a leader, we or another, last asked for our summaries */
+  gint64 rent_at; /* monotonic us: renting goes on then, between rounds; 0: nothing to do */
+  gint64 act_at;  /* monotonic us: the round goes on then, whoever has answered; 0: it has */
+  guint asking;   /* exchanges of this round without an answer yet */
+  gboolean heard; /* since we lead, a round in which all parts were heard, or enough time */
+  gint64 asked;   /* monotonic us: when a leader, we or another, last asked for our summaries */
   guint timer;
 };
 
@@ -141,83 +145,133 @@
 }
 
 json_t *
-kr_rent_sync (KrRent *r, json_t *wishes)
+kr_rent_summaries (KrRent *r)
 {
-  json_t *parts = json_array (), *o;
-  size_t i;
-
+  json_t *parts = json_array ();
   r->asked = kr_now ();
-  json_array_foreach (wishes, i, o)
+  for (guint p = 0; p < r->node->settings->size; p++)
+    if (r->node->parts[p])
+      json_array_append_new (parts, kr_part_summary (r->node->parts[p]));
+  return json_pack ("{so}", "Parts", parts);
+}
+
+void
+kr_rent_fulfil (KrRent *r, json_t *wishes)
+{
+  json_t *w, *id;
+  size_t i, k;
+
+  json_array_foreach (wishes, i, w)
   {
-    guint p = (guint) json_integer_value (json_object_get (o, "Part"));
-    const char *id = json_string_value (json_object_get (o, "Id"));
+    guint p = (guint) json_integer_value (json_object_get (w, "Part"));
     KrPart *part = p < r->node->settings->size ? r->node->parts[p] : NULL;
-    json_t *to = json_object_get (o, "To");
-    if (!part || !id)
+    json_t *to = json_object_get (w, "To");
+    if (!part)
       continue;
-    if (json_is_integer (to))
-      kr_part_give (part, id, (guint) json_integer_value (to));
-    else
-      kr_part_return (part, id);
-  }
-  for (guint p = 0; p < r->node->settings->size; p++)
-    if (r->node->parts[p]) {
-      kr_part_moves (r->node->parts[p]);
-      json_array_append_new (parts, kr_part_summary (r->node->parts[p]));
+    json_array_foreach (json_object_get (w, "Ids"), k, id)
+    {
+      const char *name = json_string_value (id);
+      if (name && json_is_integer (to))
+        kr_part_give (part, name, (guint) json_integer_value (to));
+      else if (name)
+        kr_part_return (part, name);
     }
-  return json_pack ("{so}", "Parts", parts);
+    kr_part_moves (part);
+  }
 }
 
+static void act (KrRent *r, gboolean whole);
+
+typedef struct {
+  KrRent *rent;
+  gint64 round; /* its act_at */
+} Asked;
+
 static void
-synced (guint status, json_t *body, gpointer data)
+asked (guint status, json_t *body, gpointer data)
 {
-  KrRent *r = data;
+  Asked *a = data;
+  KrRent *r = a->rent;
   json_t *s;
   size_t i;
   if (status == 200)
     json_array_foreach (json_object_get (body, "Parts"), i, s) take_summary (r, s);
+  if (status == 200 && r->act_at == a->round && --r->asking == 0)
+    act (r, TRUE); /* all have answered: nothing to wait for */
+  g_free (a);
 }
 
-static json_t *
-wishes_for (KrRent *r, const char *node)
+static void
+fulfilled (guint status, json_t *body, gpointer data)
 {
-  json_t *out = json_array ();
-  for (guint p = 0; p < r->node->settings->size; p++) {
-    const KrHolder *h = kr_membership_holder (r->node->membership, p);
-    if (!h->node || !g_str_equal (h->node, node) || !r->wishes[p])
-      continue;
-    json_array_extend (out, r->wishes[p]);
-    g_clear_pointer (&r->wishes[p], json_decref);
-  }
-  return out;
 }
 
+/* Asks every node for the summaries of its parts. */
 static void
-exchange (KrRent *r)
+exchange (KrRent *r, gint64 now)
 {
   const KrSettings *s = r->node->settings;
-  json_t *mine = wishes_for (r, s->node_name);
-  json_t *answer = kr_rent_sync (r, mine);
-  synced (200, answer, r);
-  json_decref (answer);
-  json_decref (mine);
+  r->act_at = now + KR_ANSWERS_MS * G_GINT64_CONSTANT (1000);
+  r->asking = s->others->len + 1;
   for (guint i = 0; i < s->others->len; i++) {
     const KrPeerSettings *o = s->others->pdata[i];
-    kr_client_call (r->node->peers, "POST", o->addr, "/sync",
-                    json_pack ("{so}", "Wishes", wishes_for (r, o->name)), KR_PEER_TIMEOUT_MS,
-                    r->cancel, synced, r);
+    Asked *a = g_new (Asked, 1);
+    *a = (Asked){ r, r->act_at };
+    kr_client_call (r->node->peers, "GET", o->addr, KR_PEER_SUMMARIES, NULL, KR_PEER_TIMEOUT_MS,
+                    r->cancel, asked, a);
   }
+  Asked *own = g_new (Asked, 1);
+  *own = (Asked){ r, r->act_at };
+  json_t *mine = kr_rent_summaries (r);
+  asked (200, mine, own);
+  json_decref (mine);
 }
 
+/* The wishes for a part as a message: machines that have the same to do in one list. */
 static void
 wish (KrRent *r, guint part, const char *id, gint to)
 {
+  json_t *w = NULL, *o;
+  size_t i;
   if (!r->wishes[part])
     r->wishes[part] = json_array ();
-  json_t *o = json_pack ("{sI ss}", "Part", (json_int_t) part, "Id", id);
-  if (to >= 0)
-    json_object_set_new (o, "To", json_integer (to));
-  json_array_append_new (r->wishes[part], o);
+  json_array_foreach (r->wishes[part], i, o)
+  {
+    json_t *t = json_object_get (o, "To");
+    if (t ? json_integer_value (t) == to : to < 0)
+      w = o;
+  }
+  if (!w) {
+    w = json_pack ("{sI s[]}", "Part", (json_int_t) part, "Ids");
+    if (to >= 0)
+      json_object_set_new (w, "To", json_integer (to));
+    json_array_append_new (r->wishes[part], w);
+  }
+  /* What does not fit is wished again in the next round. */
+  json_t *ids = json_object_get (w, "Ids");
+  if (json_array_size (ids) < KR_WISHES_MAX)
+    json_array_append_new (ids, json_string (id));
+}
+
+/* Tells the owners, each once. */
+static void
+send_wishes (KrRent *r)
+{
+  const KrSettings *s = r->node->settings;
+  for (guint p = 0; p < s->size; p++) {
+    json_t *wishes = g_steal_pointer (&r->wishes[p]);
+    const KrHolder *h = kr_membership_holder (r->node->membership, p);
+    if (wishes && h->node && g_str_equal (h->node, s->node_name))
+      kr_rent_fulfil (r, wishes);
+    for (guint i = 0; wishes && h->node && i < s->others->len; i++) {
+      const KrPeerSettings *o = s->others->pdata[i];
+      if (g_str_equal (o->name, h->node))
+        kr_client_call (r->node->peers, "POST", o->addr, KR_PEER_WISHES,
+                        json_pack ("{sO}", "Wishes", wishes), KR_PEER_TIMEOUT_MS, r->cancel,
+                        fulfilled, r);
+    }
+    json_decref (wishes);
+  }
 }
 
 /* Before machines are given out, all records are read anew: an earlier leader, or a write of ours
@@ -371,10 +425,11 @@
   if (n < o->count) {
     o->closed_until = now + (gint64) (o->pause_ms * 1000);
     o->pause_ms = MIN (o->pause_ms * 2, KR_BACKOFF_MAX_MS);
-    r->next_rent = now; /* this pool is closed: other ones at the next round, not the next period */
   } else
     o->pause_ms = KR_BACKOFF_MS;
   g_clear_pointer (&o->request, g_free);
+  /* More may be wanted, here or, where this pool is closed, of others. */
+  r->rent_at = now + KR_RENT_MS * G_GINT64_CONSTANT (1000);
 }
 
 static void
@@ -444,6 +499,7 @@
     for (guint z = 0; z < open->len; z++) {
       Pool *o = open->pdata[z];
       double machines = 0, share_out = open->len - z;
+      g_autofree double *taken = g_new0 (double, needs->len);
       for (guint k = 0; k < needs->len; k++) {
         KrNeed *n = needs->pdata[k];
         /* Work that may use spot gets ordinary machines only when spot ones are refused. */
@@ -452,10 +508,14 @@
             !kr_place_fits_type (n->shape, f->type))
           continue;
         double part = n->shape->zone ? 1 : 1 / share_out;
-        double slots = n->unmet * part;
-        machines += slots * kr_place_share (n->shape, f->type);
-        n->unmet -= slots;
+        taken[k] = n->unmet * part;
+        machines += taken[k] * kr_place_share (n->shape, f->type);
       }
+      /* What is over a call's size is left to the other pools: a thousand machines from one, 50 at
+       * a time, would come late. */
+      double asked = machines > 0 ? MIN (1, KR_RENT_MAX / machines) : 0;
+      for (guint k = 0; k < needs->len; k++)
+        ((KrNeed *) needs->pdata[k])->unmet -= taken[k] * asked;
       if (machines > KR_RENT_LEAST)
         ask (r, o, (guint) ceil (machines));
     }
@@ -616,19 +676,30 @@
     r->next_move = now + KR_MOVE_MS * 1000;
 }
 
+/* A new leader must not rent what is there already: first it hears all parts, or waits a while for
+ * those that do not answer, and sees one list. */
+static gboolean
+knows_enough (KrRent *r, gint64 now)
+{
+  r->heard |= r->asking == 0 || now - r->leading_since > kr_seconds (KR_LEAD_WAIT_S);
+  return r->heard && r->node->types && r->had_list && r->records_read;
+}
+
+/* The round's second half, once the parts have been heard. Not whole: only what is rented and given
+ * out, from what they said last; machines that are wished to move or go would be wished so twice.
+ */
 static void
-lead (KrRent *r, gint64 now)
+act (KrRent *r, gboolean whole)
 {
+  gint64 now = kr_now ();
   guint size = r->node->settings->size;
   g_autoptr (GPtrArray) needs = g_ptr_array_new_with_free_func (kr_need_free);
   g_autoptr (GPtrArray) supplies = g_ptr_array_new_with_free_func (kr_supply_free);
   g_autofree double *have = g_new0 (double, size), *targets = g_new0 (double, size);
   double all = 0;
 
-  exchange (r);
-  /* First hear all parts and see one list: a new leader must not rent what is there already. */
-  if (!r->node->types || !r->had_list ||
-      now - r->leading_since < kr_seconds (1.5 * KR_SYNC_MS / 1000.0))
+  r->act_at = r->rent_at = 0;
+  if (!knows_enough (r, now))
     return;
   collect (r, needs, supplies, now);
   g_autoptr (GPtrArray) news = homeless (r, now);
@@ -669,17 +740,15 @@
     for (guint p = 0; p < size; p++)
       lack[p] = MAX (0, targets[p] - have[p]);
     assign (r, news, lack);
-  } else
+  } else if (whole)
     move (r, supplies, targets, now);
-  for (guint i = 0; i < supplies->len; i++) {
+  for (guint i = 0; whole && i < supplies->len; i++) {
     KrSupply *s = supplies->pdata[i];
     if (s->part >= 0 && s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S && s->to < 0)
       wish (r, (guint) s->part, s->id, -1);
   }
-  if (now >= r->next_rent) {
-    r->next_rent = now + KR_RENT_MS * 1000;
-    rent (r, needs, now);
-  }
+  rent (r, needs, now);
+  send_wishes (r);
 }
 
 /* --- reading the cloud --------------------------------------------------------------- */
@@ -737,14 +806,22 @@
     r->next_list = now + (leads ? KR_LIST_MS : KR_LIST_OWNER_MS) * 1000;
     kr_cloud_list (r->node->cloud, r->cancel, list_read, r);
   }
-  if (!leads)
-    r->leading_since = 0;
-  else {
-    if (!r->leading_since) {
-      r->leading_since = now;
-      read_records (r);
-    }
-    lead (r, now);
+  if (!leads) {
+    r->leading_since = r->act_at = r->rent_at = 0;
+    r->heard = FALSE;
+    return G_SOURCE_CONTINUE;
+  }
+  if (!r->leading_since) {
+    r->leading_since = now;
+    r->next_list = r->next_round = 0;
+    read_records (r);
+  }
+  if (r->act_at ? now >= r->act_at : r->rent_at && now >= r->rent_at)
+    act (r, r->act_at != 0);
+  if (now >= r->next_round && !r->act_at) {
+    /* While there is something to wait for, the first round begins again and again. */
+    r->next_round = now + (knows_enough (r, now) ? KR_SYNC_MS : KR_LEAD_MS) * 1000;
+    exchange (r, now);
   }
   return G_SOURCE_CONTINUE;
 }
@@ -762,7 +839,7 @@
   r->summaries = g_new0 (Summary, node->settings->size);
   r->wishes = g_new0 (json_t *, node->settings->size);
   r->asked = kr_now ();
-  r->timer = kr_timer_add (KR_SYNC_MS, tick, r);
+  r->timer = kr_timer_add (KR_LEAD_MS, tick, r);
   tick (r);
   return r;
 }
--- a/src/rent.h
+++ b/src/rent.h
@@ -18,5 +18,9 @@
 void kr_rent_needs (KrRent *self, guint part, json_t *summary);
 /* Since when (monotonic us) no leader has asked us. */
 gint64 kr_rent_asked (KrRent *self);
-/* A peer's exchange: the leader's wishes in, summaries of our parts out. */
-json_t *kr_rent_sync (KrRent *self, json_t *wishes);
+/* Peers' requests: a leader asks for the summaries of our parts, and says what to do with machines:
+ * [{"Part","Ids":[...],"To"}], no To: to be returned. */
+#define KR_PEER_SUMMARIES "/summaries"
+#define KR_PEER_WISHES "/wishes"
+json_t *kr_rent_summaries (KrRent *self);
+void kr_rent_fulfil (KrRent *self, json_t *wishes);
