Tests: two thousand machines, repeats of every request, malformed values; guards for the latter

A value in a record's chunk that is no object made all its machines count as gone; an owner's key without a node counted as free; a peer's summary that is none replaced part 0's. They are refused and logged now. Walks over a part's machines are counted: a report, with its completions and grants, costs none at 2,000 machines (/service/fleet).

--- a/src/membership.c
+++ b/src/membership.c
@@ -133,6 +133,12 @@
   KrHolder *h = &m->holders[which];
   const char *node = json_string_value (json_object_get (value, "Node"));
 
+  if (value && !node) {
+    /* Not "nobody": a key that is there cannot be taken as a free one. */
+    kr_info ("state: the key of %s %u is malformed, left as it was known",
+             which == m->settings->size ? "leader" : "part", which);
+    return;
+  }
   if (mark < h->mark || (mark == h->mark && !!node == !!h->node))
     return;
   gboolean before = mine (m, h);
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -272,7 +272,7 @@
     kr_place_give (&after, j->spec);
   }
   g_hash_table_iter_init (&it, p->berths);
-  while (places->len < want && g_hash_table_iter_next (&it, NULL, &value)) {
+  while (places->len < want && kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     KrRoom room;
     if (!kr_part_usable (p, b, now) || !may_run_here (p, b, c, now) || !free_room (p, b, &room))
@@ -486,7 +486,7 @@
   gpointer value;
   guint n = 0;
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     double total;
     if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0 || now >= b->reserved_until ||
@@ -531,7 +531,7 @@
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     double total;
     if ((b->reserved_for && now < b->reserved_until) || b->leaving_to >= 0 ||
@@ -663,7 +663,7 @@
                                              s->rank >= KR_RANK_URGENT));
   }
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     /* A silent one is not idle: it may hang and go on. How long to wait is watch_berth's to say. */
     gboolean lost = silent (p, b, now);
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -48,6 +48,7 @@
   gboolean claiming;  /* the claim is being written */
   guint tick, fence_tick, preempt_soon;
   guint ticks;      /* so far */
+  guint64 walked;   /* machines, by walks over all of them: no event may cost one */
   guint fencing;    /* calls of it under way */
   gint64 listed_at; /* monotonic us of the newest list */
 };
@@ -56,6 +57,8 @@
 void kr_part_unref (KrPart *p);
 KrJob *kr_part_job (KrPart *p, const char *id);
 KrBerth *kr_part_berth (KrPart *p, const char *id);
+/* g_hash_table_iter_next over the machines, counted. */
+gboolean kr_part_next (KrPart *p, GHashTableIter *it, gpointer *berth);
 /* KrSawFunc: what a machine's report means for its tasks' jobs. */
 void kr_part_saw (KrBerth *b, KrLaunch *l, KrSaw what, gpointer part);
 void kr_part_count_launch (KrPart *p, KrLaunch *l);
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -276,7 +276,7 @@
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     for (guint k = 0; k < b->launches->len; k++) {
       KrLaunch *l = b->launches->pdata[k];
@@ -302,7 +302,8 @@
   KrJob *j = kr_part_job (p, id);
   if (j && item->mark <= j->mark)
     return;
-  if ((guint) json_integer_value (json_object_get (item->value, "Part")) != p->index)
+  json_t *part = json_object_get (item->value, "Part");
+  if (json_is_integer (part) && (guint) json_integer_value (part) != p->index)
     return;
   if (j) {
     j->mark = item->mark;
@@ -311,8 +312,10 @@
     return;
   }
   j = kr_job_decode (item->value, item->mark);
-  if (!j)
+  if (!j) {
+    kr_info ("state: %s is malformed, left alone", item->key);
     return;
+  }
   g_hash_table_insert (p->jobs, j->spec->id, kr_live_new (p, j));
   if (p->have_jobs)
     count_launches (p); /* of a job that was read only now */
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -243,7 +243,7 @@
     return;
   kr_records_walk (p->node->records, p->index, walk_member, p);
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     const KrMember *m = kr_records_find (p->node->records, b->id);
     if (!m || m->part != p->index) {
--- a/src/part.c
+++ b/src/part.c
@@ -41,6 +41,19 @@
   return g_hash_table_lookup (p->berths, id);
 }
 
+gboolean
+kr_part_next (KrPart *p, GHashTableIter *it, gpointer *berth)
+{
+  p->walked++;
+  return g_hash_table_iter_next (it, NULL, berth);
+}
+
+guint64
+kr_part_walked (KrPart *p)
+{
+  return p->walked;
+}
+
 KrJob *
 kr_part_job (KrPart *p, const char *id)
 {
@@ -340,7 +353,7 @@
   double age = (double) (now - p->taken_at) / G_USEC_PER_SEC;
 
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     const KrBerth *b = value;
     used += b->must_fence;
     unreached += kr_part_needs_fence (b) && !b->heard;
@@ -349,7 +362,7 @@
    * a fixed window would ask the last of them half a minute late. */
   guint window = CLAMP (used / KR_FENCE_WAVES, KR_FENCE_WINDOW, kr_node_worker_conns (s));
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     const char *why;
     if (!kr_part_needs_fence (b) || b->deleting)
@@ -386,7 +399,7 @@
   if (p->phase != FENCING)
     return;
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  while (kr_part_next (p, &it, &value))
     if (kr_part_needs_fence (value))
       return;
   p->phase = OPEN;
@@ -452,7 +465,7 @@
 
   p->listed_at = now;
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     const KrMachine *m = g_hash_table_lookup (by_id, b->id);
     if (m) {
@@ -532,7 +545,7 @@
   guint up = 0, starting = 0, waiting = 0;
 
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     const KrBerth *b = value;
     const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
     double left = t ? t->cpus : 0;
@@ -695,7 +708,7 @@
   p->have_record = TRUE;
   kr_part_record_changed (p);
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     b->must_fence = b->used;
   }
@@ -752,7 +765,7 @@
   p->token = token;
   p->launches = 0;
   g_hash_table_iter_init (&it, p->berths);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
+  while (kr_part_next (p, &it, &value)) {
     KrBerth *b = value;
     /* A machine that we fenced stays ours: only this process held the key since. */
     if (b->must_fence && b->fenced)
--- a/src/part.h
+++ b/src/part.h
@@ -25,6 +25,9 @@
 /* Live counts of a job; FALSE if it is not known here. */
 gboolean kr_part_counts (KrPart *self, const char *job, guint *done, guint *running);
 
+/* Steps of walks over all machines so far: what the tests count. */
+guint64 kr_part_walked (KrPart *self);
+
 /* For the leader: {"Part","Waiting","Needs":[...],"Berths":[...]} */
 json_t *kr_part_summary (KrPart *self);
 /* Marks a machine; kr_part_moves moves what is marked and empty, together. */
--- a/src/record.c
+++ b/src/record.c
@@ -1,5 +1,6 @@
 #include "record.h"
 #include "constants.h"
+#include "log.h"
 #include <stdio.h>
 
 #define PREFIX "c/berths/"
@@ -101,9 +102,21 @@
 kr_records_note (KrRecords *r, const KrItem *item)
 {
   guint part, chunk;
-  if (item->value && sscanf (item->key, PREFIX "%u/%u", &part, &chunk) == 2 &&
-      part < r->settings->size && chunk < KR_CHUNKS_MAX)
+  if (!item->value || sscanf (item->key, PREFIX "%u/%u", &part, &chunk) != 2 ||
+      part >= r->settings->size || chunk >= KR_CHUNKS_MAX)
+    return;
+  if (json_is_object (item->value)) {
     note (r, part, chunk, item->value, item->mark);
+    return;
+  }
+  /* Guards against a value that is none of ours: all its machines would count as gone. What was
+   * known stays, under the new Mark, so that the next write of the chunk puts it right. */
+  kr_info ("state: %s is malformed, left as it was known", item->key);
+  json_t *known =
+      chunk < r->parts[part]->len ? g_array_index (r->parts[part], Chunk, chunk).machines : NULL;
+  json_t *machines = known ? json_incref (known) : json_object ();
+  note (r, part, chunk, machines, item->mark);
+  json_decref (machines);
 }
 
 const KrMember *
--- a/src/rent.c
+++ b/src/rent.c
@@ -119,9 +119,13 @@
 static void
 take_summary (KrRent *r, json_t *s)
 {
-  guint p = (guint) json_integer_value (json_object_get (s, "Part"));
-  if (p >= r->node->settings->size)
+  json_t *part = json_object_get (s, "Part");
+  guint p = (guint) json_integer_value (part);
+  if (!json_is_integer (part) || p >= r->node->settings->size ||
+      !json_is_array (json_object_get (s, "Needs"))) {
+    kr_info ("peers: a summary is malformed, refused");
     return;
+  }
   json_decref (r->summaries[p].value);
   r->summaries[p].value = json_incref (s);
   r->summaries[p].at = kr_now ();
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "constants.h"
 #include "http.h"
+#include "part.h"
 #include "wire.h"
 #include <math.h>
 #include <string.h>
@@ -62,6 +63,8 @@
   GHashTable *jobs; /* id -> User */
   GString *broken;
   gint64 calm_at; /* 0: not yet */
+  guint beats;    /* reports handled */
+  guint64 beat_steps;
   guint started;
 } S;
 
@@ -321,6 +324,24 @@
   deliver (c->to, c->from, answer_arrives, c);
 }
 
+/* Steps of walks over all machines of a part, in a node so far. */
+static guint64
+walked (gint i)
+{
+  const Node *n = &S.nodes[i];
+  guint64 sum = 0;
+  for (guint p = 0; n->node && p < S.o.nodes; p++)
+    sum += n->node->parts[p] ? kr_part_walked (n->node->parts[p]) : 0;
+  return sum;
+}
+
+guint
+sim_beats (guint64 *steps)
+{
+  *steps = S.beat_steps;
+  return S.beats;
+}
+
 static gboolean
 call_arrives (gpointer data)
 {
@@ -336,9 +357,15 @@
   r->call = c;
   r->owner = s->owner;
   r->life = s->life;
+  guint64 before = walked (s->owner);
+  gboolean beat = g_str_equal (c->path, "/agent/beat");
   S.current = s->owner;
   s->handler (r, s->data);
   S.current = -1;
+  if (beat) {
+    S.beats++;
+    S.beat_steps += walked (s->owner) - before;
+  }
   return FALSE;
 }
 
@@ -354,6 +381,30 @@
   return g_strdup_printf ("host-%06d", atoi (address + strlen ("10.1.0.")));
 }
 
+/* A late copy of a request: nobody reads its answer. */
+typedef struct {
+  char *from, *method, *to, *path;
+  json_t *body;
+} Copy;
+
+static gboolean copying; /* copies have no copies */
+static gboolean copy_arrives (gpointer data);
+
+static void
+copy_of (const char *from, const char *method, const char *to, const char *path, json_t *body)
+{
+  Copy *c = g_new (Copy, 1);
+  *c = (Copy){ g_strdup (from), g_strdup (method), g_strdup (to), g_strdup (path),
+               json_deep_copy (body) };
+  later (exp (g_rand_double_range (S.rng, 0, log (60))), copy_arrives, c);
+}
+
+static void
+copy_later (const Call *c)
+{
+  copy_of (c->from, c->method, c->host, c->path, c->body);
+}
+
 static Call *
 call_new (const char *from, const char *method, const char *address, const char *path, json_t *body,
           double timeout_s, KrReply reply, gpointer data)
@@ -371,6 +422,8 @@
   c->data = data;
   later (timeout_s, call_late, c);
   deliver (c->from, c->to, call_arrives, c);
+  if (!copying && !g_str_has_prefix (from, "host-") && g_rand_double (S.rng) < S.o.repeats)
+    copy_later (c);
   return c;
 }
 
@@ -602,6 +655,16 @@
   return n;
 }
 
+void
+sim_state_put (const char *key, const char *value)
+{
+  json_t *v = json_loads (value, JSON_DECODE_ANY, NULL);
+  S.revision++;
+  change (key, v, 0);
+  json_decref (v);
+  wake_follows ();
+}
+
 void
 sim_state_remove (const char *key)
 {
@@ -992,12 +1055,6 @@
   g_free (b);
 }
 
-/* A late copy of a report: nobody reads its answer. */
-typedef struct {
-  char *from, *to;
-  json_t *report;
-} Copy;
-
 static void
 copy_answered (guint status, json_t *body, gpointer data)
 {
@@ -1007,9 +1064,13 @@
 copy_arrives (gpointer data)
 {
   Copy *c = data;
-  call_new (c->from, "POST", c->to, "/agent/beat", c->report, 4, copy_answered, NULL);
+  copying = TRUE;
+  call_new (c->from, c->method, c->to, c->path, c->body, 4, copy_answered, NULL);
+  copying = FALSE;
   g_free (c->from);
+  g_free (c->method);
   g_free (c->to);
+  g_free (c->path);
   g_free (c);
   return FALSE;
 }
@@ -1063,11 +1124,8 @@
     m->sent = m->last_beat = S.now;
     m->next_beat = S.now + (gint64) (S.o.report_s * g_rand_double_range (S.rng, 0.75, 1.25) * 1e6);
     json_t *r = report (m);
-    if (g_rand_double (S.rng) < S.o.copies) {
-      Copy *c = g_new (Copy, 1);
-      *c = (Copy){ g_strdup (m->id), g_strdup (address), json_deep_copy (r) };
-      later (exp (g_rand_double_range (S.rng, 0, log (60))), copy_arrives, c);
-    }
+    if (g_rand_double (S.rng) < S.o.copies)
+      copy_of (m->id, "POST", address, "/agent/beat", r);
     call_new (m->id, "POST", address, "/agent/beat", r, 4, beat_done, b);
   }
   return FALSE;
@@ -1435,10 +1493,10 @@
   *(Asked *) data = (Asked){ TRUE, status };
 }
 
-guint
-sim_request (guint node, const char *method, const char *path, const char *body)
+static guint
+request (guint node, guint port, const char *method, const char *path, const char *body)
 {
-  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
+  g_autofree char *address = g_strdup_printf ("10.0.0.%u:%u", node + 1, port);
   Asked a = { FALSE, 0 };
   call_new ("user", method, address, path, body ? json_loads (body, 0, NULL) : NULL, 5, asked, &a);
   while (!a.over)
@@ -1446,6 +1504,18 @@
   return a.status;
 }
 
+guint
+sim_request (guint node, const char *method, const char *path, const char *body)
+{
+  return request (node, 8080, method, path, body);
+}
+
+guint
+sim_peer (guint node, const char *method, const char *path, const char *body)
+{
+  return request (node, 8081, method, path, body);
+}
+
 /* --- nodes and life
  * -------------------------------------------------------------------------------- */
 static KrSettings *
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -13,8 +13,9 @@
   double spot_price;
   guint machines; /* that the cloud has at most */
   double value_kb, write_rps;
-  double step_s; /* between looks at a machine; 0: 50 ms */
-  double copies; /* share of reports of which a copy comes late, from a second to a minute */
+  double step_s;  /* between looks at a machine; 0: 50 ms */
+  double repeats; /* share of the nodes' and users' requests that arrive once more, later still */
+  double copies;  /* share of reports of which a copy comes late, from a second to a minute */
 } SimOptions;
 
 void sim_start (guint32 seed, const SimOptions *options);
@@ -59,14 +60,21 @@
 /* One request to a node's public address; the answer's status (0: none) after up to 5 s. */
 guint sim_request (guint node, const char *method, const char *path, const char *body);
 
+/* The same to its address for peers. */
+guint sim_peer (guint node, const char *method, const char *path, const char *body);
+
 /* Rules broken so far, as text; empty: none. */
 const char *sim_broken (void);
 /* Machines in all parts' records. */
 guint sim_recorded (void);
+/* A key gets a value (JSON) that no node wrote. */
+void sim_state_put (const char *key, const char *value);
 /* A key vanishes from the state service; whether it is there. */
 void sim_state_remove (const char *key);
 gboolean sim_state_has (const char *key);
 guint64 sim_state_mark (const char *key); /* 0: not there */
 guint sim_started (void);
+/* Reports handled so far, and what walks over machines they cost. */
+guint sim_beats (guint64 *steps);
 /* Seconds from its submission to its first task's start; -1: none yet. */
 double sim_began (const char *job);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -629,6 +629,118 @@
   finish (0);
 }
 
+/* Each kind of request of nodes and users (commits, leases, rentals, deletions, commands, what
+ * peers ask, submissions) arrives again up to a minute later, reports too, while nodes crash and
+ * are back at once: nothing runs twice, no job is lost, no machine stays paid for and unused. */
+static void
+test_repeats (void)
+{
+  SimOptions o = usual;
+  o.repeats = 0.3;
+  o.copies = 0.3;
+  begin (&o);
+  submit_some (60, 8);
+  for (guint i = 0; i < 8; i++) {
+    sim_run (6);
+    sim_node_kill (i % 3);
+    if (i % 4 == 3)
+      sim_node_kill ((i + 1) % 3);
+    sim_run (i % 2 ? 0.2 : 7);
+    sim_node_start (i % 3);
+    if (i % 4 == 3)
+      sim_node_start ((i + 1) % 3);
+  }
+  sim_submit ("wk-000004", "team1", "urgent", 20, 1, 20, 600);
+  sim_run (5);
+  sim_abort ("wk-000004");
+  for (double end = sim_now () + 400; !sim_all_over () && sim_now () < end;)
+    sim_run (5);
+  /* A late report of a machine that is gone brings it into a part whose leader has restarted since;
+   * it goes again once lists have not shown it for a minute and four lags. */
+  sim_run (160);
+  g_assert_cmpuint (sim_machines (), ==, 0);
+  g_assert_cmpuint (sim_recorded (), ==, 0);
+  finish (0);
+}
+
+/* What stands in the state service or comes from a peer is none of ours: it is refused, and the
+ * nodes go on with what they knew. */
+static void
+test_malformed (void)
+{
+  begin (&usual);
+  submit_some (40, 15);
+  sim_run (30);
+  guint running = sim_tasks_running (NULL);
+  g_assert_cmpuint (running, >, 0);
+  const char *const keys[] = { "job/wk-777777", "c/owner/9", "c/berths/1/7", "c/berths/x/y",
+                               "c/claim/8",     "c/node/x",  "c/needs/1",    "c/nothing" };
+  const char *const values[] = { "null", "7", "[1,{}]", "{\"Spec\":5,\"Part\":0}", "\"text\"" };
+  for (guint i = 0; i < G_N_ELEMENTS (values); i++) {
+    for (guint k = 0; k < G_N_ELEMENTS (keys); k++)
+      sim_state_put (keys[k], values[i]);
+    sim_run (1);
+  }
+  for (guint i = 0; i < 3; i++) {
+    g_assert_cmpuint (sim_request (i, "POST", "/agent/beat", "{\"Berth\":5}"), ==, 400);
+    g_assert_cmpuint (sim_request (i, "POST", "/agent/beat", "[]"), ==, 400);
+    g_assert_cmpuint (sim_peer (i, "POST", "/wishes", "{\"Wishes\":[5,{\"Part\":1e9}]}"), ==, 200);
+    g_assert_cmpuint (sim_peer (i, "POST", "/wishes",
+                                "{\"Wishes\":[{\"Part\":0,\"To\":-7,\"Ids\":[null,\"host-000000\","
+                                "\"x\"]}]}"),
+                      ==, 200);
+    g_assert_cmpuint (sim_peer (i, "POST", "/nothing", "{}"), ==, 404);
+  }
+  /* A part's own record, as an array: its machines are still known. */
+  sim_state_put ("c/berths/0/0", "[]");
+  sim_run (3);
+  g_assert_cmpuint (sim_tasks_running (NULL), >, running / 2);
+  finish (400);
+}
+
+/* Two thousand machines: they come up, work, all controllers crash at once and come back; the parts
+ * open within seconds, nothing starts twice, and at the end every machine has gone back. */
+static void
+test_fleet (void)
+{
+  SimOptions o = usual;
+  o.nodes = 5;
+  o.machine_cpus = 4;
+  o.machines = 2000;
+  o.report_s = 4;
+  o.lease_s = 22;
+  o.write_rps = 180;
+  o.step_s = 0.25;
+  begin (&o);
+  for (guint i = 0; i < 16; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0000%02u", i);
+    g_autofree char *team = g_strdup_printf ("team%u", i < 10 ? 0 : i % 3);
+    sim_submit (id, team, i % 3 ? "normal" : "urgent", 1100, 1, 45, 100);
+  }
+  sim_run (50);
+  g_assert_cmpuint (sim_machines (), >, 1900);
+  g_assert_cmpuint (sim_tasks_running (NULL), >, 5000);
+  /* All are up: reports, the completions and the grants with them walk over no other machine. */
+  guint64 steps, steps_before;
+  guint started = sim_started (), beats = sim_beats (&steps_before);
+  sim_run (20);
+  g_assert_cmpuint (sim_beats (&steps), >, beats + 5000);
+  g_assert_cmpuint (sim_started (), >, started + 1000);
+  g_assert_cmpuint (steps, ==, steps_before);
+  crash_all (o.nodes, 3);
+  sim_run (14);
+  guint before = sim_started ();
+  sim_submit ("wk-000099", "team0", "urgent", 100, 1, 10, 100);
+  sim_run (20);
+  g_assert_cmpuint (sim_started (), >=, before + 100);
+  for (double end = sim_now () + 400; !sim_all_over () && sim_now () < end;)
+    sim_run (5);
+  sim_run (60);
+  g_assert_cmpuint (sim_machines (), ==, 0);
+  g_assert_cmpuint (sim_recorded (), ==, 0);
+  finish (0);
+}
+
 /* Troubles drawn at random, all at once: what is asserted is that no rule breaks and all ends. */
 static void
 test_storm (void)
@@ -715,6 +827,9 @@
   g_test_add_func ("/service/peers-refuse", test_peers_refuse);
   g_test_add_func ("/service/large-job-begins", test_large_job_begins);
   g_test_add_func ("/service/large", test_large);
+  g_test_add_func ("/service/fleet", test_fleet);
+  g_test_add_func ("/service/repeats", test_repeats);
+  g_test_add_func ("/service/malformed", test_malformed);
   g_test_add_func ("/service/storm", test_storm);
   return g_test_run ();
 }
