--- a/src/agent.h
+++ b/src/agent.h
@@ -44,6 +44,8 @@
   gboolean move_unknown;     /* its outcome is not known */
   guint64 chunk_mark;        /* Mark of the record chunk that holds it */
   gint64 idle_since, joined; /* monotonic us */
+  gpointer held;             /* KrRequest: its first report, answered once it is used */
+  gint64 held_since;         /* monotonic us */
   gint64 missing_since;      /* monotonic us: listed once, then not; 0: listed */
   gboolean listed;
   gint64 pause_until;   /* monotonic us: no launches after an error, or after unheard ones */
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -38,6 +38,7 @@
   KrRoom *used;        /* a team each */
   gint64 ranked_at;    /* monotonic us */
   GHashTable *berths;  /* id -> KrBerth */
+  GPtrArray *held;     /* KrBerth whose first report waits for its answer */
   GHashTable *leaving; /* ids to be taken out of the record: deleted */
   guint64 launches;    /* counter below the token */
   gint64 taken_at, last_beat;
@@ -47,7 +48,8 @@
   gint64 next_record; /* monotonic us: the record is not written before */
   gboolean claiming;  /* the claim is being written */
   guint tick, fence_tick, preempt_soon;
-  guint ticks;      /* so far */
+  guint ticks; /* so far */
+  guint held_tick;
   guint64 walked;   /* machines, by walks over all of them: no event may cost one */
   guint fencing;    /* calls of it under way */
   gint64 listed_at; /* monotonic us of the newest list */
@@ -64,6 +66,10 @@
 void kr_part_count_launch (KrPart *p, KrLaunch *l);
 void kr_part_command_kills (KrPart *p, KrBerth *b);
 gboolean kr_part_needs_fence (const KrBerth *b);
+/* Before a machine is taken out of `berths`. */
+void kr_part_forget (KrPart *p, KrBerth *b);
+/* Answers first reports that need not wait any more. */
+void kr_part_answer_held (KrPart *p);
 void kr_part_check_open (KrPart *p);
 
 /* part-record.c */
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -247,9 +247,10 @@
     KrBerth *b = value;
     const KrMember *m = kr_records_find (p->node->records, b->id);
     if (!m || m->part != p->index) {
-      kr_berth_clear (b, kr_part_saw, p);
+      kr_part_forget (p, b);
       g_hash_table_iter_remove (&it);
     }
   }
+  kr_part_answer_held (p);
   kr_part_write_record (p);
 }
--- a/src/part.c
+++ b/src/part.c
@@ -23,6 +23,7 @@
   g_hash_table_unref (p->jobs); /* before the machines: it lets go of their launches */
   g_hash_table_unref (p->berths);
   g_ptr_array_unref (p->lives);
+  g_ptr_array_unref (p->held);
   g_free (p->used);
   g_hash_table_unref (p->leaving);
   g_object_unref (p->cancel);
@@ -418,7 +419,7 @@
   KrBerth *b = p->gone ? NULL : kr_part_berth (p, c->id);
 
   if (b && status == 200) {
-    kr_berth_clear (b, kr_part_saw, p);
+    kr_part_forget (p, b);
     g_hash_table_add (p->leaving, g_strdup (b->id));
     g_hash_table_remove (p->berths, b->id);
     kr_part_write_record (p);
@@ -496,6 +497,49 @@
 }
 
 /* --- reports ------------------------------------------------------------------------- */
+static void
+answer (KrPart *p, KrBerth *b, KrRequest *request, gint64 now)
+{
+  json_t *orders = kr_wire_orders_new (p->token);
+  b->answered = now;
+  kr_part_drop_planned (p, b);
+  add_kills_and_clears (p, b, orders);
+  kr_part_grant (p, b, orders, now);
+  if (kr_part_usable (p, b, now))
+    kr_part_run_planned (b, orders);
+  kr_request_reply (request, 200, orders, 0);
+}
+
+/* Not ours to answer any more, or the worker asks anew. */
+static void
+let_go (KrPart *p, KrBerth *b)
+{
+  if (!b->held)
+    return;
+  kr_request_reply (g_steal_pointer (&b->held), 503, NULL, 0);
+  g_ptr_array_remove_fast (p->held, b);
+}
+
+void
+kr_part_answer_held (KrPart *p)
+{
+  gint64 now = kr_now ();
+  for (guint i = p->held->len; i-- > 0;) {
+    KrBerth *b = p->held->pdata[i];
+    if (!b->used && now - b->held_since < KR_HELD_MS * G_GINT64_CONSTANT (1000))
+      continue;
+    g_ptr_array_remove_index_fast (p->held, i);
+    answer (p, b, g_steal_pointer (&b->held), now);
+  }
+}
+
+void
+kr_part_forget (KrPart *p, KrBerth *b)
+{
+  let_go (p, b);
+  kr_berth_clear (b, kr_part_saw, p);
+}
+
 void
 kr_part_beat (KrPart *p, KrRequest *request, const KrReport *r)
 {
@@ -506,6 +550,7 @@
     kr_request_reply (request, b || !p->have_record ? 503 : 421, kr_wire_redirect (NULL), 0);
     return;
   }
+  let_go (p, b);
   if (r->token > p->token) {
     /* Somebody with a newer token commanded it. If the key is still ours, that one is gone or the
      * machine came from another part: we need a newer token, and must not order anything now. */
@@ -515,23 +560,25 @@
     kr_request_reply (request, 421, kr_wire_redirect (other ? h->node : NULL), 0);
     return;
   }
-  json_t *orders = kr_wire_orders_new (p->token);
   p->last_beat = now;
-  if (kr_berth_apply (b, r, TRUE, p->token, now, kr_part_saw, p)) {
-    b->answered = now;
-    if (!b->used) {
-      b->used_wanted = TRUE; /* durable before the first run */
-      kr_part_write_record (p);
-    }
-    if (kr_berth_busy (b))
-      b->idle_since = now;
-    kr_part_drop_planned (p, b);
-    add_kills_and_clears (p, b, orders);
-    kr_part_grant (p, b, orders, now);
-    if (kr_part_usable (p, b, now))
-      kr_part_run_planned (b, orders);
+  if (!kr_berth_apply (b, r, TRUE, p->token, now, kr_part_saw, p)) {
+    kr_request_reply (request, 200, kr_wire_orders_new (p->token), 0);
+    return;
   }
-  kr_request_reply (request, 200, orders, 0);
+  b->answered = now;
+  if (kr_berth_busy (b))
+    b->idle_since = now;
+  if (b->used) {
+    answer (p, b, request, now);
+    return;
+  }
+  /* That it is used must be durable before its first run. The answer waits for that: the next
+   * report, with which it could start otherwise, may be a whole period away. */
+  b->used_wanted = TRUE;
+  b->held = request;
+  b->held_since = now;
+  g_ptr_array_add (p->held, b);
+  kr_part_write_record (p);
 }
 
 /* --- periodic duties ----------------------------------------------------------------- */
@@ -659,6 +706,13 @@
   return G_SOURCE_CONTINUE;
 }
 
+static gboolean
+held_tick (gpointer data)
+{
+  kr_part_answer_held (data);
+  return G_SOURCE_CONTINUE;
+}
+
 /* Takeovers are worked on more often than a tick: each second closed is a second lost for all. Not
  * at each report: with hundreds of machines that would be a walk over all for each of them. */
 static gboolean
@@ -747,11 +801,13 @@
   p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_live_free);
   p->berths = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_berth_free);
   p->lives = g_ptr_array_new ();
+  p->held = g_ptr_array_new ();
   p->used = g_new0 (KrRoom, node->settings->teams->len);
   p->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->taken_at = p->last_beat = kr_now ();
   p->tick = kr_timer_add (KR_TICK_MS, tick, p);
   p->fence_tick = kr_timer_add (KR_FENCE_MS, fence_tick, p);
+  p->held_tick = kr_timer_add (KR_HELD_TICK_MS, held_tick, p);
   kr_info ("part %u: taking over with token %" G_GUINT64_FORMAT, index, token);
   kr_membership_rescan (node->membership);
   return p;
@@ -780,8 +836,11 @@
   kr_info ("part %u: no longer ours", p->index);
   p->gone = TRUE;
   kr_timer_remove (p->tick);
+  kr_timer_remove (p->held_tick);
   kr_timer_clear (&p->fence_tick);
   kr_timer_clear (&p->preempt_soon);
+  while (p->held->len)
+    let_go (p, p->held->pdata[0]);
   g_cancellable_cancel (p->cancel);
   kr_part_unref (p);
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -858,6 +858,7 @@
 typedef struct {
   char *id, *address;
   gint64 rented, up_at;
+  gint64 began;                  /* its first task started; 0: not yet */
   gboolean up, dead, sick, busy; /* busy: a report is under way */
   double slow;                   /* times as long as a job's run time; 0: as long */
   guint64 session, seq, token;
@@ -930,6 +931,8 @@
   if (twin)
     broken ("ran_twice: %s on %s and %s", key, ((Machine *) twin->on)->id, m->id);
   t->on = m;
+  if (!m->began)
+    m->began = S.now;
   g_hash_table_replace (S.running, key, t);
   g_hash_table_iter_init (&it, S.running);
   while (S.o.team_limit > 0 && g_hash_table_iter_next (&it, NULL, &value)) {
@@ -1188,6 +1191,21 @@
   ((Machine *) g_hash_table_lookup (S.machines, id))->slow = factor;
 }
 
+double
+sim_slowest_begin (void)
+{
+  GHashTableIter it;
+  gpointer value;
+  double most = 0;
+  g_hash_table_iter_init (&it, S.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const Machine *m = value;
+    if (m->up && !m->dead)
+      most = MAX (most, ((m->began ? m->began : S.now) - m->up_at) / 1e6);
+  }
+  return most;
+}
+
 static const char *
 by_tasks (gboolean most)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -42,6 +42,8 @@
 const char *sim_busiest_machine (void);
 /* The machine that runs fewest, but some, or NULL. */
 const char *sim_idlest_machine (void);
+/* The longest that a machine that is up has been without, or has waited for, its first task. */
+double sim_slowest_begin (void);
 /* Runs sent to a machine in answers that a cut dropped. */
 guint sim_unheard (const char *id);
 guint sim_machines (void);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -419,6 +419,25 @@
   finish (300);
 }
 
+/* A machine that came up gets its first tasks in the answer to its first report, not a whole report
+ * period later: the answer waits for the record that says "used". */
+static void
+test_first_report (void)
+{
+  SimOptions o = usual;
+  o.report_s = 8;
+  o.lease_s = 40;
+  o.cancel_s = 80;
+  begin (&o);
+  sim_state_slow (0.8); /* the record takes longer than the half second after a new token */
+  sim_submit ("wk-000001", "team0", "normal", 200, 1, 60, 100);
+  sim_run (25);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 64);
+  g_assert_cmpfloat (sim_slowest_begin (), <, 4);
+  sim_state_slow (0);
+  finish (400);
+}
+
 /* Silent for less than its lease, a machine keeps its tasks: none may start elsewhere. */
 static void
 test_silent_within_lease (void)
@@ -449,7 +468,7 @@
 test_slow_machine (void)
 {
   begin (&usual);
-  submit_some (250, 5);
+  submit_some (500, 5);
   sim_run (25);
   g_autofree char *m = g_strdup (sim_busiest_machine ());
   sim_machine_slow (m, 6);
@@ -817,6 +836,7 @@
   g_test_add_func ("/service/cancel-unreachable", test_cancel_unreachable);
   g_test_add_func ("/service/limit-in-doubt", test_limit_in_doubt);
   g_test_add_func ("/service/machine-lost", test_machine_lost);
+  g_test_add_func ("/service/first-report", test_first_report);
   g_test_add_func ("/service/silent-within-lease", test_silent_within_lease);
   g_test_add_func ("/service/sick-machine", test_sick_machine);
   g_test_add_func ("/service/slow-machine", test_slow_machine);
