--- a/src/constants.h
+++ b/src/constants.h
@@ -3,9 +3,10 @@
 #pragma once
 
 /* --- HTTP ---------------------------------------------------------------------------- */
-#define KR_BODY_MAX 65536          /* bytes; largest request body by the protocol */
-#define KR_CLIENT_IDLE_S 40        /* s; a user's or worker's silent connection is closed then */
-#define KR_CLIENT_SOCKET_SHARE 0.6 /* of `sockets`: for users and workers; the rest is ours */
+#define KR_BODY_MAX 65536   /* bytes; largest request body by the protocol */
+#define KR_CLIENT_IDLE_S 40 /* s; a user's or worker's silent connection is closed then */
+#define KR_CLIENT_SOCKET_SHARE                                                                     \
+  0.7 /* of `sockets`: users and workers, who may all come to one node */
 #define KR_ACCEPT_BACKLOG_MAX 4096 /* connections that wait in the kernel, which caps it too */
 #define KR_ACCEPT_PAUSE_MS 50      /* ms; pause after a failed accept, so that it cannot spin */
 #define KR_API_PENDING_MIN 32      /* user requests that may wait for the state service, at least */
