--- a/src/constants.h
+++ b/src/constants.h
@@ -142,6 +142,7 @@
 #define KR_SILENT_REPORTS 3.0   /* report periods without a report: not counted as supply */
 #define KR_BACKOFF_MS 15000     /* ms; first pause of a refused pool */
 #define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
+#define KR_REOPEN_MS 5000       /* ms; least pause of a refused pool once a machine has gone */
 #define KR_IDLE_RETURN_S 5.0    /* s a machine is idle and unneeded before it is returned */
 #define KR_BOOT_FACTOR 6.0      /* times ReadyS before a starting machine is given up */
 #define KR_BOOT_MIN_S 60.0      /* s; at least this, whatever ReadyS is */
--- a/src/rent.c
+++ b/src/rent.c
@@ -15,6 +15,7 @@
   gboolean spot, busy;
   char *request; /* a request whose outcome is not known: repeated under its name */
   guint count;
+  gint64 asked_at;     /* monotonic us */
   gint64 closed_until; /* monotonic us: refused or filled in part */
   double pause_ms;
 } Pool;
@@ -73,6 +74,23 @@
   return kr_now () - *(gint64 *) at > kr_seconds (KR_LEFT_MEMORY_S);
 }
 
+/* A machine is gone: the pool that refused may have one again. Guards against hundreds being taken
+ * at once while all pools are left alone for a minute. Which pool it was, lists do not tell any
+ * more.
+ */
+static void
+reopen (KrRent *r)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, r->pools);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    Pool *o = value;
+    gint64 again = o->asked_at + KR_REOPEN_MS * G_GINT64_CONSTANT (1000);
+    o->closed_until = MIN (o->closed_until, MAX (again, kr_now ()));
+  }
+}
+
 /* --- records ------------------------------------------------------------------------- */
 void
 kr_rent_left (KrRent *r, const char *id)
@@ -81,6 +99,7 @@
   *at = kr_now ();
   g_hash_table_replace (r->left, g_strdup (id), at);
   g_hash_table_remove (r->fresh, id);
+  reopen (r);
 }
 
 void
@@ -445,6 +464,7 @@
     o->count = MIN (count, KR_RENT_MAX);
   }
   o->busy = TRUE;
+  o->asked_at = kr_now ();
   kr_cloud_rent (r->node->cloud, o->request, o->type, o->zone, o->spot, o->count, r->cancel, rented,
                  o);
 }
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -115,6 +115,24 @@
   finish (200);
 }
 
+/* Half of the machines are gone at once, when the cloud had none left for long: others are rented
+ * as soon as that is known, not when the refused pools' long pauses are over. */
+static void
+test_replaced (void)
+{
+  SimOptions o = usual;
+  o.machines = 30;
+  begin (&o);
+  submit_some (900, 20);
+  sim_run (125); /* pauses double: the last refusal is 10 s old, the next look 50 s off */
+  g_assert_cmpuint (sim_machines (), ==, 30);
+  for (guint i = 0; i < 15; i++)
+    sim_machine_kill (sim_busiest_machine ());
+  sim_run (25); /* a list, its lag twice, and some */
+  g_assert_cmpuint (sim_machines (), >=, 28);
+  finish (900);
+}
+
 /* Idle machines go back, and the last ones too. */
 static void
 test_machines_returned (void)
@@ -819,6 +837,7 @@
   seed = fixed ? (guint32) g_ascii_strtoull (fixed, NULL, 10) : 20261201;
   g_test_message ("seed %u", seed);
   g_test_add_func ("/service/quiet", test_quiet);
+  g_test_add_func ("/service/replaced", test_replaced);
   g_test_add_func ("/service/machines-returned", test_machines_returned);
   g_test_add_func ("/service/presence-comes-back", test_presence_comes_back);
   g_test_add_func ("/service/takeover-with-owner-alive", test_takeover_with_owner_alive);
