--- a/src/part.c
+++ b/src/part.c
@@ -510,7 +510,7 @@
   kr_request_reply (request, 200, orders, 0);
 }
 
-/* Not ours to answer any more, or the worker asks anew. */
+/* Not ours to answer any more, or asked anew. */
 static void
 let_go (KrPart *p, KrBerth *b)
 {
@@ -550,7 +550,6 @@
     kr_request_reply (request, b || !p->have_record ? 503 : 421, kr_wire_redirect (NULL), 0);
     return;
   }
-  let_go (p, b);
   if (r->token > p->token) {
     /* Somebody with a newer token commanded it. If the key is still ours, that one is gone or the
      * machine came from another part: we need a newer token, and must not order anything now. */
@@ -565,6 +564,7 @@
     kr_request_reply (request, 200, kr_wire_orders_new (p->token), 0);
     return;
   }
+  let_go (p, b); /* a newer report: the worker has given the one before up */
   b->answered = now;
   if (kr_berth_busy (b))
     b->idle_since = now;
@@ -689,7 +689,7 @@
       watch_berth (p, l->data, now);
     }
   }
-  if (p->have_jobs && p->ticks++ % KR_STATUS_TICKS == 0)
+  if (kr_log_debug_enabled () && p->have_jobs && p->ticks++ % KR_STATUS_TICKS == 0)
     log_status (p, now);
   kr_part_write_record (p);
   kr_part_moves (p);
--- a/src/rent.c
+++ b/src/rent.c
@@ -74,10 +74,8 @@
   return kr_now () - *(gint64 *) at > kr_seconds (KR_LEFT_MEMORY_S);
 }
 
-/* A machine is gone: the pool that refused may have one again. Guards against hundreds being taken
- * at once while all pools are left alone for a minute. Which pool it was, lists do not tell any
- * more.
- */
+/* A machine is gone: a pool that refused may have one again (which, lists do not tell any more).
+ * Guards against hundreds being taken at once while all pools are left alone for a minute. */
 static void
 reopen (KrRent *r)
 {
