--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -30,14 +30,28 @@
   sim_submit ("wk-000003", "team2", "urgent", tasks, 2, run_s, 600);
 }
 
-/* Lets the work end; every rule has been watched meanwhile. */
 static void
-finish (double within_s)
+work_off (double within_s)
 {
   double end = sim_now () + within_s;
-  sim_calm ();
   while (!sim_all_over () && sim_now () < end)
     sim_run (5);
+}
+
+/* Every machine has gone back, and no part's record holds one. */
+static void
+assert_all_returned (void)
+{
+  g_assert_cmpuint (sim_machines (), ==, 0);
+  g_assert_cmpuint (sim_recorded (), ==, 0);
+}
+
+/* Lets the work end; every rule has been watched meanwhile. */
+static void
+finish (double within_s)
+{
+  sim_calm ();
+  work_off (within_s);
   g_assert_cmpstr (sim_broken (), ==, "");
   g_assert_true (sim_all_over ());
   g_assert_cmpuint (sim_started (), >, 0);
@@ -143,8 +157,7 @@
   submit_some (10, 10);
   sim_run (150);
   g_assert_true (sim_all_over ());
-  g_assert_cmpuint (sim_machines (), ==, 0);
-  g_assert_cmpuint (sim_recorded (), ==, 0);
+  assert_all_returned ();
   finish (0);
 }
 
@@ -659,8 +672,7 @@
   crash_all (o.nodes, 5);
   sim_run (15);
   g_assert_cmpuint (sim_tasks_running (NULL), >, 500);
-  for (double end = sim_now () + 600; !sim_all_over () && sim_now () < end;)
-    sim_run (5);
+  work_off (600);
   sim_run (60); /* machines go back by the dozen, within the cloud's few calls a second */
   g_assert_cmpuint (sim_machines (), ==, 0);
   finish (0);
@@ -690,13 +702,11 @@
   sim_submit ("wk-000004", "team1", "urgent", 20, 1, 20, 600);
   sim_run (5);
   sim_abort ("wk-000004");
-  for (double end = sim_now () + 400; !sim_all_over () && sim_now () < end;)
-    sim_run (5);
+  work_off (400);
   /* A late report of a machine that is gone brings it into a part whose leader has restarted since;
    * it goes again once lists have not shown it for a minute and four lags. */
   sim_run (160);
-  g_assert_cmpuint (sim_machines (), ==, 0);
-  g_assert_cmpuint (sim_recorded (), ==, 0);
+  assert_all_returned ();
   finish (0);
 }
 
@@ -770,11 +780,9 @@
   sim_submit ("wk-000099", "team0", "urgent", 100, 1, 10, 100);
   sim_run (20);
   g_assert_cmpuint (sim_started (), >=, before + 100);
-  for (double end = sim_now () + 400; !sim_all_over () && sim_now () < end;)
-    sim_run (5);
+  work_off (400);
   sim_run (60);
-  g_assert_cmpuint (sim_machines (), ==, 0);
-  g_assert_cmpuint (sim_recorded (), ==, 0);
+  assert_all_returned ();
   finish (0);
 }
 
