A cancellation is told only once the part's owner surely acts on it

An owner that had not yet read the jobs renewed leases as well. Now the commit names the owner key's revision, the owner is asked directly, and reports are answered only with the jobs read.

--- a/src/api.c
+++ b/src/api.c
@@ -32,6 +32,10 @@
   gint64 deadline;
   Found found;
   gboolean ended_key; /* looking below end/ now */
+  guint tries;        /* to have a cancellation committed under, or confirmed by, the owner */
+  /* of a job that is cancelled and not over: */
+  guint part, done;
+  guint64 owner, revision; /* see kr_part_cancel */
 };
 
 KrApi *
@@ -94,6 +98,13 @@
   answer (v, 503, kr_wire_error ("the state service cannot be asked now"), KR_RETRY_AFTER_S);
 }
 
+/* The cancellation is committed; the user comes back for the word. */
+static void
+not_yet (Visit *v)
+{
+  answer (v, 503, kr_wire_error ("the cancellation is not confirmed yet"), KR_RETRY_AFTER_S);
+}
+
 static guint
 left_ms (Visit *v, guint most)
 {
@@ -133,16 +144,101 @@
                 v);
 }
 
+/* --- a cancellation is told once the part's owner surely acts on it ------------------ */
+/* Guards against tasks that run on: an owner that the state service refuses alone does not see the
+ * cancellation there, and when the service is then out for all, nobody can take the part over while
+ * its machines go on reporting to it. */
+static void confirm (Visit *v);
+
+static gboolean
+confirm_again (gpointer data)
+{
+  confirm (data);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+look_again (gpointer data)
+{
+  Visit *v = data;
+  look (v, v->found);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+try_again (Visit *v, GSourceFunc how)
+{
+  if (++v->tries >= KR_CONFIRM_TRIES || left_ms (v, KR_CONFIRM_TIMEOUT_MS) <= KR_CONFIRM_PAUSE_MS)
+    not_yet (v);
+  else
+    kr_timer_add (KR_CONFIRM_PAUSE_MS, how, v);
+}
+
+static void
+said (Visit *v, KrCancelWord word)
+{
+  switch (word) {
+  case KR_CANCEL_SURE:
+    remember (v->api, v->id, KR_JOB_CANCELLED, v->done);
+    answer (v, 200,
+            kr_wire_job_answer (v->id, KR_JOB_CANCELLED, v->route == KR_ROUTE_POLL, v->done, 0), 0);
+    break;
+  case KR_CANCEL_SOON:
+    try_again (v, confirm_again);
+    break;
+  case KR_CANCEL_UNKNOWN: /* it may have ended meanwhile */
+    try_again (v, look_again);
+    break;
+  case KR_CANCEL_NOT_OWNER:
+  case KR_CANCEL_SILENT:
+    not_yet (v);
+    break;
+  }
+}
+
+static void
+owner_said (guint status, json_t *body, gpointer data)
+{
+  said (data, kr_cancel_word (status));
+}
+
+/* The owner that our view names need not be the newest: any that took its key with the revision
+ * named in the cancellation, or after it, has what it takes (see kr_part_cancel). */
+static void
+confirm (Visit *v)
+{
+  KrNode *n = v->api->node;
+  const KrHolder *h =
+      v->part < n->settings->size ? kr_membership_holder (n->membership, v->part) : NULL;
+  const KrPeerSettings *peer = h && h->node ? kr_settings_peer (n->settings, h->node) : NULL;
+
+  if (h && n->parts[v->part])
+    said (v, kr_part_cancel (n->parts[v->part], v->id, v->owner, v->revision));
+  else if (!peer)
+    not_yet (v);
+  else
+    kr_client_call (n->peers, "POST", peer->addr, KR_PEER_CANCELLATIONS,
+                    kr_cancel_question (v->part, v->id, v->owner, v->revision),
+                    left_ms (v, KR_CONFIRM_TIMEOUT_MS), v->api->cancel, owner_said, v);
+}
+
 /* Tells what a stored value says. */
 static void
-answer_value (Visit *v, json_t *value, guint status)
+answer_value (Visit *v, const KrItem *item, guint status)
 {
+  json_t *value = item->value;
   KrJobState state;
   guint done, running;
   if (!kr_job_peek (value, &state, &done, &running)) {
     cannot_know (v);
     return;
   }
+  if (kr_job_peek_cancelled (value, &v->part, &v->owner)) {
+    v->revision = item->mark;
+    v->done = done;
+    confirm (v);
+    return;
+  }
   if (state == KR_JOB_DONE || state == KR_JOB_CANCELLED)
     remember (v->api, v->id, state, done);
   else
@@ -184,7 +280,7 @@
   else if (!item)
     answer (v, 404, kr_wire_error ("no such job"), 0);
   else
-    answer_value (v, item->value, 200);
+    answer_value (v, item, 200);
 }
 
 void
@@ -204,7 +300,7 @@
   if (!known || !item)
     cannot_know (v);
   else
-    answer_value (v, item->value, 200);
+    answer_value (v, item, 200);
 }
 
 static void
@@ -277,10 +373,13 @@
 aborted (guint status, json_t *body, gpointer data)
 {
   Visit *v = data;
+  g_autofree char *owner_key = kr_membership_owner_key (v->part);
   if (status == 200) {
-    remember (v->api, v->id, KR_JOB_CANCELLED, 0);
-    answer (v, 200, kr_wire_job_answer (v->id, KR_JOB_CANCELLED, FALSE, 0, 0), 0);
-  } else if ((status == 409 || status == 0) && kr_now () < v->deadline)
+    v->revision = kr_wire_revision (body);
+    confirm (v);
+  } else if (status == 409 && kr_wire_failed_has (body, owner_key))
+    try_again (v, look_again); /* the watch shows the new owner within a round */
+  else if ((status == 409 || status == 0) && kr_now () < v->deadline)
     look (v, abort_found);
   else
     cannot_know (v);
@@ -290,21 +389,24 @@
 abort_found (Visit *v, gboolean known, KrItem *item)
 {
   KrJobState state;
-  guint done, running;
+  guint running;
 
   if (!known)
     cannot_know (v);
   else if (!item)
     answer (v, 404, kr_wire_error ("no such job"), 0);
-  else if (!kr_job_peek (item->value, &state, &done, &running) || state >= KR_JOB_DONE)
-    answer_value (v, item->value, 200);
+  else if (!kr_job_peek (item->value, &state, &v->done, &running) || state >= KR_JOB_DONE ||
+           (v->part = kr_job_peek_part (item->value)) >= v->api->node->settings->size)
+    answer_value (v, item, 200);
   else {
-    g_autofree char *key = kr_job_key (v->id);
+    /* Under the owner that we are going to ask: whoever comes after it reads the cancellation. */
+    const KrHolder *h = kr_membership_holder (v->api->node->membership, v->part);
+    g_autofree char *key = kr_job_key (v->id), *owner_key = kr_membership_owner_key (v->part);
     KrTxn *txn = kr_txn_new ();
-    json_t *value = json_deep_copy (item->value);
-    json_object_set_new (value, "Cancelled", json_true ());
+    v->owner = h->node ? h->mark : 0;
     kr_txn_when (txn, key, item->mark);
-    kr_txn_put (txn, key, value, 0);
+    kr_txn_when (txn, owner_key, v->owner);
+    kr_txn_put (txn, key, kr_job_cancel_value (item->value, v->owner), 0);
     kr_state_commit (v->api->node->state, txn, KR_FIRST, left_ms (v, KR_STATE_TIMEOUT_MS),
                      v->api->cancel, aborted, v);
   }
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -146,6 +146,30 @@
   return TRUE;
 }
 
+guint
+kr_job_peek_part (json_t *value)
+{
+  return (guint) json_integer_value (json_object_get (value, "Part"));
+}
+
+json_t *
+kr_job_cancel_value (json_t *value, guint64 owner)
+{
+  json_t *v = json_deep_copy (value);
+  json_object_set_new (v, "Cancelled", json_true ());
+  json_object_set_new (v, "CancelledUnder", json_integer ((json_int_t) owner));
+  return v;
+}
+
+gboolean
+kr_job_peek_cancelled (json_t *value, guint *part, guint64 *owner)
+{
+  *part = kr_job_peek_part (value);
+  *owner = (guint64) json_integer_value (json_object_get (value, "CancelledUnder"));
+  return json_is_object (json_object_get (value, "Spec")) &&
+         json_is_true (json_object_get (value, "Cancelled"));
+}
+
 gboolean
 kr_job_is_done (const KrJob *j, guint t)
 {
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -37,6 +37,12 @@
 json_t *kr_job_end_value (KrJobState state, guint done);
 /* What a stored value (live or ended) says to a user. FALSE if it is not a job's. */
 gboolean kr_job_peek (json_t *value, KrJobState *state, guint *done, guint *running);
+/* A live job's value with its user's cancellation. `owner`: the revision that the transaction
+ * expects of the part's owner key (0: nobody has it). */
+json_t *kr_job_cancel_value (json_t *value, guint64 owner);
+/* FALSE: not a live job's that is cancelled. */
+gboolean kr_job_peek_cancelled (json_t *value, guint *part, guint64 *owner);
+guint kr_job_peek_part (json_t *value); /* of a live job's */
 
 char *kr_job_key (const char *id);
 char *kr_job_end_key (const char *id);
--- a/src/node.c
+++ b/src/node.c
@@ -201,7 +201,9 @@
   else if (g_str_equal (kr_request_path (request), KR_PEER_WISHES)) {
     kr_rent_fulfil (n->rent, json_object_get (kr_request_json (request), "Wishes"));
     kr_request_reply (request, 200, NULL, 0);
-  } else if (g_str_equal (kr_request_path (request), "/health"))
+  } else if (g_str_equal (kr_request_path (request), KR_PEER_CANCELLATIONS))
+    kr_request_reply (request, kr_cancel_answer (n, kr_request_json (request)), NULL, 0);
+  else if (g_str_equal (kr_request_path (request), "/health"))
     kr_request_reply (request, 200, json_pack ("{sf}", "Silence", kr_state_silence (n->state)), 0);
   else
     kr_request_reply (request, 404, NULL, 0);
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -260,6 +260,75 @@
   kr_part_flush (p);
 }
 
+/* Whether a machine may still start a task of it: a run that it has not yet confirmed, or one that
+ * waits for its image. */
+static gboolean
+may_start (const KrLive *c)
+{
+  for (guint i = 0; i < c->launches->len; i++) {
+    const KrLaunch *l = c->launches->pdata[i];
+    if ((l->state == KR_TASK_DOUBT && !l->planned) || l->state == KR_TASK_PULLING)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Our word counts until the tasks are gone, whatever becomes of the state service and of us:
+ * every owner after us took its key after the cancellation was committed, reads it before it
+ * answers a machine, and a machine that nobody answers ends its tasks with its lease. Without an
+ * open part we cannot give it: an earlier owner, which was not asked, may command machines. */
+KrCancelWord
+kr_part_cancel (KrPart *p, const char *id, guint64 owner, guint64 revision)
+{
+  KrLive *c = g_hash_table_lookup (p->jobs, id);
+  if (p->phase != OPEN || p->token < owner)
+    return KR_CANCEL_NOT_OWNER;
+  if (!c)
+    return KR_CANCEL_UNKNOWN;
+  if (!c->job->cancelled) {
+    /* Only owners write the rest of the value, under the revision they know: ours is still that. */
+    c->job->mark = MAX (c->job->mark, revision);
+    job_cancelled (p, c);
+  }
+  return may_start (c) ? KR_CANCEL_SOON : KR_CANCEL_SURE;
+}
+
+json_t *
+kr_cancel_question (guint part, const char *id, guint64 owner, guint64 revision)
+{
+  return json_pack ("{sI ss sI sI}", "Part", (json_int_t) part, "Job", id, "Owner",
+                    (json_int_t) owner, "Revision", (json_int_t) revision);
+}
+
+static const guint word_status[] = { [KR_CANCEL_SURE] = 200,
+                                     [KR_CANCEL_SOON] = 202,
+                                     [KR_CANCEL_UNKNOWN] = 404,
+                                     [KR_CANCEL_NOT_OWNER] = 409 };
+
+guint
+kr_cancel_answer (KrNode *n, json_t *question)
+{
+  const char *id = json_string_value (json_object_get (question, "Job"));
+  json_t *part = json_object_get (question, "Part"), *owner = json_object_get (question, "Owner"),
+         *revision = json_object_get (question, "Revision");
+  if (!id || !json_is_integer (part) || !json_is_integer (owner) || !json_is_integer (revision))
+    return 400;
+  guint64 p = (guint64) json_integer_value (part);
+  if (p >= n->settings->size || !n->parts[p])
+    return word_status[KR_CANCEL_NOT_OWNER];
+  return word_status[kr_part_cancel (n->parts[p], id, (guint64) json_integer_value (owner),
+                                     (guint64) json_integer_value (revision))];
+}
+
+KrCancelWord
+kr_cancel_word (guint status)
+{
+  for (guint w = 0; w < G_N_ELEMENTS (word_status); w++)
+    if (word_status[w] == status)
+      return (KrCancelWord) w;
+  return KR_CANCEL_SILENT;
+}
+
 static gboolean
 preempt_now (gpointer data)
 {
@@ -353,6 +422,7 @@
   count_launches (p);
   kr_info ("part %u: %u jobs, %u machines read", p->index, g_hash_table_size (p->jobs),
            g_hash_table_size (p->berths));
+  kr_part_answer_held (p);
   kr_part_check_open (p);
   kr_part_flush (p);
 }
--- a/src/part.c
+++ b/src/part.c
@@ -526,7 +526,15 @@
   gint64 now = kr_now ();
   for (guint i = p->held->len; i-- > 0;) {
     KrBerth *b = p->held->pdata[i];
-    if (!b->used && now - b->held_since < KR_HELD_MS * G_GINT64_CONSTANT (1000))
+    gboolean late = now - b->held_since >= KR_HELD_MS * G_GINT64_CONSTANT (1000);
+    /* Guards against a lease renewed by an owner that has not read which jobs are cancelled: with
+     * the state service out for long, their tasks would run on, and nobody would know. */
+    if (!p->have_jobs) {
+      if (late)
+        let_go (p, b);
+      continue;
+    }
+    if (!b->used && !late)
       continue;
     g_ptr_array_remove_index_fast (p->held, i);
     answer (p, b, g_steal_pointer (&b->held), now);
@@ -561,20 +569,21 @@
   }
   p->last_beat = now;
   if (!kr_berth_apply (b, r, TRUE, p->token, now, kr_part_saw, p)) {
-    kr_request_reply (request, 200, kr_wire_orders_new (p->token), 0);
+    kr_request_reply (request, p->have_jobs ? 200 : 503, kr_wire_orders_new (p->token), 0);
     return;
   }
   let_go (p, b); /* a newer report: the worker has given the one before up */
   b->answered = now;
   if (kr_berth_busy (b))
     b->idle_since = now;
-  if (b->used) {
+  if (b->used && p->have_jobs) {
     answer (p, b, request, now);
     return;
   }
   /* That it is used must be durable before its first run. The answer waits for that: the next
-   * report, with which it could start otherwise, may be a whole period away. */
-  b->used_wanted = TRUE;
+   * report, with which it could start otherwise, may be a whole period away. It waits for the jobs
+   * too: see kr_part_answer_held. */
+  b->used_wanted = !b->used;
   b->held = request;
   b->held_since = now;
   g_ptr_array_add (p->held, b);
--- a/src/part.h
+++ b/src/part.h
@@ -22,6 +22,23 @@
 
 /* Takes over `request`. */
 void kr_part_beat (KrPart *self, KrRequest *request, const KrReport *report);
+/* What an owner says when it is asked to act on a committed cancellation. */
+typedef enum {
+  KR_CANCEL_SURE,      /* nothing of the job starts any more, and what runs is being stopped */
+  KR_CANCEL_SOON,      /* a launch may still start: its machine has not said */
+  KR_CANCEL_UNKNOWN,   /* no such job here: not yet read, or over */
+  KR_CANCEL_NOT_OWNER, /* not, no longer or not yet entitled to say */
+  KR_CANCEL_SILENT     /* the asker's: no answer */
+} KrCancelWord;
+/* A cancellation is committed, in the job's revision `revision`, when the part's owner key had the
+ * revision `owner`. Acts on it at once, without the state service. */
+KrCancelWord kr_part_cancel (KrPart *self, const char *job, guint64 owner, guint64 revision);
+/* The same between nodes: {"Part","Job","Owner","Revision"}; the word is a status. */
+#define KR_PEER_CANCELLATIONS "/cancellations"
+json_t *kr_cancel_question (guint part, const char *job, guint64 owner, guint64 revision);
+guint kr_cancel_answer (KrNode *node, json_t *question); /* the status */
+KrCancelWord kr_cancel_word (guint status);
+
 /* Live counts of a job; FALSE if it is not known here. */
 gboolean kr_part_counts (KrPart *self, const char *job, guint *done, guint *running);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -263,6 +263,17 @@
   return 0;
 }
 
+const KrPeerSettings *
+kr_settings_peer (const KrSettings *s, const char *name)
+{
+  for (guint i = 0; i < s->others->len; i++) {
+    const KrPeerSettings *o = s->others->pdata[i];
+    if (g_str_equal (o->name, name))
+      return o;
+  }
+  return NULL;
+}
+
 static double
 objective (const KrSettings *s, const char *kind, const char *lane, double fallback)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -43,6 +43,8 @@
 void kr_settings_free (KrSettings *self);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrSettings, kr_settings_free)
 
+/* NULL if there is no such other node. */
+const KrPeerSettings *kr_settings_peer (const KrSettings *self, const char *name);
 /* NULL if the team is unknown. */
 const KrTeam *kr_settings_team (const KrSettings *self, const char *name);
 /* The part that a team belongs to: its place in the file, dealt round the parts. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -25,7 +25,7 @@
 typedef struct {
   KrNode *node;
   KrSettings *settings;
-  gboolean alive;
+  gboolean alive, hung;
   guint life;
 } Node;
 
@@ -51,6 +51,7 @@
   gboolean outage, refuse[MAX_NODES];
   double slow;
   guint lose_commits;
+  double late_writes;
   double write_tokens;
   gint64 write_at;
   /* cloud */
@@ -143,6 +144,15 @@
   return owner < 0 || (S.nodes[owner].alive && S.nodes[owner].life == life);
 }
 
+/* What happens to a node that stands still is looked at again after this long. */
+#define HANG_STEP_US 20000
+
+static gboolean
+hung (gint owner)
+{
+  return owner >= 0 && S.nodes[owner].hung;
+}
+
 void
 sim_run (double seconds)
 {
@@ -165,6 +175,11 @@
         kr_timer_remove (copy.id);
       continue;
     }
+    if (hung (copy.owner)) { /* it finds the timer over when it goes on */
+      e->at = S.now + HANG_STEP_US;
+      g_sequence_sort_changed (i, event_order, NULL);
+      continue;
+    }
     S.current = copy.owner;
     gboolean again = copy.func (copy.data);
     S.current = -1;
@@ -278,6 +293,8 @@
 
 static void world_answer (Call *c);
 
+static gboolean answer_arrives (gpointer data);
+
 static void
 call_end (Call *c, guint status, json_t *body)
 {
@@ -286,6 +303,13 @@
   c->over = TRUE;
   if (!alive (c->owner, c->life))
     return;
+  if (hung (c->owner)) {
+    c->over = FALSE;
+    c->status = status;
+    c->answer = body;
+    later (HANG_STEP_US / 1e6, answer_arrives, c);
+    return;
+  }
   gint before = S.current;
   S.current = c->owner;
   c->reply (status, body, c->data);
@@ -353,6 +377,10 @@
   }
   if (!alive (s->owner, s->life))
     return FALSE;
+  if (hung (s->owner)) {
+    later (HANG_STEP_US / 1e6, call_arrives, c);
+    return FALSE;
+  }
   KrRequest *r = g_new0 (KrRequest, 1);
   r->call = c;
   r->owner = s->owner;
@@ -692,6 +720,12 @@
   S.slow = seconds;
 }
 
+void
+sim_late_writes (double share)
+{
+  S.late_writes = share;
+}
+
 void
 sim_state_refuse (guint node, gboolean on)
 {
@@ -769,6 +803,15 @@
   later (0, wake_later, NULL);
 }
 
+static gboolean
+commit_late (gpointer data)
+{
+  Call *c = data;
+  if (!S.outage)
+    commit (c);
+  return FALSE;
+}
+
 static char *
 query (const char *path, const char *name)
 {
@@ -819,7 +862,9 @@
                               "Mark", (json_int_t) e->mark));
     else
       answer_call (c, 404, json_pack ("{sI}", "Ledger", (json_int_t) S.revision));
-  } else if (g_str_equal (c->path, "/commit"))
+  } else if (g_str_equal (c->path, "/commit") && g_rand_double (S.rng) < S.late_writes)
+    later (g_rand_double_range (S.rng, 2, 12), commit_late, c);
+  else if (g_str_equal (c->path, "/commit"))
     commit (c);
   else if (g_str_has_prefix (c->path, "/follow")) {
     Follow *f = g_new (Follow, 1);
@@ -850,17 +895,18 @@
   char *job;
   guint index;
   guint64 attempt;
-  const char *state, *why; /* running, exited */
-  gint64 ends;
+  const char *state, *why; /* pulling, running, exited */
+  gint64 starts, ends;
   gpointer on; /* its machine */
 } Task;
 
 typedef struct {
   char *id, *address;
   gint64 rented, up_at;
-  gint64 began;                  /* its first task started; 0: not yet */
-  gboolean up, dead, sick, busy; /* busy: a report is under way */
-  double slow;                   /* times as long as a job's run time; 0: as long */
+  gint64 began; /* its first task started; 0: not yet */
+  gboolean up, dead, sick, hangs, mute;
+  gboolean busy; /* a report is under way */
+  double slow;   /* times as long as a job's run time; 0: as long */
   guint64 session, seq, token;
   guint unheard;
   gint64 last_ok, next_beat, last_beat, sent;
@@ -883,6 +929,8 @@
   gint64 answered_at; /* a question about it was answered last */
   gint64 began_at;    /* its first task started; 0: not yet */
   gint64 submitted_at;
+  gint64 asked_at; /* when what user_step asked last was sent */
+  gint64 over_at;  /* when it was told that it is over */
 } User;
 
 /* It is not on its machine any more. */
@@ -942,8 +990,9 @@
   }
   if (S.o.team_limit > 0 && used > S.o.team_limit + 1e-6)
     broken ("quota: %s uses %g", u->team, used);
-  if (u && u->cancelled_at && S.now - u->cancelled_at > (gint64) (S.o.cancel_s * 1e6))
-    broken ("ran_cancelled: %s/%u starts on %s", t->job, t->index, m->id);
+  /* Stricter than the rule: none may start once its user was told. */
+  if (u && u->cancelled_at)
+    broken ("started_cancelled: %s/%u starts on %s", t->job, t->index, m->id);
 }
 
 static json_t *
@@ -970,6 +1019,18 @@
   m->next_beat = MIN (m->next_beat, MAX (S.now, m->last_beat + 500000));
 }
 
+static void
+start_if_due (Machine *m, Task *t)
+{
+  const User *u = g_hash_table_lookup (S.jobs, t->job);
+  if (!g_str_equal (t->state, "pulling") || S.now < t->starts)
+    return;
+  t->state = "running";
+  t->ends = S.now + (gint64) ((m->sick ? 0.2 : u->run_s * (m->slow > 0 ? m->slow : 1)) * 1e6);
+  check_start (m, t);
+  beat_soon (m);
+}
+
 static void
 execute (Machine *m, json_t *orders)
 {
@@ -997,16 +1058,16 @@
         here |= x->index == index && g_str_equal (x->job, job);
       }
       t = g_new0 (Task, 1);
-      *t = (Task){ g_strdup (job), index, attempt, "running", NULL, 0, NULL };
+      *t = (Task){ g_strdup (job), index, attempt, "pulling", NULL, 0, 0, NULL };
       g_ptr_array_add (m->tasks, t);
       if (!u || here || used + u->cpus > S.o.machine_cpus + 1e-6) {
         t->state = "exited";
         t->why = !u ? "unknown" : here ? "in_use" : "no_room";
       } else {
-        t->ends = S.now + (gint64) ((m->sick ? 0.2 : u->run_s * (m->slow > 0 ? m->slow : 1)) * 1e6);
-        check_start (m, t);
+        t->starts = S.now + (gint64) (S.o.fetch_s * 1e6);
+        start_if_due (m, t);
       }
-    } else if (g_str_equal (word, "kill") && t && g_str_equal (t->state, "running")) {
+    } else if (g_str_equal (word, "kill") && t && !g_str_equal (t->state, "exited")) {
       t->state = "exited";
       t->why = "stopped";
       task_off (t);
@@ -1040,6 +1101,10 @@
   guint64 token = (guint64) json_integer_value (json_object_get (body, "Helm"));
 
   m->busy = FALSE;
+  if (m->hangs) { /* given up by the time it goes on */
+    g_free (b);
+    return;
+  }
   if (status == 200 && b->session == m->session) {
     if (token >= m->token && token) {
       m->last_ok = m->sent;
@@ -1085,7 +1150,7 @@
   if (m->dead)
     return FALSE;
   later (S.o.step_s > 0 ? S.o.step_s : 0.05, machine_step, m);
-  if (S.now < m->up_at)
+  if (S.now < m->up_at || m->hangs)
     return FALSE;
   if (!m->up) {
     m->up = TRUE;
@@ -1101,6 +1166,7 @@
   for (guint i = 0; i < m->tasks->len; i++) {
     Task *t = m->tasks->pdata[i];
     User *u = g_hash_table_lookup (S.jobs, t->job);
+    start_if_due (m, t);
     if (!g_str_equal (t->state, "running"))
       continue;
     if (u && u->cancelled_at && S.now - u->cancelled_at > (gint64) (S.o.cancel_s * 1e6)) {
@@ -1119,7 +1185,10 @@
     }
     beat_soon (m);
   }
-  if (!m->busy && S.now >= m->next_beat) {
+  if (!m->busy && S.now >= m->next_beat && m->mute) {
+    m->node = (m->node + 1) % S.o.nodes;
+    m->next_beat = S.now + 1000000;
+  } else if (!m->busy && S.now >= m->next_beat) {
     g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", m->node + 1);
     Beat *b = g_new (Beat, 1);
     *b = (Beat){ m, m->session };
@@ -1134,12 +1203,25 @@
   return FALSE;
 }
 
+static void machine_answer (Call *c);
+
+static gboolean
+machine_asked (gpointer call)
+{
+  machine_answer (call);
+  return FALSE;
+}
+
 static void
 machine_answer (Call *c)
 {
   Machine *m = g_hash_table_lookup (S.machines, c->to);
   if (!m || m->dead || !m->up)
     return;
+  if (m->hangs) { /* the asker has given up by then, the machine goes by token and session */
+    later (0.05, machine_asked, c);
+    return;
+  }
   if (g_str_equal (c->path, "/show")) {
     answer_call (c, 200, report (m));
     return;
@@ -1191,6 +1273,33 @@
   ((Machine *) g_hash_table_lookup (S.machines, id))->slow = factor;
 }
 
+void
+sim_machine_hang (const char *id, gboolean on)
+{
+  ((Machine *) g_hash_table_lookup (S.machines, id))->hangs = on;
+}
+
+void
+sim_machine_mute (const char *id, gboolean on)
+{
+  ((Machine *) g_hash_table_lookup (S.machines, id))->mute = on;
+}
+
+const char *
+sim_machine_of (const char *job)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, S.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const Machine *m = value;
+    for (guint i = 0; i < m->tasks->len; i++)
+      if (g_str_equal (((Task *) m->tasks->pdata[i])->job, job))
+        return m->id;
+  }
+  return NULL;
+}
+
 double
 sim_slowest_begin (void)
 {
@@ -1382,11 +1491,19 @@
   return u->began_at ? (u->began_at - u->submitted_at) / 1e6 : -1;
 }
 
+static gboolean
+over (const User *u)
+{
+  return g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
+}
+
 static void
 tell (User *u, const char *word)
 {
-  gboolean final = g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
+  gboolean final = over (u);
   u->answered_at = S.now;
+  if (final && u->asked_at < u->over_at)
+    return; /* asked before: the two answers overtook each other */
   if (final && !g_str_equal (u->told, word))
     broken ("went_back: %s was %s, is %s", u->id, u->told, word);
   if (g_str_equal (word, "done") && u->n_completed < u->tasks)
@@ -1397,6 +1514,15 @@
     u->cancelled_at = S.now;
   g_free (u->told);
   u->told = g_strdup (word);
+  if (!final && over (u))
+    u->over_at = S.now;
+}
+
+/* Its user wants it cancelled, and was not yet told that it is. */
+static gboolean
+cancelling (const User *u)
+{
+  return u->aborting && !over (u);
 }
 
 static void
@@ -1408,29 +1534,44 @@
     tell (u, word);
   else if (status == 404)
     broken ("forgotten: %s gets 404", u->id);
-  later (5, user_step, u);
+  later (cancelling (u) ? 1 : 5, user_step, u);
 }
 
 static void
 submitted (guint status, json_t *body, gpointer data)
 {
   User *u = data;
+  const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 || status == 201) {
     u->accepted = TRUE;
     u->answered_at = S.now;
+    if (word)
+      tell (u, word);
   } else if (u->accepted && (status == 400 || status == 422))
     broken ("forgotten: %s is refused", u->id);
-  later (u->accepted ? 5 : 1, user_step, u);
+  later (u->accepted && !cancelling (u) ? 5 : 1, user_step, u);
 }
 
 static void
-user_aborted (guint status, json_t *body, gpointer data)
+abort_answered (guint status, json_t *body, gpointer data)
 {
-  User *u = data;
   const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 && word)
-    tell (u, word);
-  later (1, user_step, u);
+    tell (data, word);
+}
+
+static void
+user_aborted (guint status, json_t *body, gpointer data)
+{
+  abort_answered (status, body, data);
+  later (1, user_step, data);
+}
+
+static void
+ask_abort (User *u, const char *node, KrReply reply)
+{
+  g_autofree char *path = g_strdup_printf ("/api/jobs/%s/abort", u->id);
+  call_new ("user", "POST", node, path, NULL, 5, reply, u);
 }
 
 static gboolean
@@ -1439,13 +1580,13 @@
   User *u = data;
   g_autofree char *node = some_node ();
   g_autofree char *poll = g_strdup_printf ("/api/jobs/%s", u->id);
-  g_autofree char *abort = g_strdup_printf ("/api/jobs/%s/abort", u->id);
-  gboolean final = g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
+  gint turn = g_rand_int_range (S.rng, 0, 3);
   check_known (u);
-  if (!u->accepted)
+  u->asked_at = S.now;
+  if (u->accepted && cancelling (u) && turn == 0)
+    ask_abort (u, node, user_aborted);
+  else if (!u->accepted || (cancelling (u) && turn == 1))
     call_new ("user", "POST", node, "/api/jobs", json_incref (u->body), 5, submitted, u);
-  else if (u->aborting && !final)
-    call_new ("user", "POST", node, abort, NULL, 5, user_aborted, u);
   else
     call_new ("user", "GET", node, poll, NULL, 2, polled, u);
   return FALSE;
@@ -1474,10 +1615,26 @@
   user_step (u);
 }
 
+static void
+start_abort (const char *id, const char *node)
+{
+  User *u = g_hash_table_lookup (S.jobs, id);
+  u->aborting = TRUE;
+  ask_abort (u, node, abort_answered); /* now; user_step goes on */
+}
+
 void
 sim_abort (const char *id)
 {
-  ((User *) g_hash_table_lookup (S.jobs, id))->aborting = TRUE;
+  g_autofree char *node = some_node ();
+  start_abort (id, node);
+}
+
+void
+sim_abort_at (const char *id, guint node)
+{
+  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
+  start_abort (id, address);
 }
 
 const char *
@@ -1493,8 +1650,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, S.jobs);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
-    User *u = value;
-    if (!g_str_equal (u->told, "done") && !g_str_equal (u->told, "cancelled"))
+    if (!over (value))
       return FALSE;
   }
   return TRUE;
@@ -1581,7 +1737,13 @@
 void
 sim_node_kill (guint i)
 {
-  S.nodes[i].alive = FALSE;
+  S.nodes[i].alive = S.nodes[i].hung = FALSE;
+}
+
+void
+sim_node_hang (guint i, gboolean on)
+{
+  S.nodes[i].hung = on;
 }
 
 void
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -16,6 +16,7 @@
   double step_s;  /* between looks at a machine; 0: 50 ms */
   double repeats; /* share of the nodes' and users' requests that arrive once more, later still */
   double copies;  /* share of reports of which a copy comes late, from a second to a minute */
+  double fetch_s; /* that each task waits for its image */
 } SimOptions;
 
 void sim_start (guint32 seed, const SimOptions *options);
@@ -26,6 +27,8 @@
 /* Nodes are "n0", "n1", ...; the others "state", "cloud" and a machine's id. */
 void sim_node_start (guint i);
 void sim_node_kill (guint i);
+/* It stands still, its clocks run on; what arrives meanwhile it finds when it goes on. */
+void sim_node_hang (guint i, gboolean on);
 /* What passes from one host to another; SIM_OPEN also lets out what was held. */
 void sim_cut (const char *from, const char *to, SimCut how);
 void sim_cut_both (const char *a, const char *b, SimCut how);
@@ -33,11 +36,19 @@
 void sim_state_refuse (guint node, gboolean on);
 /* Its answers take up to this much longer. */
 void sim_state_slow (double seconds);
+/* That share of commits gets no answer and is carried out 2 to 12 s later, after newer ones. */
+void sim_late_writes (double share);
 /* The next n commits are executed, but their answers are lost. */
 void sim_lose_commit_answers (guint n);
 void sim_machine_kill (const char *id);
 void sim_machine_sick (const char *id, gboolean sick);
 void sim_machine_slow (const char *id, double factor);
+/* It stands still, its clocks run on; what is sent to it arrives when it goes on. */
+void sim_machine_hang (const char *id, gboolean on);
+/* It opens no connections; direct commands reach it and are answered. */
+void sim_machine_mute (const char *id, gboolean on);
+/* A machine that has a task of the job, or NULL. */
+const char *sim_machine_of (const char *job);
 /* The machine that runs most tasks, or NULL. */
 const char *sim_busiest_machine (void);
 /* The machine that runs fewest, but some, or NULL. */
@@ -53,7 +64,9 @@
 /* A user: submits (and repeats until accepted), polls every 5 s, checks every answer. */
 void sim_submit (const char *id, const char *team, const char *rank, guint tasks, double cpus,
                  double run_s, double deadline_s);
+/* Its user cancels it: aborts until that is confirmed, now and then polling or submitting again. */
 void sim_abort (const char *id);
+void sim_abort_at (const char *id, guint node); /* the first time through that node */
 /* What its user was told last: "", pending, running, done, cancelled. */
 const char *sim_told (const char *id);
 gboolean sim_all_over (void);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -418,6 +418,269 @@
   finish (60);
 }
 
+/* Three jobs of team0 with tasks that run for long, on machines of part 0, whose owner is n0. */
+static void
+begin_cancel (const SimOptions *o)
+{
+  begin (o);
+  for (guint i = 1; i <= 3; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-00000%u", i);
+    sim_submit (id, "team0", "normal", 16, 1, 500, 2000);
+  }
+  sim_run (40);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 48);
+}
+
+static void
+abort_all (void)
+{
+  sim_abort ("wk-000001");
+  sim_abort ("wk-000002");
+  sim_abort ("wk-000003");
+}
+
+static guint
+told_cancelled (void)
+{
+  guint n = 0;
+  for (guint i = 1; i <= 3; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-00000%u", i);
+    n += g_str_equal (sim_told (id), "cancelled");
+  }
+  return n;
+}
+
+static void
+until_told (double within_s)
+{
+  for (double end = sim_now () + within_s; told_cancelled () < 3 && sim_now () < end;)
+    sim_run (0.05);
+}
+
+/* The state service refuses the owner alone, users cancel through the others at several moments,
+ * and then it is out for all for longer than cancel_s, at several phases of the takeover. Whoever
+ * was told has no task left in time, though no node reaches the state service. */
+static void
+cancel_gap (double cancel_at, double outage_at, guint node)
+{
+  begin_cancel (&usual);
+  sim_state_refuse (node, TRUE);
+  sim_run (MIN (cancel_at, outage_at));
+  if (cancel_at < outage_at) {
+    abort_all ();
+    sim_run (outage_at - cancel_at);
+  }
+  sim_state_outage (TRUE);
+  if (cancel_at >= outage_at)
+    abort_all ();
+  sim_run (60);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  sim_state_outage (FALSE);
+  sim_state_refuse (node, FALSE);
+  sim_run (20);
+  g_assert_cmpuint (told_cancelled (), ==, 3);
+  finish (60);
+}
+
+static void
+test_cancel_gap (void)
+{
+  const double outage_at[] = { 0.4, 1.5, 3, 6, 7.6, 8, 8.3, 9, 10, 12 };
+  for (guint i = 0; i < G_N_ELEMENTS (outage_at); i++, seed++) {
+    cancel_gap (0.1, outage_at[i], 0);
+    cancel_gap (MAX (0.1, outage_at[i] - 0.3), outage_at[i], 0);
+    cancel_gap (outage_at[i], outage_at[i], 0);
+  }
+  seed -= G_N_ELEMENTS (outage_at);
+  for (guint i = 1; i < usual.nodes; i++) /* one of them leads */
+    cancel_gap (0.1, 1.5, i);
+}
+
+/* In ordinary times, and with the owner refused, a cancellation is told at once: the owner is asked
+ * directly. */
+static void
+test_cancel_prompt (void)
+{
+  begin_cancel (&usual);
+  sim_state_refuse (0, TRUE);
+  sim_run (0.5);
+  abort_all ();
+  until_told (5);
+  g_assert_cmpuint (told_cancelled (), ==, 3);
+  sim_state_refuse (0, FALSE);
+  sim_run (3);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 0);
+  finish (20);
+}
+
+/* The owner ends right after its word, its kills are lost, and the state service is out before its
+ * successor, which has written `key`, has read the jobs: that one must not keep the machines'
+ * leases alive. */
+static void
+owner_ends_after_word (const char *key, double outage_after_s)
+{
+  begin_cancel (&usual);
+  sim_state_slow (0.3);
+  for (guint i = 0; i < 12; i++) {
+    g_autofree char *m = g_strdup_printf ("host-%06u", i);
+    sim_cut ("n0", m, SIM_DROP);
+  }
+  abort_all ();
+  until_told (10);
+  g_assert_cmpuint (told_cancelled (), >, 0);
+  sim_node_kill (0);
+  guint64 before = sim_state_mark (key), now = before;
+  for (guint i = 0; i < 4000 && (!now || now == before); i++) {
+    sim_run (0.005);
+    now = sim_state_mark (key);
+  }
+  sim_run (outage_after_s);
+  sim_state_outage (TRUE);
+  sim_run (60);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  sim_state_outage (FALSE);
+  sim_node_start (0);
+  sim_state_slow (0);
+  cut_workers ("n0", SIM_OPEN);
+  sim_run (20);
+  g_assert_cmpuint (told_cancelled (), ==, 3);
+  finish (60);
+}
+
+static void
+test_owner_ends_after_word (void)
+{
+  for (guint i = 0; i < 8; i++, seed++) {
+    owner_ends_after_word ("c/owner/0", 0.2 * i);
+    owner_ends_after_word ("c/claim/0", 0.05 * i);
+  }
+  seed -= 8;
+}
+
+/* The node that takes the cancellation believes a predecessor to be the owner, and reaches it,
+ * while the owner does not see the cancellation: it is committed under the owner's key, and told
+ * once that one has heard. */
+static void
+cancel_stale_view (void)
+{
+  begin_cancel (&usual);
+  sim_cut_both ("n0", "state", SIM_DROP);
+  sim_state_refuse (2, TRUE);
+  sim_run (20); /* n1 has taken the part over */
+  sim_state_refuse (1, TRUE);
+  sim_state_refuse (2, FALSE);
+  sim_abort_at ("wk-000001", 2);
+  sim_run (1);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  sim_state_outage (TRUE);
+  sim_run (60);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  sim_state_outage (FALSE);
+  sim_state_refuse (1, FALSE);
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  abort_all ();
+  finish (120);
+}
+
+static void
+test_cancel_stale_view (void)
+{
+  with_seeds (cancel_stale_view);
+}
+
+/* Cut off from the state service and from the other controllers, the owner goes on answering its
+ * workers: nobody is told before its successor has fenced them all, or had them deleted. */
+static void
+test_cancel_owner_alone (void)
+{
+  begin_cancel (&usual);
+  g_autofree char *kept = g_strdup (sim_machine_of ("wk-000001"));
+  sim_cut_both ("n0", "state", SIM_DROP);
+  cut_successors (kept, SIM_DROP);
+  abort_all ();
+  sim_run (70);
+  g_assert_cmpuint (told_cancelled (), ==, 0);
+  g_assert_cmpuint (sim_tasks_running (NULL), >, 0);
+  cut_successors (kept, SIM_OPEN);
+  sim_run (30);
+  g_assert_cmpuint (told_cancelled (), ==, 3);
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  finish (60);
+}
+
+/* A machine stands still when the kill comes, within its lease or beyond it, or hears nothing, or
+ * opens no connections: its tasks are gone in time, and those that wait for their image do not
+ * begin once their user was told. */
+static void
+cancel_on_machine (guint trouble, double for_s, double after_s)
+{
+  SimOptions o = usual;
+  o.fetch_s = 4;
+  begin (&o);
+  for (guint i = 1; i <= 3; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-00000%u", i);
+    sim_submit (id, "team0", "normal", 16, 1, 500, 2000);
+  }
+  sim_submit ("wk-000009", "team1", "normal", 2, 1, 5, 600);
+  for (guint i = 0; i < 800 && !sim_machine_of ("wk-000001"); i++)
+    sim_run (0.05);
+  sim_run (after_s);
+  g_autofree char *m = g_strdup (sim_machine_of ("wk-000001"));
+  g_assert_nonnull (m);
+  if (trouble == 0)
+    sim_machine_hang (m, TRUE);
+  else if (trouble == 1)
+    sim_machine_mute (m, TRUE);
+  else
+    for (guint i = 0; i < usual.nodes; i++) {
+      char node[] = { 'n', (char) ('0' + i), 0 };
+      sim_cut (node, m, SIM_DROP);
+    }
+  abort_all ();
+  sim_run (for_s);
+  sim_machine_hang (m, FALSE);
+  sim_machine_mute (m, FALSE);
+  cut_off (m, SIM_OPEN);
+  sim_run (60);
+  g_assert_cmpuint (told_cancelled (), ==, 3);
+  finish (20);
+}
+
+static void
+test_cancel_on_machine (void)
+{
+  for (guint i = 0; i < 15; i++, seed++)
+    cancel_on_machine (i % 3, i % 2 ? 9 : 35, 0.7 * (i % 5));
+  seed -= 15;
+}
+
+/* Who is no owner, not yet or with an older key than the cancellation names, gives no word. */
+static void
+test_cancel_word (void)
+{
+  begin_cancel (&usual);
+  const char *question = "{\"Part\":%d,\"Job\":\"%s\",\"Owner\":%u,\"Revision\":1}";
+  guint token = (guint) sim_state_mark ("c/owner/0");
+  g_autofree char *good = g_strdup_printf (question, 0, "wk-000001", token);
+  g_autofree char *newer = g_strdup_printf (question, 0, "wk-000002", token + 1);
+  g_autofree char *nothing = g_strdup_printf (question, 0, "wk-000009", token);
+  g_autofree char *no_part = g_strdup_printf (question, 7, "wk-000001", token);
+  g_autofree char *negative = g_strdup_printf (question, -1, "wk-000001", token);
+  g_assert_cmpuint (sim_peer (1, "POST", "/cancellations", good), ==, 409);
+  g_assert_cmpuint (sim_peer (0, "POST", "/cancellations", newer), ==, 409);
+  g_assert_cmpuint (sim_peer (0, "POST", "/cancellations", nothing), ==, 404);
+  g_assert_cmpuint (sim_peer (0, "POST", "/cancellations", no_part), ==, 409);
+  g_assert_cmpuint (sim_peer (0, "POST", "/cancellations", negative), ==, 409);
+  g_assert_cmpuint (sim_peer (0, "POST", "/cancellations", "{\"Part\":0}"), ==, 400);
+  g_assert_cmpuint (sim_peer (0, "POST", "/cancellations", NULL), ==, 400);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 48);
+  g_assert_cmpuint (sim_peer (0, "POST", "/cancellations", good), ==, 200);
+  sim_run (1); /* its kills went out */
+  g_assert_cmpuint (sim_tasks_running ("wk-000001"), ==, 0);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 32);
+  sim_stop ();
+}
+
 /* Launches in doubt count toward the limit: a machine goes silent right when it is given work. */
 static void
 test_limit_in_doubt (void)
@@ -861,6 +1124,13 @@
   g_test_add_func ("/service/home-without-workers", test_home_without_workers);
   g_test_add_func ("/service/node-lost", test_node_lost);
   g_test_add_func ("/service/cancel-unreachable", test_cancel_unreachable);
+  g_test_add_func ("/service/cancel-gap", test_cancel_gap);
+  g_test_add_func ("/service/cancel-prompt", test_cancel_prompt);
+  g_test_add_func ("/service/owner-ends-after-word", test_owner_ends_after_word);
+  g_test_add_func ("/service/cancel-owner-alone", test_cancel_owner_alone);
+  g_test_add_func ("/service/cancel-on-machine", test_cancel_on_machine);
+  g_test_add_func ("/service/cancel-stale-view", test_cancel_stale_view);
+  g_test_add_func ("/service/cancel-word", test_cancel_word);
   g_test_add_func ("/service/limit-in-doubt", test_limit_in_doubt);
   g_test_add_func ("/service/machine-lost", test_machine_lost);
   g_test_add_func ("/service/first-report", test_first_report);
