--- a/src/agent.c
+++ b/src/agent.c
@@ -18,10 +18,10 @@
   g_free (l);
 }
 
-KrBerth *
-kr_berth_new (const char *id)
+KrMachine *
+kr_machine_new (const char *id)
 {
-  KrBerth *b = g_new0 (KrBerth, 1);
+  KrMachine *b = g_new0 (KrMachine, 1);
   b->id = g_strdup (id);
   b->launches = g_ptr_array_new_with_free_func (kr_launch_free);
   b->bad_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -31,9 +31,9 @@
 }
 
 void
-kr_berth_free (gpointer p)
+kr_machine_free (gpointer p)
 {
-  KrBerth *b = p;
+  KrMachine *b = p;
   g_free (b->id);
   g_free (b->endpoint);
   g_free (b->type);
@@ -46,7 +46,7 @@
 }
 
 KrLaunch *
-kr_berth_launch (KrBerth *b, const char *job, guint index, guint64 attempt)
+kr_machine_launch (KrMachine *b, const char *job, guint index, guint64 attempt)
 {
   KrLaunch *l = g_new0 (KrLaunch, 1);
   l->job = g_strdup (job);
@@ -59,7 +59,7 @@
 }
 
 static KrLaunch *
-find (KrBerth *b, const KrTaskReport *t)
+find (KrMachine *b, const KrTaskReport *t)
 {
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
@@ -82,7 +82,7 @@
 
 /* A launch that was not seen yet. */
 static KrLaunch *
-in_doubt (const KrBerth *b)
+in_doubt (const KrMachine *b)
 {
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
@@ -93,7 +93,7 @@
 }
 
 void
-kr_berth_clear (KrBerth *b, KrSawFunc saw, gpointer data)
+kr_machine_clear (KrMachine *b, KrSawFunc saw, gpointer data)
 {
   /* Also where the lease ran out between two reports: a deaf machine that goes from node to node
    * comes back to its owner only after that, and would be given work each time. */
@@ -108,13 +108,13 @@
 }
 
 gboolean
-kr_berth_apply (KrBerth *b, const KrReport *r, gboolean beat, guint64 token, gint64 now,
-                KrSawFunc saw, gpointer data)
+kr_machine_apply (KrMachine *b, const KrReport *r, gboolean beat, guint64 token, gint64 now,
+                  KrSawFunc saw, gpointer data)
 {
   if (r->session < b->session || (r->session == b->session && r->seq <= b->seq))
     return FALSE; /* guards against reports that a cut held back */
   if (r->session > b->session)
-    kr_berth_clear (b, saw, data); /* its lease ran out: the worker killed everything */
+    kr_machine_clear (b, saw, data); /* its lease ran out: the worker killed everything */
   b->session = r->session;
   b->seq = r->seq;
   b->heard = now;
@@ -166,7 +166,7 @@
     KrLaunch *l = find (b, t);
     KrTaskState before;
     if (!l) {
-      l = kr_berth_launch (b, t->job, t->index, t->attempt);
+      l = kr_machine_launch (b, t->job, t->index, t->attempt);
       l->adopted = TRUE;
       l->state = t->state;
       saw (b, l, KR_SAW_NEW, data);
@@ -194,7 +194,7 @@
 }
 
 gboolean
-kr_berth_lease_over (const KrBerth *b, gint64 now, double lease_s)
+kr_machine_lease_over (const KrMachine *b, gint64 now, double lease_s)
 {
   return kr_lease_over (b->answered, now, lease_s);
 }
@@ -206,7 +206,7 @@
 }
 
 guint
-kr_berth_busy (const KrBerth *b)
+kr_machine_busy (const KrMachine *b)
 {
   guint n = 0;
   for (guint i = 0; i < b->launches->len; i++)
--- a/src/agent.h
+++ b/src/agent.h
@@ -22,10 +22,10 @@
    * no known job */
   gpointer of;
   guint slot;
-  struct KrBerth *on; /* its machine */
+  struct KrMachine *on; /* its machine */
 } KrLaunch;
 
-typedef struct KrBerth {
+typedef struct KrMachine {
   char *id, *endpoint, *type, *zone;
   gboolean spot, known; /* known: it has reported; type, zone and spot are valid */
   guint64 session, seq, token;
@@ -42,7 +42,7 @@
   gint leaving_to;           /* part that it goes to when empty; -1: none */
   gboolean moving;           /* the move may be under way: nothing may start */
   gboolean move_unknown;     /* its outcome is not known */
-  guint64 chunk_mark;        /* Mark of the record chunk that holds it */
+  guint64 chunk_revision;    /* revision of the record chunk that holds it */
   gint64 idle_since, joined; /* monotonic us */
   gpointer held;             /* KrRequest: its first report, answered once it is used */
   gint64 held_since;         /* monotonic us */
@@ -56,7 +56,7 @@
   GHashTable *images;   /* images fetched here */
   char *reserved_for;   /* job for which room was made here */
   gint64 reserved_until;
-} KrBerth;
+} KrMachine;
 
 typedef enum {
   KR_SAW_NEW,     /* an attempt that we did not know */
@@ -66,27 +66,27 @@
   KR_SAW_EXITED,  /* see launch->why */
   KR_SAW_GONE     /* it is surely not on the machine any more */
 } KrSaw;
-typedef void (*KrSawFunc) (KrBerth *berth, KrLaunch *launch, KrSaw what, gpointer data);
+typedef void (*KrSawFunc) (KrMachine *machine, KrLaunch *launch, KrSaw what, gpointer data);
 
-KrBerth *kr_berth_new (const char *id);
-void kr_berth_free (gpointer berth);
+KrMachine *kr_machine_new (const char *id);
+void kr_machine_free (gpointer machine);
 
 /* Takes a report in. `beat`: it came as a worker's report, not as an answer of /commands or /show:
  * only such a one settles doubt, since the worker sends the next only after it has taken or dropped
  * the response to the last. FALSE: older than what is known, nothing changed. */
-gboolean kr_berth_apply (KrBerth *self, const KrReport *report, gboolean beat, guint64 token,
-                         gint64 now, KrSawFunc saw, gpointer data);
+gboolean kr_machine_apply (KrMachine *self, const KrReport *report, gboolean beat, guint64 token,
+                           gint64 now, KrSawFunc saw, gpointer data);
 /* Everything on it is gone (deleted, taken, or its lease surely over). */
-void kr_berth_clear (KrBerth *self, KrSawFunc saw, gpointer data);
+void kr_machine_clear (KrMachine *self, KrSawFunc saw, gpointer data);
 /* Whether a lease that nobody has renewed since then has surely run out. */
 gboolean kr_lease_over (gint64 since, gint64 now, double lease_s);
 /* Whether the worker's lease has surely run out since we last answered it. Only meaningful for a
  * machine that is fenced: no one else answers it. */
-gboolean kr_berth_lease_over (const KrBerth *self, gint64 now, double lease_s);
-KrLaunch *kr_berth_launch (KrBerth *self, const char *job, guint index, guint64 attempt);
+gboolean kr_machine_lease_over (const KrMachine *self, gint64 now, double lease_s);
+KrLaunch *kr_machine_launch (KrMachine *self, const char *job, guint index, guint64 attempt);
 void kr_launch_free (gpointer launch);
 /* Seconds since it was seen running first; 0: not yet. */
 double kr_launch_ran_s (const KrLaunch *self, gint64 now);
 /* What is not exited, in doubt included. */
-guint kr_berth_busy (const KrBerth *self);
+guint kr_machine_busy (const KrMachine *self);
 gint64 kr_seconds (double s); /* as us */
--- a/src/api.c
+++ b/src/api.c
@@ -234,7 +234,7 @@
     return;
   }
   if (kr_job_peek_cancelled (value, &v->part, &v->owner)) {
-    v->revision = item->mark;
+    v->revision = item->revision;
     v->done = done;
     confirm (v);
     return;
@@ -403,8 +403,8 @@
     const KrHolder *h = kr_membership_holder (v->api->node->membership, v->part);
     g_autofree char *key = kr_job_key (v->id), *owner_key = kr_membership_owner_key (v->part);
     KrTxn *txn = kr_txn_new ();
-    v->owner = h->node ? h->mark : 0;
-    kr_txn_when (txn, key, item->mark);
+    v->owner = h->node ? h->revision : 0;
+    kr_txn_when (txn, key, item->revision);
     kr_txn_when (txn, owner_key, v->owner);
     kr_txn_put (txn, key, kr_job_cancel_value (item->value, v->owner), 0);
     kr_state_commit (v->api->node->state, txn, KR_FIRST, left_ms (v, KR_STATE_TIMEOUT_MS),
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -211,7 +211,7 @@
 next_page (Listing *l)
 {
   const char *after =
-      l->machines->len ? ((KrMachine *) l->machines->pdata[l->machines->len - 1])->id : NULL;
+      l->machines->len ? ((KrListedMachine *) l->machines->pdata[l->machines->len - 1])->id : NULL;
   start (l->cloud, "GET", kr_wire_list_path (after, KR_LIST_PAGE), NULL, KR_NORMAL, l->cancel,
          page_done, l);
 }
@@ -220,7 +220,7 @@
 kr_cloud_list (KrCloud *c, GCancellable *cancel, KrCloudListed listed, gpointer data)
 {
   Listing *l = g_new (Listing, 1);
-  *l = (Listing){ c, g_ptr_array_new_with_free_func (kr_machine_free),
+  *l = (Listing){ c, g_ptr_array_new_with_free_func (kr_listed_machine_free),
                   cancel ? g_object_ref (cancel) : NULL, listed, data };
   next_page (l);
 }
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -105,14 +105,14 @@
 }
 
 KrJob *
-kr_job_decode (json_t *value, guint64 mark)
+kr_job_decode (json_t *value, guint64 revision)
 {
   KrSpec *spec = kr_wire_spec_parse (json_object_get (value, "Spec"), NULL);
   if (!spec)
     return NULL;
   KrJob *j = kr_job_new (spec, json_number_value (json_object_get (value, "At")),
                          (guint) json_integer_value (json_object_get (value, "Part")));
-  j->mark = mark;
+  j->revision = revision;
   j->cancelled = json_is_true (json_object_get (value, "Cancelled"));
   j->sum = json_number_value (json_object_get (value, "Sum"));
   j->count = (guint) json_integer_value (json_object_get (value, "Count"));
@@ -227,7 +227,7 @@
 gboolean
 kr_job_suspect (const KrJob *j)
 {
-  return g_hash_table_size (j->failed_on) >= KR_JOB_FAIL_BERTHS;
+  return g_hash_table_size (j->failed_on) >= KR_JOB_FAIL_MACHINES;
 }
 
 gboolean
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -8,7 +8,7 @@
   KrSpec *spec;
   double at; /* s since the epoch, by the accepting node's clock */
   guint part;
-  guint64 mark; /* version of the durable record */
+  guint64 revision; /* version of the durable record */
   gboolean cancelled;
   double sum; /* s, of `count` completed tasks: the paper's mean is sum/count */
   guint count;
@@ -34,7 +34,7 @@
 
 /* The durable form, and back; `done_count`: what the record says of itself. */
 json_t *kr_job_encode (const KrJob *self, const guint8 *done, guint running);
-KrJob *kr_job_decode (json_t *value, guint64 mark);
+KrJob *kr_job_decode (json_t *value, guint64 revision);
 json_t *kr_job_end_value (KrJobState state, guint done);
 /* What a stored value (live or ended) says to a user. FALSE if it is not a job's. */
 gboolean kr_job_peek (json_t *value, KrJobState *state, guint *done, guint *running);
--- a/src/membership.c
+++ b/src/membership.c
@@ -128,7 +128,7 @@
 
 /* --- what the watch shows ------------------------------------------------------------ */
 static void
-set_holder (KrMembership *m, guint which, json_t *value, guint64 mark)
+set_holder (KrMembership *m, guint which, json_t *value, guint64 revision)
 {
   KrHolder *h = &m->holders[which];
   const char *node = json_string_value (json_object_get (value, "Node"));
@@ -139,12 +139,12 @@
              which == m->settings->size ? "leader" : "part", which);
     return;
   }
-  if (mark < h->mark || (mark == h->mark && !!node == !!h->node))
+  if (revision < h->revision || (revision == h->revision && !!node == !!h->node))
     return;
   gboolean before = mine (m, h);
   g_clear_pointer (&h->node, g_free);
   g_clear_pointer (&h->incarnation, g_free);
-  h->mark = mark;
+  h->revision = revision;
   h->from = 0;
   if (node) {
     h->node = g_strdup (node);
@@ -155,22 +155,23 @@
   if (!before && mine (m, h))
     h->ours_since = kr_now ();
   if (which == m->settings->size)
-    kr_info ("leader: %s (token %" G_GUINT64_FORMAT ")", node ? node : "none", mark);
+    kr_info ("leader: %s (token %" G_GUINT64_FORMAT ")", node ? node : "none", revision);
   else {
-    kr_info ("part %u: owner %s (token %" G_GUINT64_FORMAT ")", which, node ? node : "none", mark);
+    kr_info ("part %u: owner %s (token %" G_GUINT64_FORMAT ")", which, node ? node : "none",
+             revision);
     m->events.holder_changed (which, m->data);
   }
 }
 
 void
-kr_membership_note_claim (KrMembership *m, guint part, json_t *value, guint64 mark)
+kr_membership_note_claim (KrMembership *m, guint part, json_t *value, guint64 revision)
 {
   KrClaim *c = &m->claims[part];
-  if (mark <= c->mark)
+  if (revision <= c->revision)
     return;
   g_free (c->holder);
   *c = (KrClaim){ g_strdup (json_string_value (json_object_get (value, "Holder"))),
-                  json_is_true (json_object_get (value, "Settled")), mark };
+                  json_is_true (json_object_get (value, "Settled")), revision };
 }
 
 /* value: NULL: it is gone. */
@@ -208,15 +209,15 @@
       m->shown =
           g_strcmp0 (json_string_value (json_object_get (item->value, "Inc")), m->incarnation) == 0;
   } else if (g_str_equal (k, KR_LEADER_KEY))
-    set_holder (m, size, item->value, item->mark);
+    set_holder (m, size, item->value, item->revision);
   else if (g_str_has_prefix (k, "c/owner/")) {
     guint p = (guint) atoi (k + strlen ("c/owner/"));
     if (p < size)
-      set_holder (m, p, item->value, item->mark);
+      set_holder (m, p, item->value, item->revision);
   } else if (g_str_has_prefix (k, "c/claim/")) {
     guint p = (guint) atoi (k + strlen ("c/claim/"));
     if (p < size && item->value)
-      kr_membership_note_claim (m, p, item->value, item->mark);
+      kr_membership_note_claim (m, p, item->value, item->revision);
   } else if (g_str_has_prefix (k, "c/needs/")) {
     guint p = (guint) atoi (k + strlen ("c/needs/"));
     if (p < size && item->value)
@@ -293,7 +294,7 @@
 take (KrMembership *m, guint which)
 {
   KrHolder *h = &m->holders[which];
-  guint64 expect = h->node ? h->mark : 0;
+  guint64 expect = h->node ? h->revision : 0;
   g_autofree char *key = holder_key (m, which);
   KrTxn *txn = kr_txn_new ();
   Change *c = g_new (Change, 1);
@@ -330,7 +331,7 @@
   *c = (Change){ m, part, TRUE };
   h->busy = TRUE;
   h->keep_off = kr_now () + (gint64) keep_off_ms * 1000;
-  kr_txn_when (txn, key, h->mark);
+  kr_txn_when (txn, key, h->revision);
   kr_txn_remove (txn, key);
   kr_state_commit (m->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, m->cancel, change_done, c);
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -1,5 +1,5 @@
 /* Who is there, who owns which part, who leads: keys below c/ on this node's lease. Ownership is
- * only what the state service shows; a key's Mark is the token. */
+ * only what the state service shows; a key's revision is the token. */
 #pragma once
 #include "record.h"
 #include "settings.h"
@@ -8,8 +8,8 @@
 typedef struct {
   char *node; /* NULL: nobody */
   char *incarnation;
-  guint64 mark;      /* the token */
-  guint64 from;      /* Mark of the key it replaced: an own earlier one, or 0 */
+  guint64 revision;  /* the token */
+  guint64 from;      /* revision of the key it replaced: an own earlier one, or 0 */
   gint64 free_since; /* monotonic us, while nobody has it */
   gint64 ours_since; /* monotonic us, while it is ours */
   gint64 keep_off;   /* monotonic us until which we do not take it */
@@ -20,7 +20,7 @@
 typedef struct {
   char *holder;     /* node name; NULL: nobody yet */
   gboolean settled; /* every used machine was fenced since */
-  guint64 mark;
+  guint64 revision;
 } KrClaim;
 
 typedef struct KrMembership KrMembership;
@@ -42,7 +42,7 @@
 const KrHolder *kr_membership_leader (KrMembership *self);
 const KrClaim *kr_membership_claim (KrMembership *self, guint part);
 /* Feeds what a commit of ours made of it. */
-void kr_membership_note_claim (KrMembership *self, guint part, json_t *value, guint64 mark);
+void kr_membership_note_claim (KrMembership *self, guint part, json_t *value, guint64 revision);
 json_t *kr_membership_claim_value (KrMembership *self, gboolean settled);
 /* Reads all of c/ anew; events.scanned follows. */
 void kr_membership_rescan (KrMembership *self);
--- a/src/node.c
+++ b/src/node.c
@@ -63,12 +63,12 @@
   gboolean ours = kr_membership_owns (n->membership, part), any = FALSE;
 
   if (p && ours && h->from == kr_part_token (p)) {
-    kr_part_renewed (p, h->mark);
+    kr_part_renewed (p, h->revision);
     return;
   }
   if (p)
     kr_part_drop (p);
-  n->parts[part] = ours ? kr_part_new (n, part, h->mark) : NULL;
+  n->parts[part] = ours ? kr_part_new (n, part, h->revision) : NULL;
   for (guint i = 0; i < n->settings->size; i++)
     any |= n->parts[i] != NULL;
   if (!any)
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -17,7 +17,7 @@
 
 /* Seconds that fetching a job's image takes, on a machine or (NULL) on the slowest type. */
 static double
-fetch_s (KrPart *p, const KrBerth *b, const KrJob *j)
+fetch_s (KrPart *p, const KrMachine *b, const KrJob *j)
 {
   const KrType *t = b && b->type ? kr_node_type (p->node, b->type) : NULL;
   double rate = t ? t->pull_gb_s : G_MAXDOUBLE;
@@ -157,7 +157,7 @@
 }
 
 static gboolean
-free_room (KrPart *p, const KrBerth *b, KrRoom *room)
+free_room (KrPart *p, const KrMachine *b, KrRoom *room)
 {
   const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
   if (!t)
@@ -175,7 +175,7 @@
 }
 
 static gboolean
-spread_ok (const KrBerth *b, const KrLive *c)
+spread_ok (const KrMachine *b, const KrLive *c)
 {
   KrSpread w = { 0, 0 };
   const KrSpec *s = c->job->spec;
@@ -198,7 +198,7 @@
 
 /* Until a machine is empty, if nothing more starts. */
 static double
-rest_s (KrPart *p, const KrBerth *b, gint64 now)
+rest_s (KrPart *p, const KrMachine *b, gint64 now)
 {
   double rest = 0;
   for (guint i = 0; i < b->launches->len; i++) {
@@ -212,7 +212,7 @@
 }
 
 static gboolean
-may_run_here (KrPart *p, const KrBerth *b, const KrLive *c, gint64 now)
+may_run_here (KrPart *p, const KrMachine *b, const KrLive *c, gint64 now)
 {
   KrJob *j = c->job;
   if (j->cancelled || j->chunks_missing || !c->team || now < j->hold_until || kr_job_next (j) < 0)
@@ -225,17 +225,17 @@
   /* It failed here and nowhere else: another machine shall tell which of the two is at fault, but
    * where none has room for it, it must not wait for that for ever. */
   if (!kr_job_suspect (j) && now - j->failed_at < kr_seconds (KR_FAILED_HERE_S) &&
-      g_hash_table_contains (j->failed_on, b->id) && g_hash_table_size (p->berths) > 1)
+      g_hash_table_contains (j->failed_on, b->id) && g_hash_table_size (p->machines) > 1)
     return FALSE;
   return kr_place_allowed (j->spec, b->type, b->zone, b->spot) && spread_ok (b, c);
 }
 
 static KrLaunch *
-launch (KrPart *p, KrBerth *b, KrLive *c, guint task, gint64 now)
+launch (KrPart *p, KrMachine *b, KrLive *c, guint task, gint64 now)
 {
   KrJob *j = c->job;
   KrLaunch *l =
-      kr_berth_launch (b, j->spec->id, task, (p->token << KR_LAUNCH_BITS) + ++p->launches);
+      kr_machine_launch (b, j->spec->id, task, (p->token << KR_LAUNCH_BITS) + ++p->launches);
 
   kr_live_add (c, l);
   /* A job that fails wherever it runs is tried with one task a pause, until one succeeds. */
@@ -248,7 +248,7 @@
 }
 
 gboolean
-kr_part_usable (KrPart *p, const KrBerth *b, gint64 now)
+kr_part_usable (KrPart *p, const KrMachine *b, gint64 now)
 {
   return p->phase == OPEN && b->known && b->used && !kr_part_needs_fence (b) && !b->drain &&
          !b->deleting && !b->moving && !b->notice_at && now >= b->pause_until;
@@ -275,18 +275,18 @@
       return;
     kr_place_give (&after, j->spec);
   }
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (places->len < want && kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     KrRoom room;
     if (!kr_part_usable (p, b, now) || !may_run_here (p, b, c, now) || !free_room (p, b, &room))
       continue;
-    KrBerth *first = places->len ? places->pdata[0] : b;
+    KrMachine *first = places->len ? places->pdata[0] : b;
     if (j->spec->one_zone && g_strcmp0 (first->zone, b->zone) != 0)
       continue;
     guint here = 0;
     for (guint i = 0; i < places->len; i++)
-      here += g_strcmp0 (((KrBerth *) places->pdata[i])->zone, b->zone) == 0;
+      here += g_strcmp0 (((KrMachine *) places->pdata[i])->zone, b->zone) == 0;
     while (places->len < want && kr_place_has_room (&room, j->spec) &&
            (!j->spec->apart || here + 1 <= (j->spec->tasks + 1) / 2)) {
       kr_place_take (&room, j->spec);
@@ -306,7 +306,7 @@
 }
 
 void
-kr_part_run_planned (KrBerth *b, json_t *orders)
+kr_part_run_planned (KrMachine *b, json_t *orders)
 {
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
@@ -337,7 +337,7 @@
 /* The paper's allocation, max variant, triggered by a machine's report: its free room goes out one
  * task at a time, to the first in rank that fits, and all are ranked anew after each grant. */
 void
-kr_part_grant (KrPart *p, KrBerth *b, json_t *orders, gint64 now)
+kr_part_grant (KrPart *p, KrMachine *b, json_t *orders, gint64 now)
 {
   KrRoom room;
   if (!kr_part_usable (p, b, now) || !free_room (p, b, &room))
@@ -391,7 +391,7 @@
 
 /* --- preemption ---------------------------------------------------------------------- */
 static gboolean
-has_image (const KrBerth *b, const KrJob *j)
+has_image (const KrMachine *b, const KrJob *j)
 {
   return g_hash_table_contains (b->images, j->spec->image);
 }
@@ -406,7 +406,7 @@
 
 /* The task on `b` that may be stopped for `c` and loses least; tasks in `out` are spoken for. */
 static KrLaunch *
-victim (KrPart *p, KrBerth *b, KrLive *c, GPtrArray *out, gint64 now, double *loss)
+victim (KrPart *p, KrMachine *b, KrLive *c, GPtrArray *out, gint64 now, double *loss)
 {
   /* A guarantee may stop work of any Rank, but that of higher Rank only when the wait is over:
    * otherwise the two stop each other in turn. */
@@ -433,7 +433,7 @@
 
 /* Whom to stop on `b` so that one task of `c` fits; NULL if that is not enough. */
 static GPtrArray *
-victims (KrPart *p, KrBerth *b, KrLive *c, gint64 now, double *total)
+victims (KrPart *p, KrMachine *b, KrLive *c, gint64 now, double *total)
 {
   g_autoptr (GPtrArray) out = g_ptr_array_new ();
   KrRoom room;
@@ -455,7 +455,7 @@
 /* Holds a machine for a waiting job, and stops there what has run no longer than `most` seconds:
  * the rest may end by itself first. */
 static void
-hold (KrPart *p, KrBerth *b, KrLive *c, GPtrArray *stop, double most, gint64 now)
+hold (KrPart *p, KrMachine *b, KrLive *c, GPtrArray *stop, double most, gint64 now)
 {
   gboolean any = FALSE;
   if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0) {
@@ -476,7 +476,7 @@
 }
 
 static guint
-places_on (KrPart *p, const KrBerth *b, const KrLive *c)
+places_on (KrPart *p, const KrMachine *b, const KrLive *c)
 {
   const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
   return t ? MAX (1, (guint) (1 / kr_place_share (c->job->spec, t))) : 0;
@@ -489,9 +489,9 @@
   GHashTableIter it;
   gpointer value;
   guint n = 0;
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     double total;
     if (g_strcmp0 (b->reserved_for, c->job->spec->id) != 0 || now >= b->reserved_until ||
         !kr_part_usable (p, b, now))
@@ -507,7 +507,7 @@
 
 /* A machine that could be held, whom to stop there, and what that loses. */
 typedef struct {
-  KrBerth *berth;
+  KrMachine *machine;
   GPtrArray *stop;
   double total;
 } Holdable;
@@ -534,9 +534,9 @@
   GPtrArray *all = g_ptr_array_new_with_free_func (holdable_free);
   GHashTableIter it;
   gpointer value;
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     double total;
     if ((b->reserved_for && now < b->reserved_until) || b->leaving_to >= 0 ||
         !kr_part_usable (p, b, now) || !may_run_here (p, b, c, now))
@@ -592,15 +592,15 @@
     g_autoptr (GPtrArray) more = holdable (p, c, now);
     for (guint k = 0; k < more->len && held < want; k++) {
       const Holdable *h = more->pdata[k];
-      hold (p, h->berth, c, h->stop, most, now);
-      held += places_on (p, h->berth, c);
+      hold (p, h->machine, c, h->stop, most, now);
+      held += places_on (p, h->machine, c);
     }
   }
 }
 
 /* Places held for tasks that shall not start any more. */
 void
-kr_part_drop_planned (KrPart *p, KrBerth *b)
+kr_part_drop_planned (KrPart *p, KrMachine *b)
 {
   for (guint i = b->launches->len; i-- > 0;) {
     KrLaunch *l = b->launches->pdata[i];
@@ -615,7 +615,7 @@
 /* --- for the leader ------------------------------------------------------------------ */
 /* Silent for so long that it is probably lost: others are rented in its place. */
 static gboolean
-silent (KrPart *p, const KrBerth *b, gint64 now)
+silent (KrPart *p, const KrMachine *b, gint64 now)
 {
   return b->heard && now - b->heard > kr_seconds (KR_SILENT_REPORTS * p->node->settings->report_s);
 }
@@ -627,7 +627,7 @@
   rank_all (p, now);
   gboolean waiting = FALSE;
   g_autofree KrRoom *rooms = g_memdup2 (p->used, p->node->settings->teams->len * sizeof (KrRoom));
-  json_t *needs = json_array (), *berths = json_array ();
+  json_t *needs = json_array (), *machines = json_array ();
   GHashTableIter it;
   gpointer value;
 
@@ -668,20 +668,21 @@
                                              s->gpus, "Mem", s->mem_gb, "Slots", slots, "Urgent",
                                              s->rank >= KR_RANK_URGENT));
   }
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
-    /* A silent one is not idle: it may hang and go on. How long to wait is watch_berth's to say. */
+    KrMachine *b = value;
+    /* A silent one is not idle: it may hang and go on. How long to wait is watch_machine's to say.
+     */
     gboolean lost = silent (p, b, now);
     double idle = b->launches->len || !b->known || lost || p->phase != OPEN
                       ? -1
                       : (double) (now - b->idle_since) / G_USEC_PER_SEC;
-    json_array_append_new (berths, json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type",
-                                              b->type, "Spot", b->spot, "Up", b->known, "Idle",
-                                              idle, "Rest", rest_s (p, b, now), "Going",
-                                              b->drain || b->deleting || b->notice_at != 0 || lost,
-                                              "To", (json_int_t) b->leaving_to));
+    json_array_append_new (
+        machines, json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot",
+                             b->spot, "Up", b->known, "Idle", idle, "Rest", rest_s (p, b, now),
+                             "Going", b->drain || b->deleting || b->notice_at != 0 || lost, "To",
+                             (json_int_t) b->leaving_to));
   }
   return json_pack ("{sI sb so so}", "Part", (json_int_t) p->index, "Waiting", waiting, "Needs",
-                    needs, "Berths", berths);
+                    needs, "Berths", machines);
 }
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -33,14 +33,14 @@
   Phase phase;
   gboolean gone, have_record, have_jobs;
   GCancellable *cancel;
-  GHashTable *jobs;    /* id -> KrLive */
-  GPtrArray *lives;    /* the same, to walk */
-  KrRoom *used;        /* a team each */
-  gint64 ranked_at;    /* monotonic us */
-  GHashTable *berths;  /* id -> KrBerth */
-  GPtrArray *held;     /* KrBerth whose first report waits for its answer */
-  GHashTable *leaving; /* ids to be taken out of the record: deleted */
-  guint64 launches;    /* counter below the token */
+  GHashTable *jobs;     /* id -> KrLive */
+  GPtrArray *lives;     /* the same, to walk */
+  KrRoom *used;         /* a team each */
+  gint64 ranked_at;     /* monotonic us */
+  GHashTable *machines; /* id -> KrMachine */
+  GPtrArray *held;      /* KrMachine whose first report waits for its answer */
+  GHashTable *leaving;  /* ids to be taken out of the record: deleted */
+  guint64 launches;     /* counter below the token */
   gint64 taken_at, last_beat;
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
   gboolean record_busy, flushing;
@@ -58,16 +58,16 @@
 KrPart *kr_part_ref (KrPart *p);
 void kr_part_unref (KrPart *p);
 KrJob *kr_part_job (KrPart *p, const char *id);
-KrBerth *kr_part_berth (KrPart *p, const char *id);
+KrMachine *kr_part_machine (KrPart *p, const char *id);
 /* g_hash_table_iter_next over the machines, counted. */
-gboolean kr_part_next (KrPart *p, GHashTableIter *it, gpointer *berth);
+gboolean kr_part_next (KrPart *p, GHashTableIter *it, gpointer *machine);
 /* KrSawFunc: what a machine's report means for its tasks' jobs. */
-void kr_part_saw (KrBerth *b, KrLaunch *l, KrSaw what, gpointer part);
+void kr_part_saw (KrMachine *b, KrLaunch *l, KrSaw what, gpointer part);
 void kr_part_count_launch (KrPart *p, KrLaunch *l);
-void kr_part_command_kills (KrPart *p, KrBerth *b);
-gboolean kr_part_needs_fence (const KrBerth *b);
-/* Before a machine is taken out of `berths`. */
-void kr_part_forget (KrPart *p, KrBerth *b);
+void kr_part_command_kills (KrPart *p, KrMachine *b);
+gboolean kr_part_needs_fence (const KrMachine *b);
+/* Before a machine is taken out of `machines`. */
+void kr_part_forget (KrPart *p, KrMachine *b);
 /* Answers first reports that need not wait any more. */
 void kr_part_answer_held (KrPart *p);
 void kr_part_check_open (KrPart *p);
@@ -93,9 +93,9 @@
 void kr_live_stop (KrLive *live);
 /* The live job as whose task a launch counts, or NULL. */
 KrJob *kr_live_job (const KrLaunch *l);
-gboolean kr_part_usable (KrPart *p, const KrBerth *b, gint64 now);
+gboolean kr_part_usable (KrPart *p, const KrMachine *b, gint64 now);
 /* Adds `run` orders for the machine's free room. */
-void kr_part_grant (KrPart *p, KrBerth *b, json_t *orders, gint64 now);
-void kr_part_run_planned (KrBerth *b, json_t *orders);
-void kr_part_drop_planned (KrPart *p, KrBerth *b);
+void kr_part_grant (KrPart *p, KrMachine *b, json_t *orders, gint64 now);
+void kr_part_run_planned (KrMachine *b, json_t *orders);
+void kr_part_drop_planned (KrPart *p, KrMachine *b);
 void kr_part_preempt (KrPart *p, gint64 now);
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -82,7 +82,7 @@
       continue;
     j->writing = FALSE;
     if (status == 200) {
-      j->mark = MAX (j->mark, kr_wire_revision (body));
+      j->revision = MAX (j->revision, kr_wire_revision (body));
       memcpy (j->durable, w->bits, kr_job_bytes (j));
       if (w->final) {
         kr_info ("job %s: %s, %u tasks, %.1f s after submission", w->id,
@@ -175,7 +175,7 @@
     if (batch->items->len && (kr_txn_ops (txn) + ops > most || bytes + size > KR_COMMIT_BYTES))
       break;
     g_autofree char *key = kr_job_key (j->spec->id);
-    kr_txn_when (txn, key, j->mark);
+    kr_txn_when (txn, key, j->revision);
     if (finals) {
       g_autofree char *end = kr_job_end_key (j->spec->id);
       kr_txn_remove (txn, key);
@@ -246,15 +246,15 @@
 static void
 job_cancelled (KrPart *p, KrLive *c)
 {
-  g_autoptr (GHashTable) berths = g_hash_table_new (g_direct_hash, g_direct_equal);
+  g_autoptr (GHashTable) machines = g_hash_table_new (g_direct_hash, g_direct_equal);
   GHashTableIter it;
   gpointer b;
   c->job->cancelled = TRUE;
   kr_info ("job %s: cancelled by its user, %u tasks to stop", c->job->spec->id, c->launches->len);
   kr_live_stop (c);
   for (guint i = 0; i < c->launches->len; i++)
-    g_hash_table_add (berths, ((KrLaunch *) c->launches->pdata[i])->on);
-  g_hash_table_iter_init (&it, berths);
+    g_hash_table_add (machines, ((KrLaunch *) c->launches->pdata[i])->on);
+  g_hash_table_iter_init (&it, machines);
   while (g_hash_table_iter_next (&it, &b, NULL))
     kr_part_command_kills (p, b);
   kr_part_flush (p);
@@ -287,7 +287,7 @@
     return KR_CANCEL_UNKNOWN;
   if (!c->job->cancelled) {
     /* Only owners write the rest of the value, under the revision they know: ours is still that. */
-    c->job->mark = MAX (c->job->mark, revision);
+    c->job->revision = MAX (c->job->revision, revision);
     job_cancelled (p, c);
   }
   return may_start (c) ? KR_CANCEL_SOON : KR_CANCEL_SURE;
@@ -344,9 +344,9 @@
 {
   GHashTableIter it;
   gpointer value;
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     for (guint k = 0; k < b->launches->len; k++) {
       KrLaunch *l = b->launches->pdata[k];
       if (l->of)
@@ -369,18 +369,18 @@
     return;
   const char *id = item->key + strlen ("job/");
   KrJob *j = kr_part_job (p, id);
-  if (j && item->mark <= j->mark)
+  if (j && item->revision <= j->revision)
     return;
   json_t *part = json_object_get (item->value, "Part");
   if (json_is_integer (part) && (guint) json_integer_value (part) != p->index)
     return;
   if (j) {
-    j->mark = item->mark;
+    j->revision = item->revision;
     if (!j->cancelled && json_is_true (json_object_get (item->value, "Cancelled")))
       job_cancelled (p, g_hash_table_lookup (p->jobs, id));
     return;
   }
-  j = kr_job_decode (item->value, item->mark);
+  j = kr_job_decode (item->value, item->revision);
   if (!j) {
     kr_info ("state: %s is malformed, left alone", item->key);
     return;
@@ -421,7 +421,7 @@
   p->phase = FENCING;
   count_launches (p);
   kr_info ("part %u: %u jobs, %u machines read", p->index, g_hash_table_size (p->jobs),
-           g_hash_table_size (p->berths));
+           g_hash_table_size (p->machines));
   kr_part_answer_held (p);
   kr_part_check_open (p);
   kr_part_flush (p);
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -39,7 +39,7 @@
   KrMembership *m = p->node->membership;
   g_autofree char *key = kr_membership_claim_key (p->index);
   KrTxn *txn = kr_part_owner_txn (p);
-  kr_txn_when (txn, key, kr_membership_claim (m, p->index)->mark);
+  kr_txn_when (txn, key, kr_membership_claim (m, p->index)->revision);
   kr_txn_put (txn, key, kr_membership_claim_value (m, settled), 0);
   return txn;
 }
@@ -51,7 +51,7 @@
   if (status == 200)
     kr_info ("part %u: %u machines given to part %u", p->index, w->moving->len, w->to);
   for (guint i = 0; i < w->moving->len; i++) {
-    KrBerth *b = kr_part_berth (p, w->moving->pdata[i]);
+    KrMachine *b = kr_part_machine (p, w->moving->pdata[i]);
     if (!b)
       continue;
     /* Unknown outcome: it may be executed later, and until that is ruled out the machine stays out
@@ -112,9 +112,9 @@
     else
       g_hash_table_iter_remove (&it);
   }
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_draft_ops (draft) < most && g_hash_table_iter_next (&it, &id, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     if (!b->used && b->used_wanted)
       kr_draft_set (draft, id, b->endpoint);
     else if (b->move_unknown)
@@ -167,7 +167,7 @@
 }
 
 static gboolean
-may_move (const KrBerth *b)
+may_move (const KrMachine *b)
 {
   return b->leaving_to >= 0 && b->launches->len == 0 && !b->deleting && !b->moving && !b->drain;
 }
@@ -189,9 +189,9 @@
   RecordWrite *w = g_new0 (RecordWrite, 1);
   w->draft = draft;
   w->moving = g_ptr_array_new_with_free_func (g_free);
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_draft_ops (draft) < most && g_hash_table_iter_next (&it, &id, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     const KrMember *m = kr_records_find (p->node->records, id);
     if (!may_move (b) || !m || m->part != p->index || (to >= 0 && b->leaving_to != to))
       continue;
@@ -215,22 +215,22 @@
 walk_member (const char *id, const KrMember *m, gpointer data)
 {
   KrPart *p = data;
-  KrBerth *b = kr_part_berth (p, id);
+  KrMachine *b = kr_part_machine (p, id);
   if (g_hash_table_contains (p->leaving, id))
     return;
   if (!b) {
-    b = kr_berth_new (id);
+    b = kr_machine_new (id);
     b->joined = b->idle_since = kr_now ();
-    g_hash_table_insert (p->berths, b->id, b);
+    g_hash_table_insert (p->machines, b->id, b);
     kr_debug ("part %u: machine %s joined", p->index, id);
   }
   b->used = *m->address != 0;
   if (!b->endpoint && b->used)
     b->endpoint = g_strdup (m->address);
-  /* The chunk was written since: what named its earlier Mark will not be executed any more. */
-  if (b->move_unknown && m->mark != b->chunk_mark)
+  /* The chunk was written since: what named its earlier revision will not be executed any more. */
+  if (b->move_unknown && m->revision != b->chunk_revision)
     b->moving = b->move_unknown = FALSE;
-  b->chunk_mark = m->mark;
+  b->chunk_revision = m->revision;
 }
 
 void
@@ -242,9 +242,9 @@
   if (!p->have_record)
     return;
   kr_records_walk (p->node->records, p->index, walk_member, p);
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     const KrMember *m = kr_records_find (p->node->records, b->id);
     if (!m || m->part != p->index) {
       kr_part_forget (p, b);
--- a/src/part.c
+++ b/src/part.c
@@ -6,7 +6,7 @@
 #include "worker.h"
 #include <string.h>
 
-static void delete_berth (KrPart *p, KrBerth *b, const char *why);
+static void delete_machine (KrPart *p, KrMachine *b, const char *why);
 
 KrPart *
 kr_part_ref (KrPart *p)
@@ -21,7 +21,7 @@
   if (!g_ref_count_dec (&p->refs))
     return;
   g_hash_table_unref (p->jobs); /* before the machines: it lets go of their launches */
-  g_hash_table_unref (p->berths);
+  g_hash_table_unref (p->machines);
   g_ptr_array_unref (p->lives);
   g_ptr_array_unref (p->held);
   g_free (p->used);
@@ -36,17 +36,17 @@
   return p->token;
 }
 
-KrBerth *
-kr_part_berth (KrPart *p, const char *id)
+KrMachine *
+kr_part_machine (KrPart *p, const char *id)
 {
-  return g_hash_table_lookup (p->berths, id);
+  return g_hash_table_lookup (p->machines, id);
 }
 
 gboolean
-kr_part_next (KrPart *p, GHashTableIter *it, gpointer *berth)
+kr_part_next (KrPart *p, GHashTableIter *it, gpointer *machine)
 {
   p->walked++;
-  return g_hash_table_iter_next (it, NULL, berth);
+  return g_hash_table_iter_next (it, NULL, machine);
 }
 
 guint64
@@ -78,7 +78,7 @@
 }
 
 static void
-task_failed (KrPart *p, KrBerth *b, KrJob *j, gint64 now)
+task_failed (KrPart *p, KrMachine *b, KrJob *j, gint64 now)
 {
   guint only_here = 0;
   GHashTableIter it;
@@ -111,7 +111,7 @@
 
 /* A machine much slower than its peers holds up whatever it gets: it is drained and returned. */
 static void
-judge_pace (KrBerth *b, const KrJob *j, double ran_s)
+judge_pace (KrMachine *b, const KrJob *j, double ran_s)
 {
   if (j->count < KR_PACE_TASKS)
     return; /* nothing to compare with yet */
@@ -124,7 +124,7 @@
 }
 
 void
-kr_part_saw (KrBerth *b, KrLaunch *l, KrSaw what, gpointer data)
+kr_part_saw (KrMachine *b, KrLaunch *l, KrSaw what, gpointer data)
 {
   KrPart *p = data;
   KrJob *j = kr_part_job (p, l->job);
@@ -213,7 +213,7 @@
 }
 
 static void
-add_kills_and_clears (KrPart *p, KrBerth *b, json_t *orders)
+add_kills_and_clears (KrPart *p, KrMachine *b, json_t *orders)
 {
   for (guint i = 0; i < b->launches->len; i++) {
     KrLaunch *l = b->launches->pdata[i];
@@ -240,7 +240,7 @@
 } Contact;
 
 static Contact *
-contact_new (KrPart *p, KrBerth *b)
+contact_new (KrPart *p, KrMachine *b)
 {
   Contact *c = g_new (Contact, 1);
   *c = (Contact){ kr_part_ref (p), g_strdup (b->id), FALSE };
@@ -256,7 +256,7 @@
 }
 
 static void
-fence_tried (Contact *c, KrBerth *b, gboolean reached)
+fence_tried (Contact *c, KrMachine *b, gboolean reached)
 {
   if (!c->fence)
     return;
@@ -268,9 +268,9 @@
 }
 
 static void
-take_report (KrPart *p, KrBerth *b, const KrReport *r)
+take_report (KrPart *p, KrMachine *b, const KrReport *r)
 {
-  kr_berth_apply (b, r, FALSE, p->token, kr_now (), kr_part_saw, p);
+  kr_machine_apply (b, r, FALSE, p->token, kr_now (), kr_part_saw, p);
   if (r->token > p->token)
     kr_membership_renew_token (p->node->membership, p->index);
 }
@@ -279,7 +279,7 @@
 commanded (guint status, KrReport *report, gpointer data)
 {
   Contact *c = data;
-  KrBerth *b = c->part->gone ? NULL : kr_part_berth (c->part, c->id);
+  KrMachine *b = c->part->gone ? NULL : kr_part_machine (c->part, c->id);
   fence_tried (c, b, report != NULL);
   if (b && report && (status == 200 || status == 409))
     take_report (c->part, b, report);
@@ -287,7 +287,7 @@
 }
 
 void
-kr_part_command_kills (KrPart *p, KrBerth *b)
+kr_part_command_kills (KrPart *p, KrMachine *b)
 {
   if (!b->endpoint || !b->session)
     return;
@@ -312,7 +312,7 @@
 {
   Contact *c = data;
   KrPart *p = c->part;
-  KrBerth *b = p->gone ? NULL : kr_part_berth (p, c->id);
+  KrMachine *b = p->gone ? NULL : kr_part_machine (p, c->id);
 
   if (!b || status != 200 || !report || !g_str_equal (report->machine, c->id)) {
     fence_tried (c, b, FALSE);
@@ -324,7 +324,7 @@
 }
 
 gboolean
-kr_part_needs_fence (const KrBerth *b)
+kr_part_needs_fence (const KrMachine *b)
 {
   return b->must_fence && !b->fenced;
 }
@@ -332,7 +332,7 @@
 /* Why a used machine that has not been reached since the takeover is given up; NULL: not yet. What
  * counts is its silence to calls that did go out, not how far we have come. */
 static const char *
-give_up (KrPart *p, const KrBerth *b, guint unreached, guint used, double age)
+give_up (KrPart *p, const KrMachine *b, guint unreached, guint used, double age)
 {
   if (b->heard || !b->tries)
     return NULL;
@@ -356,18 +356,18 @@
   guint unreached = 0, used = 0;
   double age = (double) (now - p->taken_at) / G_USEC_PER_SEC;
 
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    const KrBerth *b = value;
+    const KrMachine *b = value;
     used += b->must_fence;
     unreached += kr_part_needs_fence (b) && !b->heard;
   }
   /* Unreachable ones hold their places until the time-out: with a quarter of the fleet behind a cut
    * a fixed window would ask the last of them half a minute late. */
   guint window = CLAMP (used / KR_FENCE_WAVES, KR_FENCE_WINDOW, kr_node_worker_conns (s));
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     const char *why;
     if (!kr_part_needs_fence (b) || b->deleting)
       continue;
@@ -376,12 +376,12 @@
     if (p->quiet_before && !b->answered &&
         kr_lease_over (p->taken_at, kr_membership_proven (p->node->membership), s->lease_s)) {
       kr_info ("machine %s: not reached, its lease is over", b->id);
-      kr_berth_clear (b, kr_part_saw, p);
+      kr_machine_clear (b, kr_part_saw, p);
       b->must_fence = FALSE;
       continue;
     }
     if ((why = give_up (p, b, unreached, used, age))) {
-      delete_berth (p, b, why);
+      delete_machine (p, b, why);
       continue;
     }
     /* One that we answer will show our token by itself. */
@@ -402,7 +402,7 @@
   gpointer value;
   if (p->phase != FENCING)
     return;
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value))
     if (kr_part_needs_fence (value))
       return;
@@ -419,12 +419,12 @@
 {
   Contact *c = data;
   KrPart *p = c->part;
-  KrBerth *b = p->gone ? NULL : kr_part_berth (p, c->id);
+  KrMachine *b = p->gone ? NULL : kr_part_machine (p, c->id);
 
   if (b && status == 200) {
     kr_part_forget (p, b);
     g_hash_table_add (p->leaving, g_strdup (b->id));
-    g_hash_table_remove (p->berths, b->id);
+    g_hash_table_remove (p->machines, b->id);
     kr_part_write_record (p);
   } else if (b)
     b->deleting = FALSE; /* the next tick asks again */
@@ -432,7 +432,7 @@
 }
 
 static void
-delete_berth (KrPart *p, KrBerth *b, const char *why)
+delete_machine (KrPart *p, KrMachine *b, const char *why)
 {
   if (b->deleting)
     return;
@@ -444,15 +444,15 @@
 void
 kr_part_return (KrPart *p, const char *id)
 {
-  KrBerth *b = kr_part_berth (p, id);
+  KrMachine *b = kr_part_machine (p, id);
   if (b && p->phase == OPEN && b->launches->len == 0 && b->leaving_to < 0)
-    delete_berth (p, b, "no longer needed");
+    delete_machine (p, b, "no longer needed");
 }
 
 void
 kr_part_give (KrPart *p, const char *id, guint to)
 {
-  KrBerth *b = kr_part_berth (p, id);
+  KrMachine *b = kr_part_machine (p, id);
   if (b && p->phase == OPEN && !b->drain && b->leaving_to < 0 && to != p->index &&
       to < p->node->settings->size) {
     b->leaving_to = (gint) to;
@@ -462,7 +462,7 @@
 /* Guards against a late copy of a report of a machine that is gone: with no other machine
  * reporting, its silence alone proves nothing, and it would stay in the record for ever. */
 static gboolean
-unlisted_and_silent (const KrBerth *b, gint64 now, double lag)
+unlisted_and_silent (const KrMachine *b, gint64 now, double lag)
 {
   return b->heard && now - b->heard > kr_seconds (2 * lag + KR_MISSING_MARGIN_S);
 }
@@ -476,10 +476,10 @@
   double lag = p->node->settings->cloud_list_lag_s;
 
   p->listed_at = now;
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
-    const KrMachine *m = g_hash_table_lookup (by_id, b->id);
+    KrMachine *b = value;
+    const KrListedMachine *m = g_hash_table_lookup (by_id, b->id);
     if (m) {
       b->listed = TRUE;
       b->missing_since = 0;
@@ -493,24 +493,24 @@
       const KrType *t = kr_node_type (p->node, m->type);
       double boot = MAX (KR_BOOT_MIN_S, t ? t->boot_s * KR_BOOT_FACTOR : KR_BOOT_MIN_S);
       if (m->state == KR_MACHINE_FAILED)
-        delete_berth (p, b, "it has failed");
+        delete_machine (p, b, "it has failed");
       else if (m->state == KR_MACHINE_STARTING && !b->heard && m->held_s > boot)
-        delete_berth (p, b, "it never came up");
+        delete_machine (p, b, "it never came up");
     } else if ((b->listed || (b->used && !b->heard) || unlisted_and_silent (b, now, lag)) &&
                !b->missing_since)
       b->missing_since = now; /* what is used was up once, and so listed */
     else if (!b->listed && !b->heard && now - b->joined > kr_seconds (KR_NEVER_LISTED_S + 4 * lag))
-      delete_berth (p, b, "never listed"); /* adopted from a stale list */
+      delete_machine (p, b, "never listed"); /* adopted from a stale list */
     /* A list may be older than the one before: wait for the worst lag, then have the cloud say so
      * (200 to a deletion is proof; missing from a list is not). */
     if (b->missing_since && now - b->missing_since > kr_seconds (2 * lag + KR_MISSING_MARGIN_S))
-      delete_berth (p, b, "no longer listed");
+      delete_machine (p, b, "no longer listed");
   }
 }
 
 /* --- reports ------------------------------------------------------------------------- */
 static void
-answer (KrPart *p, KrBerth *b, KrRequest *request, gint64 now)
+answer (KrPart *p, KrMachine *b, KrRequest *request, gint64 now)
 {
   json_t *orders = kr_wire_orders_new (p->token);
   b->answered = now;
@@ -524,7 +524,7 @@
 
 /* Not ours to answer any more, or asked anew. */
 static void
-let_go (KrPart *p, KrBerth *b)
+let_go (KrPart *p, KrMachine *b)
 {
   if (!b->held)
     return;
@@ -537,7 +537,7 @@
 {
   gint64 now = kr_now ();
   for (guint i = p->held->len; i-- > 0;) {
-    KrBerth *b = p->held->pdata[i];
+    KrMachine *b = p->held->pdata[i];
     gboolean late = now - b->held_since >= KR_HELD_MS * G_GINT64_CONSTANT (1000);
     /* Guards against a lease renewed by an owner that has not read which jobs are cancelled: with
      * the state service out for long, their tasks would run on, and nobody would know. */
@@ -554,16 +554,16 @@
 }
 
 void
-kr_part_forget (KrPart *p, KrBerth *b)
+kr_part_forget (KrPart *p, KrMachine *b)
 {
   let_go (p, b);
-  kr_berth_clear (b, kr_part_saw, p);
+  kr_machine_clear (b, kr_part_saw, p);
 }
 
 void
 kr_part_beat (KrPart *p, KrRequest *request, const KrReport *r)
 {
-  KrBerth *b = kr_part_berth (p, r->machine);
+  KrMachine *b = kr_part_machine (p, r->machine);
   gint64 now = kr_now ();
 
   if (!b || b->deleting) {
@@ -580,13 +580,13 @@
     return;
   }
   p->last_beat = now;
-  if (!kr_berth_apply (b, r, TRUE, p->token, now, kr_part_saw, p)) {
+  if (!kr_machine_apply (b, r, TRUE, p->token, now, kr_part_saw, p)) {
     kr_request_reply (request, p->have_jobs ? 200 : 503, kr_wire_orders_new (p->token), 0);
     return;
   }
   let_go (p, b); /* a newer report: the worker has given the one before up */
   b->answered = now;
-  if (kr_berth_busy (b))
+  if (kr_machine_busy (b))
     b->idle_since = now;
   if (b->used && p->have_jobs) {
     answer (p, b, request, now);
@@ -612,9 +612,9 @@
   double running = 0, fetching = 0, doubt = 0, held = 0, leaving = 0, unusable = 0, open = 0;
   guint up = 0, starting = 0, waiting = 0;
 
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    const KrBerth *b = value;
+    const KrMachine *b = value;
     const KrType *t = b->type ? kr_node_type (p->node, b->type) : NULL;
     double left = t ? t->cpus : 0;
     if (!b->known) {
@@ -647,7 +647,7 @@
 }
 
 static void
-watch_berth (KrPart *p, KrBerth *b, gint64 now)
+watch_machine (KrPart *p, KrMachine *b, gint64 now)
 {
   const KrSettings *s = p->node->settings;
 
@@ -656,14 +656,15 @@
   /* Judged at the last moment at which the part was surely ours: a node cut off from the state
    * service must not take a machine that its successor has fenced, and now answers, for silent. */
   if (b->answered && !kr_part_needs_fence (b) &&
-      kr_berth_lease_over (b, kr_membership_proven (p->node->membership), s->lease_s)) {
-    if (kr_berth_busy (b))
-      kr_info ("machine %s: silent, its lease is over, %u tasks gone", b->id, kr_berth_busy (b));
-    kr_berth_clear (b, kr_part_saw, p);
+      kr_machine_lease_over (b, kr_membership_proven (p->node->membership), s->lease_s)) {
+    if (kr_machine_busy (b))
+      kr_info ("machine %s: silent, its lease is over, %u tasks gone", b->id, kr_machine_busy (b));
+    kr_machine_clear (b, kr_part_saw, p);
     b->idle_since = now;
     if (now - b->heard > kr_seconds (s->lease_s + KR_LOST_DELETE_S) &&
-        (now - p->last_beat < kr_seconds (2 * s->report_s) || g_hash_table_size (p->berths) == 1)) {
-      delete_berth (p, b, "silent for long");
+        (now - p->last_beat < kr_seconds (2 * s->report_s) ||
+         g_hash_table_size (p->machines) == 1)) {
+      delete_machine (p, b, "silent for long");
       return;
     }
   }
@@ -686,11 +687,11 @@
   /* A cancelled task on a machine that cannot be reached: its lease may still be renewed by a
    * response of ours on its way, so the machine goes before the users' limit. */
   if (cancelled && now - b->heard > kr_seconds (s->cancel_s * KR_CANCEL_DELETE_SHARE)) {
-    delete_berth (p, b, "holds a cancelled task and cannot be reached");
+    delete_machine (p, b, "holds a cancelled task and cannot be reached");
     return;
   }
   if (b->drain && b->launches->len == 0)
-    delete_berth (p, b, "drained");
+    delete_machine (p, b, "drained");
   if (b->reserved_for && now >= b->reserved_until)
     g_clear_pointer (&b->reserved_for, g_free);
 }
@@ -704,10 +705,10 @@
   guint heard = 0;
 
   if (p->have_record) {
-    g_autoptr (GList) all = g_hash_table_get_values (p->berths);
+    g_autoptr (GList) all = g_hash_table_get_values (p->machines);
     for (GList *l = all; l; l = l->next) {
-      heard += ((KrBerth *) l->data)->answered != 0;
-      watch_berth (p, l->data, now);
+      heard += ((KrMachine *) l->data)->answered != 0;
+      watch_machine (p, l->data, now);
     }
   }
   if (kr_log_debug_enabled () && p->have_jobs && p->ticks++ % KR_STATUS_TICKS == 0)
@@ -782,13 +783,13 @@
   json_decref (v);
   p->have_record = TRUE;
   kr_part_record_changed (p);
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     b->must_fence = b->used;
   }
   kr_follow_rescan (p->node->jobs);
-  if (g_hash_table_size (p->berths))
+  if (g_hash_table_size (p->machines))
     kr_rent_list_soon (p->node->rent);
   kr_part_unref (p);
 }
@@ -820,7 +821,7 @@
   p->token = token;
   p->cancel = kr_cancellable_child (node->cancel);
   p->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_live_free);
-  p->berths = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_berth_free);
+  p->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
   p->lives = g_ptr_array_new ();
   p->held = g_ptr_array_new ();
   p->used = g_new0 (KrRoom, node->settings->teams->len);
@@ -841,9 +842,9 @@
   gpointer value;
   p->token = token;
   p->launches = 0;
-  g_hash_table_iter_init (&it, p->berths);
+  g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
-    KrBerth *b = value;
+    KrMachine *b = value;
     /* A machine that we fenced stays ours: only this process held the key since. */
     if (b->must_fence && b->fenced)
       b->must_fence = FALSE;
--- a/src/part.h
+++ b/src/part.h
@@ -18,7 +18,7 @@
 void kr_part_record_changed (KrPart *self);
 /* All of c/ was read anew. */
 void kr_part_scanned (KrPart *self);
-void kr_part_machines_listed (KrPart *self, GHashTable *by_id); /* id -> KrMachine */
+void kr_part_machines_listed (KrPart *self, GHashTable *by_id); /* id -> KrListedMachine */
 
 /* Takes over `request`. */
 void kr_part_beat (KrPart *self, KrRequest *request, const KrReport *report);
--- a/src/record.c
+++ b/src/record.c
@@ -7,7 +7,7 @@
 
 typedef struct {
   json_t *machines; /* id -> address or "" */
-  guint64 mark;
+  guint64 revision;
 } Chunk;
 
 struct KrRecords {
@@ -22,7 +22,7 @@
 typedef struct {
   guint part, chunk;
   json_t *machines;
-  guint64 mark;
+  guint64 revision;
 } Change;
 
 struct KrDraft {
@@ -65,7 +65,7 @@
 }
 
 static void
-note (KrRecords *r, guint part, guint chunk, json_t *machines, guint64 mark)
+note (KrRecords *r, guint part, guint chunk, json_t *machines, guint64 revision)
 {
   const char *id;
   json_t *o;
@@ -73,17 +73,17 @@
   if (chunk >= r->parts[part]->len)
     g_array_set_size (r->parts[part], chunk + 1);
   Chunk *c = &g_array_index (r->parts[part], Chunk, chunk);
-  if (mark <= c->mark)
+  if (revision <= c->revision)
     return;
   json_t *before = c->machines;
   c->machines = json_incref (machines);
-  c->mark = mark;
+  c->revision = revision;
   json_object_foreach (machines, id, o)
   {
     KrMember *m = g_hash_table_lookup (r->index, id);
     if (!m)
       g_hash_table_insert (r->index, g_strdup (id), m = g_new (KrMember, 1));
-    *m = (KrMember){ part, chunk, json_string_value (o) ? json_string_value (o) : "", mark };
+    *m = (KrMember){ part, chunk, json_string_value (o) ? json_string_value (o) : "", revision };
   }
   /* After the additions: a machine that moved was noted at its new place, or will be. */
   json_object_foreach (before, id, o)
@@ -106,16 +106,16 @@
       part >= r->settings->size || chunk >= KR_CHUNKS_MAX)
     return;
   if (json_is_object (item->value)) {
-    note (r, part, chunk, item->value, item->mark);
+    note (r, part, chunk, item->value, item->revision);
     return;
   }
   /* Guards against a value that is none of ours: all its machines would count as gone. What was
-   * known stays, under the new Mark, so that the next write of the chunk puts it right. */
+   * known stays, under the new revision, so that the next write of the chunk puts it right. */
   kr_info ("state: %s is malformed, left as it was known", item->key);
   json_t *known =
       chunk < r->parts[part]->len ? g_array_index (r->parts[part], Chunk, chunk).machines : NULL;
   json_t *machines = known ? json_incref (known) : json_object ();
-  note (r, part, chunk, machines, item->mark);
+  note (r, part, chunk, machines, item->revision);
   json_decref (machines);
 }
 
@@ -202,7 +202,7 @@
   const Chunk *old = known (d, part, chunk);
   /* Shallow: entries are never changed in place. */
   Change c = { part, chunk, old && old->machines ? json_copy (old->machines) : json_object (),
-               old ? old->mark : 0 };
+               old ? old->revision : 0 };
   g_array_append_val (d->changes, c);
   return c.machines;
 }
@@ -261,7 +261,7 @@
   for (guint i = 0; i < d->changes->len; i++) {
     const Change *c = &g_array_index (d->changes, Change, i);
     g_autofree char *key = g_strdup_printf (PREFIX "%u/%u", c->part, c->chunk);
-    kr_txn_when (txn, key, c->mark);
+    kr_txn_when (txn, key, c->revision);
     kr_txn_put (txn, key, json_incref (c->machines), 0);
   }
 }
--- a/src/record.h
+++ b/src/record.h
@@ -1,6 +1,6 @@
 /* Which machines are in which part, as it is durable: chunks of at most some hundred machines below
- * c/berths/, so that no value grows with the deployment. An entry is the machine's address once it
- * is used (something may have been started there), else "". No I/O. */
+ * c/berths/ (the stored name), so that no value grows with the deployment. An entry is the
+ * machine's address once it is used (something may have been started there), else "". No I/O. */
 #pragma once
 #include "settings.h"
 #include "wire.h"
@@ -8,7 +8,7 @@
 typedef struct {
   guint part, chunk;
   const char *address; /* "": not used yet. Valid until the next change of the chunk */
-  guint64 mark;        /* of the chunk */
+  guint64 revision;    /* of the chunk */
 } KrMember;
 
 typedef struct KrRecords KrRecords;
@@ -37,7 +37,8 @@
 void kr_draft_add (KrDraft *self, guint part, const char *machine, const char *address);
 void kr_draft_set (KrDraft *self, const char *machine, const char *address);
 void kr_draft_remove (KrDraft *self, const char *machine);
-/* The machine's chunk is written as it is: whatever else names its Mark can no longer succeed. */
+/* The machine's chunk is written as it is: whatever else names its revision can no longer succeed.
+ */
 void kr_draft_touch (KrDraft *self, const char *machine);
 guint kr_draft_ops (const KrDraft *self);
 void kr_draft_write (const KrDraft *self, KrTxn *txn);
--- a/src/rent.c
+++ b/src/rent.c
@@ -28,8 +28,8 @@
 struct KrRent {
   KrNode *node;
   GCancellable *cancel;
-  GHashTable *listed; /* id -> KrMachine, of the newest list */
-  GHashTable *fresh;  /* id -> KrMachine: rented or seen, not yet in a list */
+  GHashTable *listed; /* id -> KrListedMachine, of the newest list */
+  GHashTable *fresh;  /* id -> KrListedMachine: rented or seen, not yet in a list */
   GHashTable *left;   /* id -> gint64*: when it left the records */
   GHashTable *pools;  /* "type zone kind" -> Pool */
   Summary *summaries; /* a part each */
@@ -57,10 +57,10 @@
   g_free (o);
 }
 
-static KrMachine *
+static KrListedMachine *
 machine_new (const char *id, const char *type, const char *zone, gboolean spot)
 {
-  KrMachine *m = g_new0 (KrMachine, 1);
+  KrListedMachine *m = g_new0 (KrListedMachine, 1);
   m->id = g_strdup (id);
   m->type = g_strdup (type);
   m->zone = g_strdup (zone);
@@ -119,16 +119,16 @@
   if (!g_hash_table_contains (r->fresh, report->machine) &&
       !g_hash_table_contains (r->left, report->machine)) {
     kr_info ("machine %s: reports, but is in no part", report->machine);
-    KrMachine *m = machine_new (report->machine, report->type, report->zone, report->spot);
+    KrListedMachine *m = machine_new (report->machine, report->type, report->zone, report->spot);
     m->state = KR_MACHINE_RUNNING;
     g_hash_table_insert (r->fresh, m->id, m);
   }
 }
 
-static const KrMachine *
+static const KrListedMachine *
 machine (KrRent *r, const char *id)
 {
-  const KrMachine *m = g_hash_table_lookup (r->listed, id);
+  const KrListedMachine *m = g_hash_table_lookup (r->listed, id);
   return m ? m : g_hash_table_lookup (r->fresh, id);
 }
 
@@ -367,7 +367,7 @@
 
 /* Where most is lacking; among parts that lack a whole machine, one owned in its zone first. */
 static guint
-part_for (KrRent *r, const KrMachine *m, double cpus, const double *lack)
+part_for (KrRent *r, const KrListedMachine *m, double cpus, const double *lack)
 {
   guint best = 0;
   gboolean best_near = FALSE;
@@ -391,7 +391,7 @@
   Assign *a = g_new (Assign, 1);
   *a = (Assign){ r, kr_draft_new (r->node->records) };
   for (guint i = 0; i < machines->len && kr_draft_ops (a->draft) < s->state_txn_ops; i++) {
-    const KrMachine *m = machines->pdata[i];
+    const KrListedMachine *m = machines->pdata[i];
     const KrType *t = kr_node_type (r->node, m->type);
     double cpus = t ? t->cpus : 0;
     guint best = part_for (r, m, cpus, lack);
@@ -399,7 +399,7 @@
     lack[best] -= cpus;
   }
   KrTxn *txn = kr_txn_new ();
-  kr_txn_when (txn, KR_LEADER_KEY, kr_membership_leader (r->node->membership)->mark);
+  kr_txn_when (txn, KR_LEADER_KEY, kr_membership_leader (r->node->membership)->revision);
   kr_draft_write (a->draft, txn);
   r->assigning = TRUE;
   kr_state_commit (r->node->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, r->cancel, assigned, a);
@@ -437,7 +437,7 @@
     return; /* unknown: the same request again in the next period */
   for (guint i = 0; i < n; i++)
     if (!kr_records_find (r->node->records, ids[i])) {
-      KrMachine *m = machine_new (ids[i], o->type, o->zone, o->spot);
+      KrListedMachine *m = machine_new (ids[i], o->type, o->zone, o->spot);
       g_hash_table_insert (r->fresh, m->id, m);
     }
   kr_info ("rent: %u of %u %s %s in %s%s%s", n, o->count, o->spot ? "spot" : "ordinary", o->type,
@@ -457,8 +457,9 @@
 {
   if (!o->request) {
     /* Never used before, by any node: the leader's token is this leadership's alone. */
-    o->request = g_strdup_printf ("kr-%" G_GUINT64_FORMAT "-%u",
-                                  kr_membership_leader (r->node->membership)->mark, ++r->requests);
+    o->request =
+        g_strdup_printf ("kr-%" G_GUINT64_FORMAT "-%u",
+                         kr_membership_leader (r->node->membership)->revision, ++r->requests);
     o->count = MIN (count, KR_RENT_MAX);
   }
   o->busy = TRUE;
@@ -568,7 +569,7 @@
 
 typedef struct {
   KrRent *rent;
-  GHashTable *berths; /* id -> json_t, of the summaries */
+  GHashTable *machines; /* id -> json_t, of the summaries */
   GPtrArray *supplies;
 } Collect;
 
@@ -576,8 +577,8 @@
 collect_member (const char *id, const KrMember *member, gpointer data)
 {
   const Collect *c = data;
-  const KrMachine *m = machine (c->rent, id);
-  json_t *b = g_hash_table_lookup (c->berths, id);
+  const KrListedMachine *m = machine (c->rent, id);
+  json_t *b = g_hash_table_lookup (c->machines, id);
   const char *type = m ? m->type : json_string_value (json_object_get (b, "Type"));
   KrSupply *s = g_new0 (KrSupply, 1);
   s->id = g_strdup (id);
@@ -596,7 +597,7 @@
 static void
 collect (KrRent *r, GPtrArray *needs, GPtrArray *supplies, gint64 now)
 {
-  g_autoptr (GHashTable) berths = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GHashTable) machines = g_hash_table_new (g_str_hash, g_str_equal);
   json_t *o;
   size_t i;
 
@@ -607,9 +608,9 @@
     json_array_foreach (json_object_get (s->value, "Needs"), i, o)
         g_ptr_array_add (needs, need_parse (o, p));
     json_array_foreach (json_object_get (s->value, "Berths"), i, o)
-        g_hash_table_insert (berths, (gpointer) json_string_value (json_object_get (o, "Id")), o);
+        g_hash_table_insert (machines, (gpointer) json_string_value (json_object_get (o, "Id")), o);
   }
-  const Collect c = { r, berths, supplies };
+  const Collect c = { r, machines, supplies };
   kr_records_walk_all (r->node->records, collect_member, (gpointer) &c);
 }
 
@@ -725,7 +726,7 @@
   collect (r, needs, supplies, now);
   g_autoptr (GPtrArray) news = homeless (r, now);
   for (guint i = 0; i < news->len; i++) {
-    const KrMachine *m = news->pdata[i];
+    const KrListedMachine *m = news->pdata[i];
     KrSupply *s = g_new0 (KrSupply, 1);
     s->id = g_strdup (m->id);
     s->part = s->to = -1;
@@ -800,7 +801,7 @@
   g_hash_table_remove_all (r->listed);
   g_ptr_array_set_free_func (machines, NULL);
   for (guint i = 0; i < machines->len; i++) {
-    KrMachine *m = machines->pdata[i];
+    KrListedMachine *m = machines->pdata[i];
     g_hash_table_replace (r->listed, m->id, m);
     g_hash_table_remove (r->fresh, m->id);
   }
@@ -854,8 +855,8 @@
   KrRent *r = g_new0 (KrRent, 1);
   r->node = node;
   r->cancel = kr_cancellable_child (node->cancel);
-  r->listed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
-  r->fresh = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
+  r->listed = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_listed_machine_free);
+  r->fresh = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_listed_machine_free);
   r->left = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
   r->summaries = g_new0 (Summary, node->settings->size);
--- a/src/wire.c
+++ b/src/wire.c
@@ -428,9 +428,9 @@
 }
 
 void
-kr_machine_free (gpointer p)
+kr_listed_machine_free (gpointer p)
 {
-  KrMachine *m = p;
+  KrListedMachine *m = p;
   g_free (m->id);
   g_free (m->endpoint);
   g_free (m->type);
@@ -485,7 +485,7 @@
     if (!str (o, "Id") || !str (o, "Hull") || !str (o, "Harbor"))
       return FALSE;
     const char *s = str (o, "Bearing");
-    KrMachine *m = g_new0 (KrMachine, 1);
+    KrListedMachine *m = g_new0 (KrListedMachine, 1);
     g_ptr_array_add (out, m);
     m->id = g_strdup (str (o, "Id"));
     m->endpoint = g_strdup (str (o, "Endpoint"));
@@ -520,9 +520,9 @@
 }
 
 void
-kr_txn_when (KrTxn *t, const char *key, guint64 mark)
+kr_txn_when (KrTxn *t, const char *key, guint64 revision)
 {
-  json_array_append_new (t->when, json_pack ("{ss sI}", "Key", key, "Mark", (json_int_t) mark));
+  json_array_append_new (t->when, json_pack ("{ss sI}", "Key", key, "Mark", (json_int_t) revision));
 }
 
 void
@@ -601,7 +601,7 @@
 {
   item->key = str (o, "Key");
   item->value = json_object_get (o, "Value");
-  item->mark = uint_of (o, "Mark");
+  item->revision = uint_of (o, "Mark");
   return item->key != NULL;
 }
 
@@ -625,7 +625,7 @@
   item->value = item->key ? json_object_get (o, "Value") : NULL;
   if (!item->key)
     item->key = str (o, "Remove");
-  item->mark = uint_of (o, "Mark");
+  item->revision = uint_of (o, "Mark");
   return item->key != NULL;
 }
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -108,14 +108,14 @@
 void kr_type_free (gpointer type);
 GPtrArray *kr_wire_types_parse (json_t *body); /* KrType; NULL if malformed */
 
-typedef enum { KR_MACHINE_STARTING, KR_MACHINE_RUNNING, KR_MACHINE_FAILED } KrMachineState;
+typedef enum { KR_MACHINE_STARTING, KR_MACHINE_RUNNING, KR_MACHINE_FAILED } KrListedState;
 typedef struct {
   char *id, *endpoint, *type, *zone;
   gboolean spot;
-  KrMachineState state;
+  KrListedState state;
   double held_s;
-} KrMachine;
-void kr_machine_free (gpointer machine);
+} KrListedMachine;
+void kr_listed_machine_free (gpointer machine);
 
 json_t *kr_wire_rental (const char *request, const char *type, const char *zone, gboolean spot,
                         guint count);
@@ -142,7 +142,7 @@
 KrTxn *kr_txn_new (void);
 void kr_txn_free (KrTxn *self);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrTxn, kr_txn_free)
-void kr_txn_when (KrTxn *self, const char *key, guint64 mark);
+void kr_txn_when (KrTxn *self, const char *key, guint64 revision);
 void kr_txn_put (KrTxn *self, const char *key, json_t *value, guint64 lease); /* takes `value` */
 void kr_txn_remove (KrTxn *self, const char *key);
 guint kr_txn_ops (KrTxn *self);
@@ -159,7 +159,7 @@
 typedef struct {
   const char *key; /* borrowed from the body */
   json_t *value;   /* borrowed; NULL: removed */
-  guint64 mark;
+  guint64 revision;
 } KrItem;
 gboolean kr_wire_item_parse (json_t *body, KrItem *item);
 json_t *kr_wire_items (json_t *body, gboolean *more); /* array for kr_wire_item_parse */
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -7,7 +7,7 @@
 static guint gone, news, exits;
 
 static void
-saw (KrBerth *b, KrLaunch *l, KrSaw what, gpointer data)
+saw (KrMachine *b, KrLaunch *l, KrSaw what, gpointer data)
 {
   gone += what == KR_SAW_GONE;
   news += what == KR_SAW_NEW;
@@ -15,7 +15,7 @@
 }
 
 static gboolean
-take (KrBerth *b, guint64 session, guint64 seq, gboolean beat, guint tasks, KrTaskState state)
+take (KrMachine *b, guint64 session, guint64 seq, gboolean beat, guint tasks, KrTaskState state)
 {
   KrReport r = { .machine = b->id,
                  .endpoint = (char *) "e",
@@ -30,16 +30,16 @@
     KrTaskReport t = { (char *) "wk-1", i, 100 + i, state, KR_WHY_DONE };
     g_array_append_val (r.tasks, t);
   }
-  gboolean taken = kr_berth_apply (b, &r, beat, 7, 1000000, saw, NULL);
+  gboolean taken = kr_machine_apply (b, &r, beat, 7, 1000000, saw, NULL);
   g_array_unref (r.tasks);
   return taken;
 }
 
-static KrBerth *
+static KrMachine *
 fresh (void)
 {
   gone = news = exits = 0;
-  return kr_berth_new ("host-000001");
+  return kr_machine_new ("host-000001");
 }
 
 /* An answer of /commands may be newer than the report that was answered with `run`, and yet older
@@ -47,22 +47,22 @@
 static void
 test_doubt (void)
 {
-  KrBerth *b = fresh ();
+  KrMachine *b = fresh ();
   take (b, 1, 5, TRUE, 0, 0);
-  kr_berth_launch (b, "wk-1", 0, 100)->doubt_seq = 5;
+  kr_machine_launch (b, "wk-1", 0, 100)->doubt_seq = 5;
   take (b, 1, 6, FALSE, 0, 0);
   g_assert_cmpuint (gone, ==, 0);
-  g_assert_cmpuint (kr_berth_busy (b), ==, 1);
+  g_assert_cmpuint (kr_machine_busy (b), ==, 1);
   take (b, 1, 7, TRUE, 0, 0);
   g_assert_cmpuint (gone, ==, 1);
-  kr_berth_free (b);
+  kr_machine_free (b);
 }
 
 /* A report that a cut held back must not undo what a newer one said. */
 static void
 test_stale (void)
 {
-  KrBerth *b = fresh ();
+  KrMachine *b = fresh ();
   g_assert_true (take (b, 1, 5, TRUE, 2, KR_TASK_RUNNING));
   g_assert_false (take (b, 1, 4, TRUE, 0, 0));
   g_assert_false (take (b, 1, 5, TRUE, 0, 0));
@@ -70,33 +70,33 @@
   g_assert_true (take (b, 2, 1, TRUE, 0, 0)); /* a new session: its lease ran out */
   g_assert_cmpuint (gone, ==, 2);
   g_assert_false (take (b, 1, 9, TRUE, 2, KR_TASK_RUNNING));
-  g_assert_cmpuint (kr_berth_busy (b), ==, 0);
-  kr_berth_free (b);
+  g_assert_cmpuint (kr_machine_busy (b), ==, 0);
+  kr_machine_free (b);
 }
 
 static void
 test_exits_once (void)
 {
-  KrBerth *b = fresh ();
+  KrMachine *b = fresh ();
   take (b, 1, 1, TRUE, 1, KR_TASK_EXITED);
   take (b, 1, 2, TRUE, 1, KR_TASK_EXITED);
   g_assert_cmpuint (news, ==, 1);
   g_assert_cmpuint (exits, ==, 1);
-  kr_berth_free (b);
+  kr_machine_free (b);
 }
 
 /* Not a moment before the worker's own clock must have passed its lease. */
 static void
 test_lease (void)
 {
-  KrBerth *b = fresh ();
+  KrMachine *b = fresh ();
   take (b, 1, 1, FALSE, 1, KR_TASK_RUNNING); /* fenced by a command, never heard of again */
   g_assert_cmpint (b->answered, >, 0);
-  g_assert_true (kr_berth_lease_over (b, b->answered + kr_seconds (14), 12));
+  g_assert_true (kr_machine_lease_over (b, b->answered + kr_seconds (14), 12));
   b->answered = 10 * G_USEC_PER_SEC;
-  g_assert_false (kr_berth_lease_over (b, b->answered + kr_seconds (12), 12));
-  g_assert_true (kr_berth_lease_over (b, b->answered + kr_seconds (14), 12));
-  kr_berth_free (b);
+  g_assert_false (kr_machine_lease_over (b, b->answered + kr_seconds (12), 12));
+  g_assert_true (kr_machine_lease_over (b, b->answered + kr_seconds (14), 12));
+  kr_machine_free (b);
 }
 
 static KrSpec *
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -4,9 +4,9 @@
 #include <glib/gstdio.h>
 
 static const char good[] =
-    "node_name = \"berth-1\"\nzone = \"z\"\nclient_listen = \"127.0.0.1:1\"\n"
+    "node_name = \"machine-1\"\nzone = \"z\"\nclient_listen = \"127.0.0.1:1\"\n"
     "internal_addr = \"127.0.0.1:2\"\nfuture = { x = [1, 2] }\n"
-    "[[others]]\nnode_name = \"berth-0\"\nzone = \"z\"\npeer_addr = \"127.0.0.1:3\"\n"
+    "[[others]]\nnode_name = \"machine-0\"\nzone = \"z\"\npeer_addr = \"127.0.0.1:3\"\n"
     "[external]\ncloud = \"127.0.0.1:4\"\nstate = \"127.0.0.1:5\"\n"
     "[facts]\nsize = 2\n[[facts.teams]]\nname = \"a\"\n[[facts.teams]]\nname = \"b\"\n"
     "[[facts.objectives]]\nkind = \"finished\"\nclass = \"l\"\nwithin_s = 80.0\n"
@@ -50,7 +50,7 @@
                 { "127.0.0.1:5", "localhost:5", "external.state" },
                 { "127.0.0.1:1", "127.0.0.1:99999", "client_listen" },
                 { "size = 2", "size = 0", "facts.size" },
-                { "berth-0", "berth-1", "berth-1" },
+                { "machine-0", "machine-1", "machine-1" },
                 { "zone = \"z\"", "zone = \"z", "TOML" } };
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++) {
     g_autoptr (GError) error = NULL;
