A node that stood still begins anew; polls of a job share a read; a failing job is tried once a pause

Guards against a controller that goes on from what it knew before it was stopped (test wakes-up: it deleted a machine that its successor used), against storms of polls that hold up submissions (their reads go last and have a bound of their own; polls of one job share a read that begins after they came) and against one wave of failures that doubled a job's pause many times.

--- a/src/api.c
+++ b/src/api.c
@@ -19,6 +19,8 @@
   GHashTable *finals; /* id -> Final: immutable once told */
   GQueue order;       /* ids, oldest first */
   guint pending;      /* requests that wait for the state service */
+  guint polls;        /* of them */
+  GHashTable *polled; /* id -> GPtrArray of KrRequest: a poll of it is under way, these come next */
 };
 
 /* One user's request on its way. */
@@ -27,6 +29,7 @@
 struct Visit {
   KrApi *api;
   KrRequest *request;
+  GPtrArray *others; /* polls of the same job that share its answer; NULL: none */
   KrRoute route;
   char *id;
   gint64 deadline;
@@ -46,6 +49,7 @@
   a->cancel = kr_cancellable_child (node->cancel);
   a->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&a->order);
+  a->polled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return a;
 }
 
@@ -80,14 +84,24 @@
   v->id = g_strdup (id);
   v->deadline = kr_now () + (gint64) ms * 1000;
   a->pending++;
+  a->polls += route == KR_ROUTE_POLL;
   return v;
 }
 
+static void next_polls (KrApi *a, const char *id);
+
 static void
 answer (Visit *v, guint status, json_t *body, guint retry_after_s)
 {
+  for (guint i = 0; v->others && i < v->others->len; i++)
+    kr_request_reply (v->others->pdata[i], status, json_incref (body), retry_after_s);
   kr_request_reply (v->request, status, body, retry_after_s);
   v->api->pending--;
+  if (v->route == KR_ROUTE_POLL) {
+    v->api->polls--;
+    next_polls (v->api, v->id);
+  }
+  g_clear_pointer (&v->others, g_ptr_array_unref);
   g_free (v->id);
   g_free (v);
 }
@@ -105,6 +119,14 @@
   answer (v, 503, kr_wire_error ("the cancellation is not confirmed yet"), KR_RETRY_AFTER_S);
 }
 
+/* Guards against answers from before: of a node that stood still after it had read, while another
+ * told a newer state. What is over stays so. */
+static gboolean
+too_late (Visit *v)
+{
+  return kr_now () > v->deadline + KR_USER_LATE_MS * G_GINT64_CONSTANT (1000);
+}
+
 static guint
 left_ms (Visit *v, guint most)
 {
@@ -115,19 +137,28 @@
 /* --- looking a job up: live first, then ended; it only ever moves that way ----------- */
 static void look (Visit *v, Found found);
 
+/* However many ask, submissions and cancellations do not wait behind them. */
+static KrTurn
+turn_of (const Visit *v)
+{
+  return v->route == KR_ROUTE_POLL ? KR_LAST : KR_NORMAL;
+}
+
 static void
 looked (guint status, json_t *body, gpointer data)
 {
   Visit *v = data;
   KrItem item;
 
-  if (status == 200 && kr_wire_item_parse (body, &item))
+  if (too_late (v))
+    cannot_know (v);
+  else if (status == 200 && kr_wire_item_parse (body, &item))
     v->found (v, TRUE, &item);
   else if (status == 404 && !v->ended_key) {
     v->ended_key = TRUE;
     g_autofree char *key = kr_job_end_key (v->id);
-    kr_state_get (v->api->node->state, key, left_ms (v, KR_STATE_TIMEOUT_MS), v->api->cancel,
-                  looked, v);
+    kr_state_get (v->api->node->state, key, turn_of (v), left_ms (v, KR_STATE_TIMEOUT_MS),
+                  v->api->cancel, looked, v);
   } else if (status == 404)
     v->found (v, TRUE, NULL);
   else
@@ -140,8 +171,8 @@
   g_autofree char *key = kr_job_key (v->id);
   v->found = found;
   v->ended_key = FALSE;
-  kr_state_get (v->api->node->state, key, left_ms (v, KR_STATE_TIMEOUT_MS), v->api->cancel, looked,
-                v);
+  kr_state_get (v->api->node->state, key, turn_of (v), left_ms (v, KR_STATE_TIMEOUT_MS),
+                v->api->cancel, looked, v);
 }
 
 /* --- a cancellation is told once the part's owner surely acts on it ------------------ */
@@ -259,13 +290,15 @@
   return TRUE;
 }
 
-/* The stage's buffer is small: beyond it the user is told at once when to come back. */
+/* The stage's buffer is small: beyond it the user is told at once when to come back. Polls have a
+ * part of their own, so that a storm of them leaves room for the rest. */
 static gboolean
-too_busy (KrApi *a, KrRequest *request)
+too_busy (KrApi *a, KrRequest *request, KrRoute route)
 {
   /* As many as the state service answers within the time that a user waits. */
-  double most = kr_state_request_rate (a->node->state) * KR_USER_READ_MS / 1000.0;
-  if (a->pending < MAX (KR_API_PENDING_MIN, most))
+  double most =
+      MAX (KR_API_PENDING_MIN, kr_state_request_rate (a->node->state) * KR_USER_READ_MS / 1000.0);
+  if (route == KR_ROUTE_POLL ? a->polls < most * KR_API_POLL_SHARE : a->pending - a->polls < most)
     return FALSE;
   kr_request_reply (request, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
   return TRUE;
@@ -283,13 +316,42 @@
     answer_value (v, item, 200);
 }
 
+static void
+start_poll (KrApi *a, KrRequest *request, GPtrArray *others, const char *id)
+{
+  Visit *v = visit_new (a, request, KR_ROUTE_POLL, id, KR_USER_READ_MS);
+  v->others = others;
+  g_hash_table_insert (a->polled, g_strdup (id), g_ptr_array_new ());
+  look (v, poll_found);
+}
+
+/* Polls of a job that came while one of it was under way share one read that begins only now: that
+ * one began before they came, so what was told meanwhile might not be in it. */
+static void
+next_polls (KrApi *a, const char *id)
+{
+  GPtrArray *next = g_hash_table_lookup (a->polled, id);
+  g_hash_table_remove (a->polled, id);
+  while (next->len && answer_from_cache (a, next->pdata[0], id, TRUE))
+    g_ptr_array_remove_index_fast (next, 0);
+  if (next->len)
+    start_poll (a, g_ptr_array_steal_index_fast (next, 0), next, id);
+  else
+    g_ptr_array_unref (next);
+}
+
 void
 kr_api_poll (KrApi *a, KrRequest *request, const char *id)
 {
+  GPtrArray *next;
   if (!kr_wire_is_job_id (id))
     kr_request_reply (request, 404, kr_wire_error ("no such job"), 0);
-  else if (!answer_from_cache (a, request, id, TRUE) && !too_busy (a, request))
-    look (visit_new (a, request, KR_ROUTE_POLL, id, KR_USER_READ_MS), poll_found);
+  else if (answer_from_cache (a, request, id, TRUE))
+    return;
+  else if ((next = g_hash_table_lookup (a->polled, id)))
+    g_ptr_array_add (next, request);
+  else if (!too_busy (a, request, KR_ROUTE_POLL))
+    start_poll (a, request, NULL, id);
 }
 
 /* --- submit -------------------------------------------------------------------------- */
@@ -348,7 +410,7 @@
                       KR_RETRY_AFTER_S);
   else if ((why = never (a, spec)))
     kr_request_reply (request, 422, kr_wire_error (why), 0);
-  else if (too_busy (a, request))
+  else if (too_busy (a, request, KR_ROUTE_SUBMIT))
     return;
   else if (kr_state_write_wait (state) > KR_USER_WAIT_S)
     kr_request_reply (request, 429, kr_wire_error ("too many writes"),
@@ -417,6 +479,6 @@
 {
   if (!kr_wire_is_job_id (id))
     kr_request_reply (request, 404, kr_wire_error ("no such job"), 0);
-  else if (!answer_from_cache (a, request, id, FALSE) && !too_busy (a, request))
+  else if (!answer_from_cache (a, request, id, FALSE) && !too_busy (a, request, KR_ROUTE_ABORT))
     look (visit_new (a, request, KR_ROUTE_ABORT, id, KR_USER_WRITE_MS), abort_found);
 }
--- a/src/clock.h
+++ b/src/clock.h
@@ -8,3 +8,6 @@
 guint kr_timer_add (guint ms, GSourceFunc func, gpointer data);
 void kr_timer_remove (guint id);
 void kr_timer_clear (guint *id); /* removes it if set, and unsets it */
+/* Calls `func` when the process has stood still for longer than that, before anything else that
+ * came up meanwhile is handled. */
+void kr_stall_watch (guint ms, GSourceFunc func, gpointer data);
--- a/src/constants.h
+++ b/src/constants.h
@@ -10,16 +10,20 @@
 #define KR_ACCEPT_BACKLOG_MAX 4096 /* connections that wait in the kernel, which caps it too */
 #define KR_ACCEPT_PAUSE_MS 50      /* ms; pause after a failed accept, so that it cannot spin */
 #define KR_API_PENDING_MIN 32      /* user requests that may wait for the state service, at least */
-#define KR_RETRY_AFTER_S 1         /* s; told to users with 429/503: the shortest they honour */
-#define KR_STATE_TIMEOUT_MS 2500   /* ms; state calls take 10 ms, now and then some hundreds */
-#define KR_USER_READ_MS 1700       /* ms; a user waits 2 s for a poll's answer */
-#define KR_USER_WRITE_MS 4000      /* ms; a user waits 5 s for the answer to a submission */
-#define KR_USER_WAIT_S 1.0         /* s; a write that would wait longer is refused at once */
-#define KR_CLOUD_TIMEOUT_MS 10000  /* ms; rentals are slow; the outcome matters */
-#define KR_WORKER_TIMEOUT_MS 1500  /* ms; a reachable worker answers in a few */
-#define KR_PEER_TIMEOUT_MS 1500    /* ms; a reachable peer answers in a few, if it is not starved */
-#define KR_STATE_CONNS 8           /* two watches and a few calls side by side */
-#define KR_CLOUD_CONNS 4           /* the list is read while a rental is under way */
+#define KR_API_POLL_SHARE                                                                          \
+  0.5                      /* of those that may wait: polls, the rest is for what changes jobs     \
+                            */
+#define KR_RETRY_AFTER_S 1 /* s; told to users with 429/503: the shortest they honour */
+#define KR_STATE_TIMEOUT_MS 2500  /* ms; state calls take 10 ms, now and then some hundreds */
+#define KR_USER_READ_MS 1700      /* ms; a user waits 2 s for a poll's answer */
+#define KR_USER_LATE_MS 1000      /* ms over that time before an answer counts as from before */
+#define KR_USER_WRITE_MS 4000     /* ms; a user waits 5 s for the answer to a submission */
+#define KR_USER_WAIT_S 1.0        /* s; a write that would wait longer is refused at once */
+#define KR_CLOUD_TIMEOUT_MS 10000 /* ms; rentals are slow; the outcome matters */
+#define KR_WORKER_TIMEOUT_MS 1500 /* ms; a reachable worker answers in a few */
+#define KR_PEER_TIMEOUT_MS 1500   /* ms; a reachable peer answers in a few, if it is not starved */
+#define KR_STATE_CONNS 8          /* two watches and a few calls side by side */
+#define KR_CLOUD_CONNS 4          /* the list is read while a rental is under way */
 #define KR_WORKER_SOCKET_SHARE 0.15 /* of `sockets`: unreachable machines hold theirs long */
 #define KR_CONFIRM_TIMEOUT_MS                                                                      \
   1000 /* ms; an owner that does not say within it that a job's tasks end */
@@ -40,6 +44,7 @@
 #define KR_PEER_SERVED_S 2.0  /* s; a node that is served hears more often: it renews each 1.5 s */
 #define KR_RETRY_MS 500       /* ms; pause after a failed state call */
 #define KR_NODE_LEASE_MS 6000 /* ms; a dead node's parts are free after this */
+#define KR_STALL_MS 6000      /* ms; a node that stood still so long may have lost all keys */
 #define KR_NODE_RENEW_MS 1500 /* ms; four tries within the lease */
 #define KR_VALUE_RESERVE 2048 /* bytes of a value kept for a job's fields beside its bits */
 #define KR_CHUNK_BITS 24000   /* tasks a chunk of a done set: 4 KB in base64 */
--- a/src/flow.c
+++ b/src/flow.c
@@ -28,7 +28,7 @@
 struct KrBucket {
   double rate, burst_s, burst, tokens;
   gint64 at;
-  GQueue queue;
+  GQueue queue, last; /* last: goes when none of the others waits */
   guint timer;
 };
 
@@ -41,6 +41,7 @@
   b->burst = b->tokens = MAX (1.0, rate * burst_s);
   b->at = kr_now ();
   g_queue_init (&b->queue);
+  g_queue_init (&b->last);
   return b;
 }
 
@@ -49,6 +50,7 @@
 {
   kr_timer_clear (&b->timer);
   g_queue_clear_full (&b->queue, g_free);
+  g_queue_clear_full (&b->last, g_free);
   g_free (b);
 }
 
@@ -94,10 +96,16 @@
 
 static gboolean serve (gpointer data);
 
+static GQueue *
+next_queue (KrBucket *b)
+{
+  return b->queue.length ? &b->queue : &b->last;
+}
+
 static void
 arm (KrBucket *b)
 {
-  Waiter *w = g_queue_peek_head (&b->queue);
+  Waiter *w = g_queue_peek_head (next_queue (b));
   if (!w || b->timer)
     return;
   /* A call dearer than the burst waits for a full bucket and leaves a debt. */
@@ -112,8 +120,8 @@
   Waiter *w;
   b->timer = 0;
   refill (b);
-  while ((w = g_queue_peek_head (&b->queue)) && b->tokens >= MIN (w->cost, b->burst)) {
-    g_queue_pop_head (&b->queue);
+  while ((w = g_queue_peek_head (next_queue (b))) && b->tokens >= MIN (w->cost, b->burst)) {
+    g_queue_pop_head (next_queue (b));
     b->tokens -= w->cost;
     w->go (TRUE, w->data);
     g_free (w);
@@ -137,22 +145,24 @@
 void
 kr_bucket_take (KrBucket *b, double cost, KrTurn turn, KrBucketGo go, gpointer data)
 {
+  GQueue *queue = turn == KR_LAST ? &b->last : &b->queue;
   refill (b);
-  if ((turn == KR_FIRST || b->queue.length == 0) && b->tokens >= MIN (cost, b->burst)) {
+  if ((turn == KR_FIRST || (b->queue.length == 0 && queue->length == 0)) &&
+      b->tokens >= MIN (cost, b->burst)) {
     b->tokens -= cost;
     go (TRUE, data);
     return;
   }
-  if (b->queue.length >= MAX (KR_QUEUE_MIN, b->rate * KR_QUEUE_S) && turn != KR_FIRST) {
+  if (queue->length >= MAX (KR_QUEUE_MIN, b->rate * KR_QUEUE_S) && turn != KR_FIRST) {
     go (FALSE, data);
     return;
   }
   Waiter *w = g_new (Waiter, 1);
   *w = (Waiter){ cost, go, data };
   if (turn == KR_FIRST)
-    g_queue_push_head (&b->queue, w);
+    g_queue_push_head (queue, w);
   else
-    g_queue_push_tail (&b->queue, w);
+    g_queue_push_tail (queue, w);
   kr_timer_clear (&b->timer);
   arm (b);
 }
--- a/src/flow.h
+++ b/src/flow.h
@@ -15,7 +15,8 @@
 void kr_bucket_set_rate (KrBucket *self, double rate);
 typedef enum {
   KR_NORMAL, /* in turn */
-  KR_FIRST   /* ahead of the others: leases, ownership, ends */
+  KR_FIRST,  /* ahead of the others: leases, ownership, ends */
+  KR_LAST    /* when no other waits: users' questions, of which any number may come */
 } KrTurn;
 /* Calls go(TRUE) when `cost` may be spent, at once if possible; go(FALSE) at once if the queue is
  * full. */
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -26,6 +26,7 @@
   gint64 failed_at;      /* monotonic us of the newest failure */
   double hold_s;         /* pause after the next failure */
   gint64 hold_until;     /* monotonic us */
+  gboolean probing;      /* one task is being tried after a pause */
 } KrJob;
 
 KrJob *kr_job_new (KrSpec *spec, double at, guint part); /* takes `spec` */
--- a/src/membership.c
+++ b/src/membership.c
@@ -448,6 +448,34 @@
   return G_SOURCE_CONTINUE;
 }
 
+static char *
+incarnation_new (void)
+{
+  return g_strdup_printf ("%08x%08x", g_random_int (), g_random_int ());
+}
+
+/* Guards against a node that stood still and goes on from what it knew: others may have taken its
+ * parts, and acted. It begins a new life, as a restarted process does: what it held it holds no
+ * more, and what still stands under its name it takes anew, with a newer token. */
+static gboolean
+stood_still (gpointer data)
+{
+  KrMembership *m = data;
+  g_autofree gboolean *ours = g_new0 (gboolean, m->settings->size);
+
+  kr_info ("%s stood still, and begins anew", m->settings->node_name);
+  for (guint p = 0; p < m->settings->size; p++)
+    ours[p] = kr_membership_owns (m, p);
+  g_free (m->incarnation);
+  m->incarnation = incarnation_new ();
+  m->seen = m->shown = FALSE;
+  for (guint p = 0; p < m->settings->size; p++)
+    if (ours[p])
+      m->events.holder_changed (p, m->data);
+  kr_membership_rescan (m);
+  return G_SOURCE_CONTINUE;
+}
+
 KrMembership *
 kr_membership_new (const KrSettings *settings, KrState *state, KrRecords *records,
                    GCancellable *cancel, const KrMembershipEvents *events, gpointer data)
@@ -458,7 +486,7 @@
   m->cancel = kr_cancellable_child (cancel);
   m->events = *events;
   m->data = data;
-  m->incarnation = g_strdup_printf ("%08x%08x", g_random_int (), g_random_int ());
+  m->incarnation = incarnation_new ();
   m->holders = g_new0 (KrHolder, settings->size + 1);
   for (guint p = 0; p <= settings->size; p++)
     m->holders[p].free_since = kr_now ();
@@ -470,6 +498,7 @@
   renew (m);
   m->lease_timer = kr_timer_add (KR_NODE_RENEW_MS, renew, m);
   m->duty_timer = kr_timer_add (KR_DUTY_MS, duty, m);
+  kr_stall_watch (KR_STALL_MS, stood_still, m);
   return m;
 }
 
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -239,8 +239,10 @@
 
   kr_live_add (c, l);
   /* A job that fails wherever it runs is tried with one task a pause, until one succeeds. */
-  if (kr_job_suspect (j))
+  if (kr_job_suspect (j)) {
+    j->probing = TRUE;
     j->hold_until = now + kr_seconds (j->hold_s);
+  }
   l->first = c->starves;
   c->starves = FALSE;
   rerank (p, c, now, c->in.now);
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -54,7 +54,7 @@
   g_autofree char *key = kr_job_key (id);
   JobRead *r = g_new (JobRead, 1);
   *r = (JobRead){ kr_part_ref (p), g_strdup (id) };
-  kr_state_get (p->node->state, key, KR_STATE_TIMEOUT_MS, p->cancel, job_read, r);
+  kr_state_get (p->node->state, key, KR_NORMAL, KR_STATE_TIMEOUT_MS, p->cancel, job_read, r);
 }
 
 static gboolean
@@ -239,7 +239,8 @@
 {
   ChunkRead *r = data;
   g_autofree char *key = kr_job_chunk_key (r->id, r->chunk);
-  kr_state_get (r->part->node->state, key, KR_STATE_TIMEOUT_MS, r->part->cancel, chunk_read, r);
+  kr_state_get (r->part->node->state, key, KR_NORMAL, KR_STATE_TIMEOUT_MS, r->part->cancel,
+                chunk_read, r);
   return G_SOURCE_REMOVE;
 }
 
--- a/src/part.c
+++ b/src/part.c
@@ -91,10 +91,14 @@
   /* A job that fails on several machines is at fault itself: growing pauses keep it from taking
    * every free slot for ever once it is past its goal. */
   if (kr_job_suspect (j)) {
-    j->hold_until = now + kr_seconds (j->hold_s);
-    kr_info ("job %s: fails on %u machines, held for %.0f s", j->spec->id,
-             g_hash_table_size (j->failed_on), j->hold_s);
-    j->hold_s = MIN (j->hold_s * 2, KR_JOB_HOLD_MAX_S);
+    /* What fails within a pause was started before it: the pause grows once a try. */
+    if (j->probing || now >= j->hold_until) {
+      j->hold_until = now + kr_seconds (j->hold_s);
+      kr_info ("job %s: fails on %u machines, held for %.0f s", j->spec->id,
+               g_hash_table_size (j->failed_on), j->hold_s);
+      j->hold_s = MIN (j->hold_s * 2, KR_JOB_HOLD_MAX_S);
+    }
+    j->probing = FALSE;
   } else
     j->hold_until = 0;
   g_hash_table_iter_init (&it, b->bad_jobs);
@@ -173,6 +177,7 @@
       g_hash_table_remove_all (j->failed_on);
       g_hash_table_remove (b->bad_jobs, j->spec->id);
       j->hold_until = 0;
+      j->probing = FALSE;
       j->hold_s = KR_JOB_HOLD_S;
       if (kr_job_complete (j))
         kr_part_flush (p);
--- a/src/state.c
+++ b/src/state.c
@@ -141,10 +141,10 @@
 }
 
 void
-kr_state_get (KrState *st, const char *key, guint timeout_ms, GCancellable *cancel, KrReply reply,
-              gpointer data)
+kr_state_get (KrState *st, const char *key, KrTurn turn, guint timeout_ms, GCancellable *cancel,
+              KrReply reply, gpointer data)
 {
-  start (st, "GET", kr_wire_key_path (key), NULL, 0, KR_NORMAL, timeout_ms, cancel, reply, data);
+  start (st, "GET", kr_wire_key_path (key), NULL, 0, turn, timeout_ms, cancel, reply, data);
 }
 
 void
--- a/src/state.h
+++ b/src/state.h
@@ -10,8 +10,8 @@
 void kr_state_free (KrState *self);
 
 /* status 429: refused by our own limit or the service's, not executed; 0: unknown outcome. */
-void kr_state_get (KrState *self, const char *key, guint timeout_ms, GCancellable *cancel,
-                   KrReply reply, gpointer data);
+void kr_state_get (KrState *self, const char *key, KrTurn turn, guint timeout_ms,
+                   GCancellable *cancel, KrReply reply, gpointer data);
 /* Takes over `txn`. */
 void kr_state_commit (KrState *self, KrTxn *txn, KrTurn turn, guint timeout_ms,
                       GCancellable *cancel, KrReply reply, gpointer data);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -26,7 +26,12 @@
   KrNode *node;
   KrSettings *settings;
   gboolean alive, hung;
+  gint64 hung_at;
   guint life;
+  /* its watch over standing still */
+  gint64 stall_us;
+  GSourceFunc stalled;
+  gpointer stalled_data;
 } Node;
 
 static struct {
@@ -67,6 +72,8 @@
   guint beats;    /* reports handled */
   guint64 beat_steps;
   guint started;
+  guint answered[600]; /* to sim_ask, by status */
+  guint state_requests;
 } S;
 
 static int
@@ -138,6 +145,15 @@
   *id = 0;
 }
 
+void
+kr_stall_watch (guint ms, GSourceFunc func, gpointer data)
+{
+  Node *n = &S.nodes[S.current];
+  n->stall_us = (gint64) ms * 1000;
+  n->stalled = func;
+  n->stalled_data = data;
+}
+
 static gboolean
 alive (gint owner, guint life)
 {
@@ -847,9 +863,16 @@
       json_pack ("{so sb sI}", "Items", items, "More", 0, "Ledger", (json_int_t) S.revision));
 }
 
+guint
+sim_state_requests (void)
+{
+  return S.state_requests;
+}
+
 static void
 state_answer (Call *c)
 {
+  S.state_requests++;
   if (refused (c->from) && !g_str_has_prefix (c->path, "/follow")) {
     answer_call (c, 503, NULL);
   } else if (g_str_has_prefix (c->path, "/store?"))
@@ -1841,6 +1864,26 @@
   return a.status;
 }
 
+static void
+count_answer (guint status, json_t *body, gpointer data)
+{
+  S.answered[status]++;
+}
+
+void
+sim_ask (guint node, const char *method, const char *path, const char *body)
+{
+  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
+  call_new ("user", method, address, path, body ? json_loads (body, 0, NULL) : NULL, 5,
+            count_answer, NULL);
+}
+
+guint
+sim_answered (guint status)
+{
+  return S.answered[status];
+}
+
 guint
 sim_request (guint node, const char *method, const char *path, const char *body)
 {
@@ -1906,7 +1949,14 @@
 void
 sim_node_hang (guint i, gboolean on)
 {
-  S.nodes[i].hung = on;
+  Node *n = &S.nodes[i];
+  if (n->hung && !on && S.now - n->hung_at > n->stall_us) {
+    S.current = (gint) i;
+    n->stalled (n->stalled_data);
+    S.current = -1;
+  }
+  n->hung = on;
+  n->hung_at = S.now;
 }
 
 void
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -86,6 +86,12 @@
 /* One request to a node's public address; the answer's status (0: none) after up to 5 s. */
 guint sim_request (guint node, const char *method, const char *path, const char *body);
 
+/* The same without waiting, and how many such requests have had that answer so far. */
+void sim_ask (guint node, const char *method, const char *path, const char *body);
+guint sim_answered (guint status);
+/* Requests that the state service has had so far. */
+guint sim_state_requests (void);
+
 /* The same to its address for peers. */
 guint sim_peer (guint node, const char *method, const char *path, const char *body);
 
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -473,6 +473,138 @@
   with_seeds (deaf_and_well);
 }
 
+/* An owner says that a job is cancelled, its kills do not reach one machine, and it stands still.
+ * Its successor uses the machine for other work. Going on, it must not take that for the silent
+ * holder of a cancelled task, and it is not ready before it has caught up. */
+static void
+wakes_up (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 32, 1, 400, 900);
+  sim_run (35);
+  sim_submit ("wk-000002", "team0", "normal", 90, 1, 400, 2000);
+  sim_run (25);
+  g_autofree char *m = g_strdup (sim_machine_of ("wk-000001"));
+  sim_cut ("n0", m, SIM_DROP);
+  sim_abort_at ("wk-000001", 1);
+  sim_run (0.5);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  sim_node_hang (0, TRUE);
+  sim_run (1);
+  sim_cut ("n0", m, SIM_OPEN);
+  sim_run (45);
+  g_assert_true (sim_machine_lives (m));
+  sim_state_refuse (0, TRUE);
+  sim_node_hang (0, FALSE);
+  sim_run (4);
+  g_assert_true (sim_machine_lives (m));
+  g_assert_cmpuint (sim_request (0, "GET", "/ready", NULL), ==, 503);
+  sim_state_refuse (0, FALSE);
+  sim_run (5);
+  g_assert_cmpuint (sim_request (0, "GET", "/ready", NULL), ==, 200);
+  finish (1600);
+}
+
+static void
+test_wakes_up (void)
+{
+  with_seeds (wakes_up);
+}
+
+/* Many ask about one job at the same moment: they share reads, each of which began after those had
+ * come that it answers. */
+static void
+test_shared_polls (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 4, 1, 500, 900);
+  sim_run (30);
+  guint before = sim_state_requests ();
+  for (guint i = 0; i < 300; i++)
+    sim_ask (1, "GET", "/api/jobs/wk-000001", NULL);
+  sim_run (1);
+  g_assert_cmpuint (sim_answered (200), ==, 300);
+  g_assert_cmpuint (sim_state_requests () - before, <, 30); /* renewals, records and two reads */
+  sim_abort_at ("wk-000001", 2);
+  for (guint i = 0; i < 300; i++) { /* while it is cancelled, and once it is over */
+    sim_ask (1, "GET", "/api/jobs/wk-000001", NULL);
+    sim_run (0.001);
+  }
+  sim_run (3);
+  g_assert_cmpuint (sim_answered (200) + sim_answered (503), ==, 600);
+  g_assert_cmpuint (sim_answered (200), >, 550);
+  finish (30);
+}
+
+/* Users ask about hundreds of jobs many times a second. What is beyond gets 429 at once, and what
+ * changes jobs does not wait behind it. */
+static void
+test_poll_storm (void)
+{
+  const char *job =
+      "{\"Id\":\"wk-%u\",\"Lane\":\"l\",\"Crew\":\"team0\",\"Form\":\"array\",\"Rank\":"
+      "\"normal\",\"Shifts\":1,\"Cores\":1,\"Accelerators\":0,\"MemGb\":1,\"Cargo\":"
+      "\"img\",\"PullGb\":0,\"OneZone\":false,\"Apart\":false,\"Driftwood\":true,"
+      "\"SailS\":1,\"MooringS\":0,\"StowS\":0}";
+  begin (&usual);
+  for (guint i = 0; i < 10000; i++) {
+    g_autofree char *path = g_strdup_printf ("/api/jobs/wk-%u", 100000 + i % 700);
+    sim_ask (0, "GET", path, NULL);
+    if (i % 10 == 0)
+      sim_run (0.01);
+    if (i % 500 == 499) {
+      g_autofree char *body = g_strdup_printf (job, i);
+      g_autofree char *abort = g_strdup_printf ("/api/jobs/wk-%u/abort", i);
+      double asked = sim_now ();
+      g_assert_cmpuint (sim_request (0, "POST", "/api/jobs", body), ==, 201);
+      g_assert_cmpuint (sim_request (0, "POST", abort, NULL), ==, 200);
+      g_assert_cmpfloat (sim_now () - asked, <, 1);
+    }
+  }
+  sim_run (5);
+  g_assert_cmpuint (sim_answered (404) + sim_answered (429), ==, 10000);
+  g_assert_cmpuint (sim_answered (404), >, 300);
+  g_assert_cmpuint (sim_answered (429), >, 5000);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  sim_stop ();
+}
+
+/* A job fails wherever it runs until its user cancels it, from the first machine on, while another
+ * machine is faulty. The job is held back, other work goes on, only the faulty machine goes. */
+static void
+mistaken_job (void)
+{
+  SimOptions o = usual;
+  o.machines = 5;
+  begin (&o);
+  sim_submit ("wk-000001", "team0", "urgent", 200, 1, 20, 1); /* late at once: it would lead */
+  sim_mistaken ("wk-000001", TRUE);
+  sim_submit ("wk-000002", "team0", "normal", 200, 1, 20, 600);
+  sim_submit ("wk-000003", "team0", "normal", 200, 1, 20, 600);
+  sim_run (30);
+  g_autofree char *sick = g_strdup (sim_busiest_machine ());
+  g_auto (GStrv) all = sim_machine_names (NULL);
+  sim_machine_sick (sick, TRUE);
+  sim_run (30);
+  g_assert_false (sim_machine_lives (sick));
+  for (char **m = all; *m; m++)
+    g_assert_true (g_str_equal (*m, sick) || sim_machine_lives (*m));
+  sim_run (250);
+  g_assert_cmpstr (sim_told ("wk-000002"), ==, "done");
+  g_assert_cmpstr (sim_told ("wk-000003"), ==, "done");
+  g_assert_cmpuint (sim_started (), <, 520);
+  sim_abort ("wk-000001");
+  sim_run (10);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  finish (60);
+}
+
+static void
+test_mistaken_job (void)
+{
+  with_seeds (mistaken_job);
+}
+
 /* Every trouble there is, drawn at random, several at a time. */
 static void
 everything (void)
@@ -571,6 +703,10 @@
   g_test_add_func ("/meetings/mute-machines", test_mute_machines);
   g_test_add_func ("/meetings/node-hangs", test_node_hangs);
   g_test_add_func ("/meetings/well-again", test_well_again);
+  g_test_add_func ("/meetings/wakes-up", test_wakes_up);
+  g_test_add_func ("/meetings/shared-polls", test_shared_polls);
+  g_test_add_func ("/meetings/poll-storm", test_poll_storm);
+  g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
   g_test_add_func ("/meetings/everything", test_everything);
   return g_test_run ();
 }
