--- a/src/api.c
+++ b/src/api.c
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "part.h"
 #include "place.h"
+#include "view.h"
 #include <math.h>
 #include <string.h>
 
@@ -20,6 +21,8 @@
   GQueue order;       /* ids, oldest first */
   guint pending;      /* requests that wait for the state service */
   guint polls;        /* of them */
+  guint crowd;        /* polls that wait for a request they share */
+  KrView *view;
   GHashTable *polled; /* id -> GPtrArray of KrRequest: a poll of it is under way, these come next */
 };
 
@@ -34,6 +37,7 @@
   char *id;
   gint64 deadline;
   Found found;
+  gboolean counted;   /* in `pending`: it costs requests of its own */
   gboolean ended_key; /* looking below end/ now */
   guint tries;        /* to have a cancellation committed under, or confirmed by, the owner */
   /* of a job that is cancelled and not over: */
@@ -50,6 +54,7 @@
   a->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&a->order);
   a->polled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  a->view = kr_view_new (node->state, a->cancel);
   return a;
 }
 
@@ -57,6 +62,7 @@
 kr_api_free (KrApi *a)
 {
   g_cancellable_cancel (a->cancel);
+  kr_view_free (a->view);
 }
 
 static void
@@ -83,11 +89,18 @@
   v->route = route;
   v->id = g_strdup (id);
   v->deadline = kr_now () + (gint64) ms * 1000;
-  a->pending++;
-  a->polls += route == KR_ROUTE_POLL;
   return v;
 }
 
+/* From here on it costs requests to the state service of its own. */
+static void
+count (Visit *v)
+{
+  v->counted = TRUE;
+  v->api->pending++;
+  v->api->polls += v->route == KR_ROUTE_POLL;
+}
+
 static void next_polls (KrApi *a, const char *id);
 
 static void
@@ -96,11 +109,10 @@
   for (guint i = 0; v->others && i < v->others->len; i++)
     kr_request_reply (v->others->pdata[i], status, json_incref (body), retry_after_s);
   kr_request_reply (v->request, status, body, retry_after_s);
-  v->api->pending--;
-  if (v->route == KR_ROUTE_POLL) {
-    v->api->polls--;
+  v->api->pending -= v->counted;
+  v->api->polls -= v->counted && v->route == KR_ROUTE_POLL;
+  if (v->route == KR_ROUTE_POLL)
     next_polls (v->api, v->id);
-  }
   g_clear_pointer (&v->others, g_ptr_array_unref);
   g_free (v->id);
   g_free (v);
@@ -136,6 +148,7 @@
 
 /* --- looking a job up: live first, then ended; it only ever moves that way ----------- */
 static void look (Visit *v, Found found);
+static void look_at_end (Visit *v);
 
 /* However many ask, submissions and cancellations do not wait behind them. */
 static KrTurn
@@ -155,20 +168,28 @@
   else if (status == 200 && kr_wire_item_parse (body, &item))
     v->found (v, TRUE, &item);
   else if (status == 404 && !v->ended_key) {
-    v->ended_key = TRUE;
-    g_autofree char *key = kr_job_end_key (v->id);
-    kr_state_get (v->api->node->state, key, turn_of (v), left_ms (v, KR_STATE_TIMEOUT_MS),
-                  v->api->cancel, looked, v);
+    look_at_end (v);
   } else if (status == 404)
     v->found (v, TRUE, NULL);
   else
     v->found (v, FALSE, NULL);
 }
 
+static void
+look_at_end (Visit *v)
+{
+  g_autofree char *key = kr_job_end_key (v->id);
+  v->ended_key = TRUE;
+  kr_state_get (v->api->node->state, key, turn_of (v), left_ms (v, KR_STATE_TIMEOUT_MS),
+                v->api->cancel, looked, v);
+}
+
 static void
 look (Visit *v, Found found)
 {
   g_autofree char *key = kr_job_key (v->id);
+  if (!v->counted)
+    count (v);
   v->found = found;
   v->ended_key = FALSE;
   kr_state_get (v->api->node->state, key, turn_of (v), left_ms (v, KR_STATE_TIMEOUT_MS),
@@ -253,19 +274,16 @@
                     left_ms (v, KR_CONFIRM_TIMEOUT_MS), v->api->cancel, owner_said, v);
 }
 
-/* Tells what a stored value says. */
+/* Tells what is stored of a job. */
 static void
-answer_value (Visit *v, const KrItem *item, guint status)
-{
-  json_t *value = item->value;
-  KrJobState state;
-  guint done, running;
-  if (!kr_job_peek (value, &state, &done, &running)) {
-    cannot_know (v);
-    return;
-  }
-  if (kr_job_peek_cancelled (value, &v->part, &v->owner)) {
-    v->revision = item->revision;
+answer_job (Visit *v, const KrViewJob *j)
+{
+  KrJobState state = j->state;
+  guint done = j->done, running = j->running;
+  if (j->cancelled) {
+    v->part = j->part;
+    v->owner = j->owner;
+    v->revision = j->revision;
     v->done = done;
     confirm (v);
     return;
@@ -276,8 +294,17 @@
     for (guint p = 0; p < v->api->node->settings->size; p++)
       if (v->api->node->parts[p] && kr_part_counts (v->api->node->parts[p], v->id, &done, &running))
         state = running ? KR_JOB_RUNNING : KR_JOB_PENDING;
-  answer (v, status, kr_wire_job_answer (v->id, state, v->route == KR_ROUTE_POLL, done, running),
-          0);
+  answer (v, 200, kr_wire_job_answer (v->id, state, v->route == KR_ROUTE_POLL, done, running), 0);
+}
+
+static void
+answer_value (Visit *v, const KrItem *item)
+{
+  KrViewJob j;
+  if (kr_view_job_parse (&j, item))
+    answer_job (v, &j);
+  else
+    cannot_know (v);
 }
 
 static gboolean
@@ -290,18 +317,22 @@
   return TRUE;
 }
 
+static void
+refuse (KrRequest *request)
+{
+  kr_request_reply (request, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
+}
+
 /* The stage's buffer is small: beyond it the user is told at once when to come back. Polls have a
  * part of their own, so that a storm of them leaves room for the rest. */
 static gboolean
-too_busy (KrApi *a, KrRequest *request, KrRoute route)
+too_busy (KrApi *a, KrRoute route)
 {
   /* As many as the state service answers within the time that a user waits. */
   double most =
       MAX (KR_API_PENDING_MIN, kr_state_request_rate (a->node->state) * KR_USER_READ_MS / 1000.0);
-  if (route == KR_ROUTE_POLL ? a->polls < most * KR_API_POLL_SHARE : a->pending - a->polls < most)
-    return FALSE;
-  kr_request_reply (request, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
-  return TRUE;
+  return route == KR_ROUTE_POLL ? a->polls >= most * KR_API_POLL_SHARE
+                                : a->pending - a->polls >= most;
 }
 
 /* --- poll ---------------------------------------------------------------------------- */
@@ -313,16 +344,53 @@
   else if (!item)
     answer (v, 404, kr_wire_error ("no such job"), 0);
   else
-    answer_value (v, item, 200);
+    answer_value (v, item);
 }
 
+/* What is not among the live jobs has ended, or never was. */
 static void
+look_below_end (Visit *v)
+{
+  if (too_busy (v->api, KR_ROUTE_POLL)) {
+    answer (v, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
+    return;
+  }
+  count (v);
+  look_at_end (v);
+}
+
+static void
+view_synced (gboolean known, gpointer data)
+{
+  Visit *v = data;
+  const KrViewJob *j = kr_view_find (v->api->view, v->id);
+  v->api->crowd--;
+  if (!known || too_late (v))
+    cannot_know (v);
+  else if (j)
+    answer_job (v, j);
+  else
+    look_below_end (v);
+}
+
+/* FALSE: too many wait already. */
+static gboolean
 start_poll (KrApi *a, KrRequest *request, GPtrArray *others, const char *id)
 {
+  gboolean alone = a->polls < KR_API_CROWD && a->crowd == 0;
+  if (!alone && a->crowd >= KR_API_CROWD_MAX)
+    return FALSE;
   Visit *v = visit_new (a, request, KR_ROUTE_POLL, id, KR_USER_READ_MS);
   v->others = others;
+  v->found = poll_found;
   g_hash_table_insert (a->polled, g_strdup (id), g_ptr_array_new ());
-  look (v, poll_found);
+  if (alone)
+    look (v, poll_found);
+  else {
+    a->crowd++;
+    kr_view_sync (a->view, view_synced, v);
+  }
+  return TRUE;
 }
 
 /* Polls of a job that came while one of it was under way share one read that begins only now: that
@@ -334,10 +402,14 @@
   g_hash_table_remove (a->polled, id);
   while (next->len && answer_from_cache (a, next->pdata[0], id, TRUE))
     g_ptr_array_remove_index_fast (next, 0);
-  if (next->len)
-    start_poll (a, g_ptr_array_steal_index_fast (next, 0), next, id);
-  else
-    g_ptr_array_unref (next);
+  KrRequest *first = next->len ? g_ptr_array_steal_index_fast (next, 0) : NULL;
+  if (first && start_poll (a, first, next, id))
+    return;
+  if (first)
+    g_ptr_array_add (next, first);
+  for (guint i = 0; i < next->len; i++)
+    refuse (next->pdata[i]);
+  g_ptr_array_unref (next);
 }
 
 void
@@ -350,8 +422,8 @@
     return;
   else if ((next = g_hash_table_lookup (a->polled, id)))
     g_ptr_array_add (next, request);
-  else if (!too_busy (a, request, KR_ROUTE_POLL))
-    start_poll (a, request, NULL, id);
+  else if (!start_poll (a, request, NULL, id))
+    refuse (request);
 }
 
 /* --- submit -------------------------------------------------------------------------- */
@@ -362,7 +434,7 @@
   if (!known || !item)
     cannot_know (v);
   else
-    answer_value (v, item, 200);
+    answer_value (v, item);
 }
 
 static void
@@ -410,8 +482,8 @@
                       KR_RETRY_AFTER_S);
   else if ((why = never (a, spec)))
     kr_request_reply (request, 422, kr_wire_error (why), 0);
-  else if (too_busy (a, request, KR_ROUTE_SUBMIT))
-    return;
+  else if (too_busy (a, KR_ROUTE_SUBMIT))
+    refuse (request);
   else if (kr_state_write_wait (state) > KR_USER_WAIT_S)
     kr_request_reply (request, 429, kr_wire_error ("too many writes"),
                       (guint) ceil (kr_state_write_wait (state)));
@@ -424,6 +496,7 @@
     kr_txn_when (txn, key, 0);
     kr_txn_when (txn, end, 0);
     kr_txn_put (txn, key, kr_job_encode (j, j->done, 0), 0);
+    count (v);
     kr_state_commit (state, txn, KR_NORMAL, KR_STATE_TIMEOUT_MS, a->cancel, submitted, v);
   }
 }
@@ -459,7 +532,7 @@
     answer (v, 404, kr_wire_error ("no such job"), 0);
   else if (!kr_job_peek (item->value, &state, &v->done, &running) || state >= KR_JOB_DONE ||
            (v->part = kr_job_peek_part (item->value)) >= v->api->node->settings->size)
-    answer_value (v, item, 200);
+    answer_value (v, item);
   else {
     /* Under the owner that we are going to ask: whoever comes after it reads the cancellation. */
     const KrHolder *h = kr_membership_holder (v->api->node->membership, v->part);
@@ -479,6 +552,10 @@
 {
   if (!kr_wire_is_job_id (id))
     kr_request_reply (request, 404, kr_wire_error ("no such job"), 0);
-  else if (!answer_from_cache (a, request, id, FALSE) && !too_busy (a, request, KR_ROUTE_ABORT))
+  else if (answer_from_cache (a, request, id, FALSE))
+    return;
+  else if (too_busy (a, KR_ROUTE_ABORT))
+    refuse (request);
+  else
     look (visit_new (a, request, KR_ROUTE_ABORT, id, KR_USER_WRITE_MS), abort_found);
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -10,10 +10,12 @@
 #define KR_ACCEPT_BACKLOG_MAX 4096 /* connections that wait in the kernel, which caps it too */
 #define KR_ACCEPT_PAUSE_MS 50      /* ms; pause after a failed accept, so that it cannot spin */
 #define KR_API_PENDING_MIN 32      /* user requests that may wait for the state service, at least */
-#define KR_API_POLL_SHARE                                                                          \
-  0.5                      /* of those that may wait: polls, the rest is for what changes jobs     \
-                            */
-#define KR_RETRY_AFTER_S 1 /* s; told to users with 429/503: the shortest they honour */
+#define KR_API_POLL_SHARE 0.5      /* of these: polls, the rest is for what changes jobs */
+#define KR_API_CROWD 4             /* polls under way: further ones share requests */
+#define KR_API_CROWD_MAX 2048      /* polls that may wait for such a request: some KB each */
+#define KR_VIEW_SYNC_MS 100        /* ms between such requests */
+#define KR_VIEW_STALE_S 3.0       /* s after which the live jobs are read anew, not their changes */
+#define KR_RETRY_AFTER_S 1        /* s; told to users with 429/503: the shortest they honour */
 #define KR_STATE_TIMEOUT_MS 2500  /* ms; state calls take 10 ms, now and then some hundreds */
 #define KR_USER_READ_MS 1700      /* ms; a user waits 2 s for a poll's answer */
 #define KR_USER_LATE_MS 1000      /* ms over that time before an answer counts as from before */
--- a/src/state.c
+++ b/src/state.c
@@ -147,6 +147,14 @@
   start (st, "GET", kr_wire_key_path (key), NULL, 0, turn, timeout_ms, cancel, reply, data);
 }
 
+void
+kr_state_changes (KrState *st, const char *prefix, guint64 after, guint timeout_ms,
+                  GCancellable *cancel, KrReply reply, gpointer data)
+{
+  start (st, "GET", kr_wire_follow_path (prefix, after, 0), NULL, 0, KR_NORMAL, timeout_ms, cancel,
+         reply, data);
+}
+
 void
 kr_state_commit (KrState *st, KrTxn *txn, KrTurn turn, guint timeout_ms, GCancellable *cancel,
                  KrReply reply, gpointer data)
--- a/src/state.h
+++ b/src/state.h
@@ -12,6 +12,9 @@
 /* status 429: refused by our own limit or the service's, not executed; 0: unknown outcome. */
 void kr_state_get (KrState *self, const char *key, KrTurn turn, guint timeout_ms,
                    GCancellable *cancel, KrReply reply, gpointer data);
+/* All changes below a prefix after a revision, as they are when the request is carried out. */
+void kr_state_changes (KrState *self, const char *prefix, guint64 after, guint timeout_ms,
+                       GCancellable *cancel, KrReply reply, gpointer data);
 /* Takes over `txn`. */
 void kr_state_commit (KrState *self, KrTxn *txn, KrTurn turn, guint timeout_ms,
                       GCancellable *cancel, KrReply reply, gpointer data);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1795,6 +1795,16 @@
   submit (id, team, "normal", tasks, cpus, run_s, 600, placing);
 }
 
+void
+sim_poll_at (const char *id, guint node)
+{
+  User *u = g_hash_table_lookup (S.jobs, id);
+  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
+  g_autofree char *path = g_strdup_printf ("/api/jobs/%s", id);
+  u->asked_at = S.now;
+  call_new ("user", "GET", address, path, NULL, 5, abort_answered, u);
+}
+
 void
 sim_mistaken (const char *id, gboolean on)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -77,6 +77,7 @@
 /* Its tasks fail on every machine. */
 void sim_mistaken (const char *id, gboolean on);
 void sim_abort_at (const char *id, guint node); /* the first time through that node */
+void sim_poll_at (const char *id, guint node);  /* a further time, through that node */
 /* What its user was told last: "", pending, running, done, cancelled. */
 const char *sim_told (const char *id);
 gboolean sim_all_over (void);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -569,6 +569,95 @@
   sim_stop ();
 }
 
+/* A crowd asks about many jobs all the time, so that each poll is answered from the shared view,
+ * while jobs come, end and are cancelled and nodes and the state service have troubles: no user
+ * hears an older answer than before. */
+static void
+crowd (void)
+{
+  SimOptions o = usual;
+  o.vary = 0.8;
+  begin (&o);
+  guint requests = 0, asked = 0;
+  for (guint i = 0; i < 90; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0005%02u", i);
+    g_autofree char *team = g_strdup_printf ("team%u", i % 3);
+    sim_submit (id, team, "normal", 1 + i % 3, 1, 8, 600);
+    sim_run (0.3);
+  }
+  sim_state_slow (0.2); /* polls overlap */
+  for (guint i = 0; i < 3000; i++) {
+    g_autofree char *path = g_strdup_printf ("/api/jobs/wk-0005%02u", (i * 37) % 90);
+    if (i == 200)
+      requests = sim_state_requests ();
+    sim_ask (i % 3, "GET", path, NULL);
+    if (i % 4 == 3)
+      sim_run (0.03);
+    if (i == 600)
+      asked = sim_state_requests () - requests;
+    if (i % 100 == 50) {
+      g_autofree char *id = g_strdup_printf ("wk-0005%02u", 20 + i / 100);
+      sim_abort (id);
+    }
+    if (i == 1000)
+      crash (1, 0.3);
+    if (i == 1300)
+      sim_late_writes (0.3);
+    if (i == 1600) {
+      sim_state_outage (TRUE);
+      sim_run (8);
+      sim_state_outage (FALSE);
+    }
+    if (i == 2000)
+      crash (0, 8);
+    if (i == 2400)
+      sim_state_refuse (2, TRUE);
+    if (i == 2700)
+      sim_state_refuse (2, FALSE);
+  }
+  sim_late_writes (0);
+  sim_state_slow (0);
+  g_assert_cmpuint (sim_answered (200), >, 1500);
+  g_test_message ("%u requests", asked);
+  g_assert_cmpuint (asked, <, 280); /* of 400 polls and all else; 320 and more without sharing */
+  finish (300);
+}
+
+/* A request that polls share was carried out, its answer is on its way, and through another node a
+ * user is told that the job is cancelled. Asking then, the user must not get the answer from
+ * before. */
+static void
+crowd_after_news (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 4, 1, 500, 900);
+  sim_run (30);
+  for (guint k = 0; k < 2; k++) { /* the first time the view is read, the second its changes */
+    for (guint i = 0; i < 12; i++) {
+      g_autofree char *path = g_strdup_printf ("/api/jobs/wk-%u", 700000 + i);
+      sim_ask (1, "GET", path, NULL);
+      if (k && i == 8)
+        sim_cut ("state", "n1", SIM_HOLD);
+    }
+    sim_run (k ? 0.15 : 1);
+  }
+  sim_abort_at ("wk-000001", 2);
+  sim_run (0.1);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  sim_poll_at ("wk-000001", 1);
+  sim_run (0.1);
+  sim_cut ("state", "n1", SIM_OPEN);
+  sim_run (3);
+  finish (30);
+}
+
+static void
+test_crowd (void)
+{
+  crowd_after_news ();
+  with_seeds (crowd);
+}
+
 /* A job fails wherever it runs until its user cancels it, from the first machine on, while another
  * machine is faulty. The job is held back, other work goes on, only the faulty machine goes. */
 static void
@@ -706,6 +795,7 @@
   g_test_add_func ("/meetings/wakes-up", test_wakes_up);
   g_test_add_func ("/meetings/shared-polls", test_shared_polls);
   g_test_add_func ("/meetings/poll-storm", test_poll_storm);
+  g_test_add_func ("/meetings/crowd", test_crowd);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
   g_test_add_func ("/meetings/everything", test_everything);
   return g_test_run ();
