--- a/src/constants.h
+++ b/src/constants.h
@@ -159,6 +159,7 @@
 #define KR_BACKOFF_MAX_MS 60000 /* ms; longest pause of a refused pool */
 #define KR_REOPEN_MS 5000       /* ms; least pause of a refused pool once a machine has gone */
 #define KR_IDLE_RETURN_S 5.0    /* s a machine is idle and unneeded before it is returned */
-#define KR_BOOT_FACTOR 6.0      /* times ReadyS before a starting machine is given up */
+#define KR_BOOT_LATE 2.0        /* times ReadyS, of usually 0.6 to 1.5, before others are rented */
+#define KR_BOOT_FACTOR 4.0      /* times ReadyS before a starting machine is given up */
 #define KR_BOOT_MIN_S 60.0      /* s; at least this, whatever ReadyS is */
 #define KR_NEEDS_STALE_S 60.0   /* s a silent part's last needs are still used: peers may be cut */
--- a/src/rent.c
+++ b/src/rent.c
@@ -573,6 +573,14 @@
   GPtrArray *supplies;
 } Collect;
 
+/* Guards against machines that come up late or never: what they were rented for is rented
+ * elsewhere. One that comes up after all is used, or goes back as not needed. */
+static gboolean
+overdue (const KrListedMachine *m, const KrType *t)
+{
+  return t && m->state == KR_MACHINE_STARTING && m->held_s > t->boot_s * KR_BOOT_LATE;
+}
+
 static void
 collect_member (const char *id, const KrMember *member, gpointer data)
 {
@@ -590,7 +598,8 @@
   s->rest_s = json_number_value (json_object_get (b, "Rest"));
   s->to = b ? (gint) json_integer_value (json_object_get (b, "To")) : -1;
   s->up = !b || json_is_true (json_object_get (b, "Up"));
-  s->going = json_is_true (json_object_get (b, "Going")) || (m && m->state == KR_MACHINE_FAILED);
+  s->going = json_is_true (json_object_get (b, "Going")) ||
+             (m && (m->state == KR_MACHINE_FAILED || (!s->up && overdue (m, s->type))));
   g_ptr_array_add (c->supplies, s);
 }
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -65,6 +65,7 @@
   guint alive;          /* machines */
   GHashTable *charters;
   guint next_machine;
+  gboolean boots_fail;
   /* users */
   GHashTable *jobs; /* id -> User */
   GString *broken;
@@ -1299,6 +1300,8 @@
   m->address = g_strdup_printf ("10.1.0.%u:9000", S.next_machine++);
   m->rented = S.now;
   m->up_at = S.now + g_rand_int_range (S.rng, 6000000, 15000000);
+  if (S.boots_fail)
+    m->up_at = G_MAXINT64;
   m->tasks = g_ptr_array_new_with_free_func (task_free);
   m->node = (guint) g_rand_int_range (S.rng, 0, (gint32) S.o.nodes);
   g_hash_table_insert (S.machines, m->id, m);
@@ -1339,6 +1342,27 @@
   ((Machine *) g_hash_table_lookup (S.machines, id))->mute = on;
 }
 
+void
+sim_boots_fail (gboolean on)
+{
+  S.boots_fail = on;
+}
+
+double
+sim_longest_boot (void)
+{
+  GHashTableIter it;
+  gpointer value;
+  gint64 most = 0;
+  g_hash_table_iter_init (&it, S.machines);
+  while (g_hash_table_iter_next (&it, NULL, &value)) {
+    const Machine *m = value;
+    if (!m->up && !m->dead)
+      most = MAX (most, S.now - m->rented);
+  }
+  return most / 1e6;
+}
+
 char **
 sim_machine_names (const char *zone)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -60,6 +60,10 @@
 /* Runs sent to a machine (NULL: to all) in answers that a cut dropped. */
 guint sim_unheard (const char *id);
 guint sim_machines (void);
+/* Machines rented from now on never come up. */
+void sim_boots_fail (gboolean on);
+/* The longest that one which is not up has been paid for, in seconds. */
+double sim_longest_boot (void);
 /* Names of those that are up, or of one zone (free with g_strfreev). */
 char **sim_machine_names (const char *zone);
 gboolean sim_machine_lives (const char *id);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -658,6 +658,62 @@
   with_seeds (crowd);
 }
 
+/* The first machines never come up. Soon after the usual time others are rented in their place, and
+ * they go back. */
+static void
+never_up (void)
+{
+  SimOptions o = usual;
+  o.machines = 40;
+  begin (&o);
+  sim_boots_fail (TRUE);
+  sim_submit ("wk-000001", "team0", "normal", 80, 1, 200, 400);
+  sim_run (12);
+  g_assert_cmpuint (sim_machines (), >=, 10);
+  sim_boots_fail (FALSE);
+  sim_run (38);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 80);
+  sim_run (30);
+  g_assert_cmpfloat (sim_longest_boot (), <, 20);
+  g_assert_cmpuint (sim_machines (), <, 20);
+  finish (600);
+}
+
+static void
+test_never_up (void)
+{
+  with_seeds (never_up);
+}
+
+/* A guest's array of more tasks than one value's done set holds, beside an urgent job: within the
+ * limits of values and transactions, across a crash, and gone at once when it is cancelled. */
+static void
+test_huge_array (void)
+{
+  SimOptions o = usual;
+  o.machines = 60;
+  o.value_kb = 8;
+  o.write_rps = 15;
+  o.step_s = 0.25;
+  begin (&o);
+  sim_submit ("wk-000001", "team0", "idle", 26000, 1, 1, 2000);
+  sim_submit ("wk-000002", "team0", "idle", 100000, 1, 1, 2000);
+  sim_run (40);
+  sim_submit ("wk-000003", "team0", "urgent", 40, 1, 10, 60);
+  sim_run (25);
+  g_assert_cmpfloat (sim_began ("wk-000003"), <, 8);
+  g_assert_cmpuint (sim_started (), >, 3000);
+  crash (0, 8);
+  sim_run (30);
+  g_assert_cmpstr (sim_told ("wk-000003"), ==, "done");
+  sim_abort ("wk-000002");
+  sim_run (10);
+  g_assert_cmpstr (sim_told ("wk-000002"), ==, "cancelled");
+  g_assert_cmpuint (sim_tasks_running ("wk-000002"), ==, 0);
+  sim_abort ("wk-000001");
+  finish (60);
+}
+
 /* A job fails wherever it runs until its user cancels it, from the first machine on, while another
  * machine is faulty. The job is held back, other work goes on, only the faulty machine goes. */
 static void
@@ -796,6 +852,8 @@
   g_test_add_func ("/meetings/shared-polls", test_shared_polls);
   g_test_add_func ("/meetings/poll-storm", test_poll_storm);
   g_test_add_func ("/meetings/crowd", test_crowd);
+  g_test_add_func ("/meetings/never-up", test_never_up);
+  g_test_add_func ("/meetings/huge-array", test_huge_array);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
   g_test_add_func ("/meetings/everything", test_everything);
   return g_test_run ();
