--- a/src/constants.h
+++ b/src/constants.h
@@ -101,8 +101,10 @@
 #define KR_DEFAULT_GOAL_S 600.0   /* s; goal of a job with neither deadline nor objective */
 #define KR_JOB_HOLD_S 5.0         /* s; first pause of a job that fails on several machines */
 #define KR_JOB_HOLD_MAX_S                                                                          \
-  60.0                        /* s; longest such pause: machines that failed it may be well again */
-#define KR_FAILED_HERE_S 30.0 /* s that a job keeps off the only machine on which it failed */
+  60.0                    /* s; longest such pause: machines that failed it may be well again */
+#define KR_OUTLIVED 1.5   /* times the longest run that failed: a try that gets so far does well, */
+#define KR_OUTLIVED_S 2.0 /* and at least that many seconds more */
+#define KR_FAILED_HERE_S 30.0  /* s that a job keeps off the only machine on which it failed */
 #define KR_JOB_FAIL_MACHINES 2 /* machines on which a job must fail to be held back */
 #define KR_SICK_JOBS 2         /* jobs failing only there: the machine is sick */
 #define KR_HELD_MS 1500        /* ms that a first report waits for the record; workers wait 4 s */
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -230,6 +230,15 @@
   return g_hash_table_size (j->failed_on) >= KR_JOB_FAIL_MACHINES;
 }
 
+void
+kr_job_clear_failures (KrJob *j)
+{
+  g_hash_table_remove_all (j->failed_on);
+  j->hold_until = 0;
+  j->hold_s = KR_JOB_HOLD_S;
+  j->probing = FALSE;
+}
+
 gboolean
 kr_job_complete (const KrJob *j)
 {
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -26,6 +26,7 @@
   gint64 failed_at;      /* monotonic us of the newest failure */
   double hold_s;         /* pause after the next failure */
   gint64 hold_until;     /* monotonic us */
+  double failed_ran;     /* s that the longest failure of all had run */
   gboolean probing;      /* one task is being tried after a pause */
 } KrJob;
 
@@ -66,4 +67,6 @@
 gboolean kr_job_complete (const KrJob *self);
 /* It has failed on several machines since its last success: it is at fault itself, or they are. */
 gboolean kr_job_suspect (const KrJob *self);
+/* A task of it did well: it seems not at fault. */
+void kr_job_clear_failures (KrJob *self);
 gsize kr_job_bytes (const KrJob *self); /* of a done set */
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -26,6 +26,17 @@
   return rate > 0 ? j->spec->image_gb / rate : 0;
 }
 
+/* Guards against a sound job held back for two faulty machines: its next try would have to end,
+ * maybe minutes later. One that outlives the failures tells sooner. */
+static void
+judge_try (KrLive *c, gint64 now)
+{
+  KrJob *j = c->job;
+  for (guint i = 0; kr_job_suspect (j) && i < c->launches->len; i++)
+    if (kr_launch_ran_s (c->launches->pdata[i], now) > KR_OUTLIVED * j->failed_ran + KR_OUTLIVED_S)
+      kr_job_clear_failures (j);
+}
+
 /* Whether a job has waited long enough to stop others' tasks: at once where its class's wait
  * objective leaves no time. */
 static void
@@ -150,8 +161,10 @@
     lowest = MIN (lowest, c->job->spec->rank);
     c->skip = FALSE;
   }
-  for (guint i = 0; all && i < p->lives->len; i++)
+  for (guint i = 0; all && i < p->lives->len; i++) {
+    judge_try (p->lives->pdata[i], now);
     judge_waiting (p, p->lives->pdata[i], lowest, now);
+  }
   if (all)
     p->ranked_at = now;
 }
--- a/src/part.c
+++ b/src/part.c
@@ -78,7 +78,7 @@
 }
 
 static void
-task_failed (KrPart *p, KrMachine *b, KrJob *j, gint64 now)
+task_failed (KrPart *p, KrMachine *b, KrJob *j, double ran_s, gint64 now)
 {
   guint only_here = 0;
   GHashTableIter it;
@@ -87,6 +87,7 @@
   b->pause_until = now + kr_seconds (KR_JOB_HOLD_S / 2);
   g_hash_table_add (j->failed_on, g_strdup (b->id));
   j->failed_at = now;
+  j->failed_ran = MAX (j->failed_ran, ran_s);
   g_hash_table_add (b->bad_jobs, g_strdup (j->spec->id));
   /* A job that fails on several machines is at fault itself: growing pauses keep it from taking
    * every free slot for ever once it is past its goal. */
@@ -174,16 +175,13 @@
           j->count++;
         }
       }
-      g_hash_table_remove_all (j->failed_on);
+      kr_job_clear_failures (j);
       g_hash_table_remove (b->bad_jobs, j->spec->id);
-      j->hold_until = 0;
-      j->probing = FALSE;
-      j->hold_s = KR_JOB_HOLD_S;
       if (kr_job_complete (j))
         kr_part_flush (p);
     } else if (l->why == KR_WHY_ERROR) {
       kr_info ("task %s/%u: error on %s", l->job, l->index, b->id);
-      task_failed (p, b, j, now);
+      task_failed (p, b, j, kr_launch_ran_s (l, now), now);
     } else if (l->why == KR_WHY_REFUSED || l->why == KR_WHY_UNKNOWN)
       kr_info ("task %s/%u: start refused by %s", l->job, l->index, b->id);
     if (j->cancelled)
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -423,6 +423,32 @@
   with_seeds (node_hangs);
 }
 
+/* Two machines of eight fail what they start. The job on them is sound: it must not wait for its
+ * first try to end, minutes later, while the others have room. */
+static void
+sound_job (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000002", "team0", "normal", 8, 8, 25, 600); /* brings the machines up */
+  sim_run (30);
+  g_auto (GStrv) all = sim_machine_names (NULL);
+  g_assert_cmpuint (g_strv_length (all), ==, 8);
+  sim_machine_sick (all[0], TRUE);
+  sim_machine_sick (all[1], TRUE);
+  sim_submit ("wk-000001", "team0", "normal", 120, 1, 200, 300);
+  sim_run (35);
+  g_assert_cmpuint (sim_tasks_running ("wk-000001"), >=, 40);
+  sim_machine_sick (all[0], FALSE);
+  sim_machine_sick (all[1], FALSE);
+  finish (1200);
+}
+
+static void
+test_sound_job (void)
+{
+  with_seeds (sound_job);
+}
+
 /* One machine is full for long. On the other all that starts fails, or it hears nothing, for
  * minutes; right after a further try that is over. What waits begins within 90 s, whatever pauses
  * the failures had earned. */
@@ -847,6 +873,7 @@
   g_test_add_func ("/meetings/cancel-at-end", test_cancel_at_end);
   g_test_add_func ("/meetings/mute-machines", test_mute_machines);
   g_test_add_func ("/meetings/node-hangs", test_node_hangs);
+  g_test_add_func ("/meetings/sound-job", test_sound_job);
   g_test_add_func ("/meetings/well-again", test_well_again);
   g_test_add_func ("/meetings/wakes-up", test_wakes_up);
   g_test_add_func ("/meetings/shared-polls", test_shared_polls);
