--- a/src/api.c
+++ b/src/api.c
@@ -167,9 +167,9 @@
     cannot_know (v);
   else if (status == 200 && kr_wire_item_parse (body, &item))
     v->found (v, TRUE, &item);
-  else if (status == 404 && !v->ended_key) {
+  else if (status == 404 && !v->ended_key)
     look_at_end (v);
-  } else if (status == 404)
+  else if (status == 404)
     v->found (v, TRUE, NULL);
   else
     v->found (v, FALSE, NULL);
