--- a/tests/scenes.c
+++ b/tests/scenes.c
@@ -77,6 +77,15 @@
   }
 }
 
+void
+deafen (const char *machine, SimCut how)
+{
+  for (guint i = 0; i < usual.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    sim_cut (node, machine, how);
+  }
+}
+
 /* Between all nodes. */
 void
 cut_peers (SimCut how)
@@ -120,6 +129,23 @@
     sim_node_start (i);
 }
 
+char *
+job_with (const char *field, const char *value)
+{
+  json_t *job = json_pack ("{ss ss ss ss ss si sf sf sf ss sf sn sn sb sb sb sf sf sf sn}", "Id",
+                           "wk-7", "Lane", "l", "Crew", "team0", "Form", "array", "Rank", "normal",
+                           "Shifts", 1, "Cores", 1.0, "Accelerators", 0.0, "MemGb", 1.0, "Cargo",
+                           "img", "PullGb", 0.5, "Hulls", "Harbor", "OneZone", 0, "Apart", 0,
+                           "Driftwood", 1, "SailS", 1.0, "MooringS", 0.0, "StowS", 0.0, "TideS");
+  if (field && value)
+    json_object_set_new (job, field, json_loads (value, JSON_DECODE_ANY, NULL));
+  else if (field)
+    json_object_del (job, field);
+  char *text = json_dumps (job, JSON_COMPACT);
+  json_decref (job);
+  return text;
+}
+
 void
 scenes_init (int *argc, char ***argv)
 {
--- a/tests/scenes.h
+++ b/tests/scenes.h
@@ -17,6 +17,8 @@
 void with_seeds (void (*test) (void));
 /* Between a machine and every node. */
 void cut_off (const char *machine, SimCut how);
+/* A machine's reports arrive, nothing reaches it. */
+void deafen (const char *machine, SimCut how);
 /* Between all nodes. */
 void cut_peers (SimCut how);
 /* Between a node and all machines that there may be. */
@@ -24,3 +26,5 @@
 /* Between those who may take over from n0 and n0, a machine, and the cloud. */
 void cut_successors (const char *machine, SimCut how);
 void crash_all (guint nodes, double away_s);
+/* A valid submission with one field set to a JSON value, or (NULL) left out. */
+char *job_with (const char *field, const char *value);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -27,14 +27,6 @@
   }
 }
 
-/* Its reports arrive, nothing reaches it. */
-static void
-deafen (const char *machine, SimCut how)
-{
-  for (guint i = 0; i < usual.nodes; i++)
-    sim_cut (node_name (i), machine, how);
-}
-
 static void
 hang (char **machines, guint most, gboolean on)
 {
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -301,13 +301,19 @@
 
 /* Three jobs of team0 with tasks that run for long, on machines of part 0, whose owner is n0. */
 static void
-begin_cancel (const SimOptions *o)
+submit_long (void)
 {
-  begin (o);
   for (guint i = 1; i <= 3; i++) {
     g_autofree char *id = g_strdup_printf ("wk-00000%u", i);
     sim_submit (id, "team0", "normal", 16, 1, 500, 2000);
   }
+}
+
+static void
+begin_cancel (void)
+{
+  begin (&usual);
+  submit_long ();
   sim_run (40);
   g_assert_cmpuint (sim_tasks_running (NULL), ==, 48);
 }
@@ -344,7 +350,7 @@
 static void
 cancel_gap (double cancel_at, double outage_at, guint node)
 {
-  begin_cancel (&usual);
+  begin_cancel ();
   sim_state_refuse (node, TRUE);
   sim_run (MIN (cancel_at, outage_at));
   if (cancel_at < outage_at) {
@@ -382,7 +388,7 @@
 static void
 test_cancel_prompt (void)
 {
-  begin_cancel (&usual);
+  begin_cancel ();
   sim_state_refuse (0, TRUE);
   sim_run (0.5);
   sim_abort_at ("wk-000001", 1);
@@ -402,7 +408,7 @@
 static void
 owner_ends_after_word (const char *key, double outage_after_s)
 {
-  begin_cancel (&usual);
+  begin_cancel ();
   sim_state_slow (0.3);
   for (guint i = 0; i < 12; i++) {
     g_autofree char *m = g_strdup_printf ("host-%06u", i);
@@ -446,7 +452,7 @@
 static void
 cancel_stale_view (void)
 {
-  begin_cancel (&usual);
+  begin_cancel ();
   sim_cut_both ("n0", "state", SIM_DROP);
   sim_state_refuse (2, TRUE);
   sim_run (20); /* n1 has taken the part over */
@@ -476,7 +482,7 @@
 static void
 test_cancel_owner_alone (void)
 {
-  begin_cancel (&usual);
+  begin_cancel ();
   g_autofree char *kept = g_strdup (sim_machine_of ("wk-000001"));
   sim_cut_both ("n0", "state", SIM_DROP);
   cut_successors (kept, SIM_DROP);
@@ -500,10 +506,7 @@
   SimOptions o = usual;
   o.fetch_s = 4;
   begin (&o);
-  for (guint i = 1; i <= 3; i++) {
-    g_autofree char *id = g_strdup_printf ("wk-00000%u", i);
-    sim_submit (id, "team0", "normal", 16, 1, 500, 2000);
-  }
+  submit_long ();
   sim_submit ("wk-000009", "team1", "normal", 2, 1, 5, 600);
   for (guint i = 0; i < 800 && !sim_machine_of ("wk-000001"); i++)
     sim_run (0.05);
@@ -515,10 +518,7 @@
   else if (trouble == 1)
     sim_machine_mute (m, TRUE);
   else
-    for (guint i = 0; i < usual.nodes; i++) {
-      char node[] = { 'n', (char) ('0' + i), 0 };
-      sim_cut (node, m, SIM_DROP);
-    }
+    deafen (m, SIM_DROP);
   abort_all ();
   sim_run (for_s);
   sim_machine_hang (m, FALSE);
@@ -541,7 +541,7 @@
 static void
 test_cancel_word (void)
 {
-  begin_cancel (&usual);
+  begin_cancel ();
   const char *question = "{\"Part\":%d,\"Job\":\"%s\",\"Owner\":%u,\"Revision\":1}";
   guint token = (guint) sim_state_mark ("c/owner/0");
   g_autofree char *good = g_strdup_printf (question, 0, "wk-000001", token);
@@ -655,24 +655,6 @@
   finish (600);
 }
 
-/* A valid submission with one field set to a JSON value, or (NULL) left out. */
-static char *
-job_with (const char *field, const char *value)
-{
-  json_t *job = json_pack ("{ss ss ss ss ss si sf sf sf ss sf sn sn sb sb sb sf sf sf sn}", "Id",
-                           "wk-7", "Lane", "l", "Crew", "team0", "Form", "array", "Rank", "normal",
-                           "Shifts", 1, "Cores", 1.0, "Accelerators", 0.0, "MemGb", 1.0, "Cargo",
-                           "img", "PullGb", 0.5, "Hulls", "Harbor", "OneZone", 0, "Apart", 0,
-                           "Driftwood", 1, "SailS", 1.0, "MooringS", 0.0, "StowS", 0.0, "TideS");
-  if (field && value)
-    json_object_set_new (job, field, json_loads (value, JSON_DECODE_ANY, NULL));
-  else if (field)
-    json_object_del (job, field);
-  char *text = json_dumps (job, JSON_COMPACT);
-  json_decref (job);
-  return text;
-}
-
 static guint
 submit_with (guint node, const char *field, const char *value)
 {
@@ -744,10 +726,7 @@
   sim_run (35);
   g_autofree char *m = g_strdup (sim_busiest_machine ());
   g_assert_nonnull (m);
-  for (guint i = 0; i < usual.nodes; i++) {
-    g_autofree char *node = g_strdup_printf ("n%u", i);
-    sim_cut (node, m, SIM_DROP);
-  }
+  deafen (m, SIM_DROP);
   /* Late, so that every machine is wanted: what is not goes back before it hears nothing. */
   sim_submit ("wk-000002", "team0", "normal", 900, 1, 10, 30);
   sim_run (120);
