--- a/src/rent.c
+++ b/src/rent.c
@@ -4,7 +4,7 @@
 #include "http.h"
 #include "log.h"
 #include "part.h"
-#include "shares.h"
+#include "rebalance.h"
 #include <math.h>
 #include <string.h>
 
@@ -629,81 +629,26 @@
   return json_is_true (json_object_get (r->summaries[part].value, "Waiting"));
 }
 
-/* CPUs that each part has or is getting; `up`: of machines that are up only. */
 static void
-count_cpus (const GPtrArray *supplies, gboolean up, guint size, double *have)
+moved (const KrSupply *machine, guint to, gpointer data)
 {
-  memset (have, 0, size * sizeof *have);
-  for (guint i = 0; i < supplies->len; i++) {
-    const KrSupply *s = supplies->pdata[i];
-    if (s->part >= 0 && !s->going && s->type && (s->up || !up))
-      have[s->to >= 0 ? s->to : s->part] += s->type->cpus;
-  }
+  wish (data, (guint) machine->part, machine->id, (gint) to);
 }
 
-/* Toward each part's share: free machines first (not yet up, or idle), then of the busy ones those
- * that are empty soonest, a few at a time, since a machine that empties itself stands partly idle.
- * Those that are up are shared for themselves: a part whose machines are all still to come would
- * otherwise wait beside idle ones. */
+/* Toward each part's share; busy machines once a period. */
 static void
 move (KrRent *r, GPtrArray *supplies, const double *targets, gint64 now)
 {
   guint size = r->node->settings->size;
-  g_autofree guint *leaving = g_new0 (guint, size), *count = g_new0 (guint, size);
-  g_autofree double *have = g_new0 (double, size);
-  gboolean busy_too = now >= r->next_move;
-
-  for (guint i = 0; i < supplies->len; i++) {
-    KrSupply *s = supplies->pdata[i];
-    if (s->part >= 0) {
-      count[s->part]++;
-      leaving[s->part] += s->to >= 0;
-    }
-  }
-  gboolean up = TRUE;
-  count_cpus (supplies, up, size, have);
-  for (guint n = 0; n < MAX (KR_MOVES_MIN, supplies->len / KR_MOVES_SHARE); n++) {
-    guint most = 0;
-    KrSupply *best = NULL;
-    for (guint p = 1; p < size; p++)
-      if (targets[p] - have[p] > targets[most] - have[most])
-        most = p;
-    const char *zone = owner_zone (r, most);
-    gboolean best_near = FALSE;
-    for (guint i = 0; i < supplies->len; i++) {
-      KrSupply *s = supplies->pdata[i];
-      gboolean free = !s->up || s->idle_s >= 0;
-      if (s->part < 0 || s->part == (gint) most || s->going || s->to >= 0 || !s->type ||
-          s->up != up ||
-          (targets[most] - have[most] < s->type->cpus / 2 &&
-           !(have[most] <= 0 && targets[most] > 0)) || /* never none where something is wanted */
-          have[s->part] - targets[s->part] < s->type->cpus / 2)
-        continue;
-      /* A part where nothing waits loses nothing by emptying its machines. */
-      if (!free && waiting (r, (guint) s->part) &&
-          (!busy_too || leaving[s->part] >= 1 + count[s->part] / KR_LEAVING_PART))
-        continue;
-      /* Those near the new owner first. */
-      gboolean near = g_strcmp0 (s->zone, zone) == 0;
-      if (!best || near > best_near || (near == best_near && s->rest_s < best->rest_s)) {
-        best = s;
-        best_near = near;
-      }
-    }
-    if (!best && !up)
-      break;
-    if (!best) {
-      up = FALSE;
-      count_cpus (supplies, up, size, have);
-      continue;
-    }
-    wish (r, (guint) best->part, best->id, (gint) most);
-    leaving[best->part]++;
-    have[best->part] -= best->type->cpus;
-    have[most] += best->type->cpus;
-    best->to = (gint) most;
-  }
-  if (busy_too)
+  g_autofree const char **zones = g_new0 (const char *, size);
+  g_autofree gboolean *waits = g_new0 (gboolean, size);
+  for (guint p = 0; p < size; p++) {
+    zones[p] = owner_zone (r, p);
+    waits[p] = waiting (r, p);
+  }
+  const KrRebalance in = { size, targets, zones, waits, now >= r->next_move };
+  kr_rebalance (&in, supplies, moved, r);
+  if (in.busy_too)
     r->next_move = now + KR_MOVE_MS * 1000;
 }
 
@@ -750,7 +695,7 @@
     const KrSupply *s = supplies->pdata[i];
     all += s->going || !s->type ? 0 : s->type->cpus;
   }
-  count_cpus (supplies, FALSE, size, have);
+  kr_rebalance_count (supplies, FALSE, size, have);
   /* Urgent work's needs come first: it may stop other work in its part, but not in another. */
   for (guint urgent = 2; urgent-- > 0;) {
     g_autofree double *demand = g_new0 (double, size), *share = g_new0 (double, size);
