--- a/src/rebalance.c
+++ b/src/rebalance.c
@@ -2,6 +2,8 @@
 #include "constants.h"
 #include <string.h>
 
+#define CPU_EPSILON 1e-6 /* CPUs; targets are sums of decimal numbers */
+
 typedef struct {
   const KrRebalance *in;
   GPtrArray *supplies;
@@ -38,13 +40,19 @@
   return most;
 }
 
+/* Half a machine is lacking and half a machine is over, and more than that together: with exactly
+ * half on both sides it would be moved back in the next round, and so for ever. */
 static gboolean
 brings_closer (const Round *round, const KrSupply *machine, guint to)
 {
-  double half = machine->type->cpus / 2;
-  /* Never none where something is wanted. */
-  gboolean has_none = round->have[to] <= 0 && round->in->targets[to] > 0;
-  return (lack (round, to) >= half || has_none) && -lack (round, (guint) machine->part) >= half;
+  double cpus = machine->type->cpus, lacking = lack (round, to),
+         over = -lack (round, (guint) machine->part);
+  /* Never none where something is wanted: two parts may have to take turns with a machine, but not
+   * before it is up. */
+  gboolean has_none = round->have[to] <= 0 && round->in->targets[to] > 0 &&
+                      (round->up || round->have[machine->part] > cpus);
+  return over >= cpus / 2 &&
+         (has_none || (lacking >= cpus / 2 && lacking + over > cpus + CPU_EPSILON));
 }
 
 static gboolean
--- /dev/null
+++ b/tests/test_rebalance.c
@@ -0,0 +1,89 @@
+/* Moves of machines between parts, on random inputs; GTest prints the seed. */
+#include "rebalance.h"
+
+#define PARTS 3
+
+static const KrType eight = { .name = (char *) "t", .cpus = 8, .mem_gb = 64 };
+
+typedef struct {
+  GPtrArray *supplies;
+  guint moves;
+} Fleet;
+
+static void
+add_machine (Fleet *fleet, gint part, gboolean up, double idle_s)
+{
+  KrSupply *machine = g_new0 (KrSupply, 1);
+  machine->id = g_strdup_printf ("m%u", fleet->supplies->len);
+  machine->type = &eight;
+  machine->part = part;
+  machine->up = up;
+  machine->idle_s = idle_s;
+  machine->rest_s = g_test_rand_double_range (0, 30);
+  machine->to = -1;
+  g_ptr_array_add (fleet->supplies, machine);
+}
+
+static void
+count_move (const KrSupply *machine, guint to, gpointer data)
+{
+  Fleet *fleet = data;
+  g_assert_cmpint (machine->part, !=, (gint) to);
+  fleet->moves++;
+}
+
+/* One round, carried out at once. */
+static guint
+play_round (Fleet *fleet, const double *targets)
+{
+  const char *const zones[PARTS] = { "z", "z", "z" };
+  const gboolean waiting[PARTS] = { TRUE, TRUE, TRUE };
+  const KrRebalance in = { PARTS, targets, zones, waiting, TRUE };
+  fleet->moves = 0;
+  kr_rebalance (&in, fleet->supplies, count_move, fleet);
+  for (guint i = 0; i < fleet->supplies->len; i++) {
+    KrSupply *machine = fleet->supplies->pdata[i];
+    if (machine->to >= 0)
+      machine->part = machine->to;
+    machine->to = -1;
+  }
+  return fleet->moves;
+}
+
+/* What is shared in whole machines settles: guards against machines that pass to and fro between
+ * two parts that both lack, and both have over, half a machine. */
+static void
+test_settles (void)
+{
+  for (guint round = 0; round < 400; round++) {
+    Fleet fleet = { g_ptr_array_new_with_free_func (kr_supply_free), 0 };
+    guint machines = (guint) g_test_rand_int_range (2, 40);
+    double targets[PARTS] = { 0 }, left = machines * eight.cpus;
+    for (guint i = 0; i < machines; i++)
+      add_machine (&fleet, g_test_rand_int_range (0, PARTS), FALSE, -1);
+    for (guint part = 0; part + 1 < PARTS; part++) {
+      targets[part] = 4 * g_test_rand_int_range (0, (gint) (left / 4) + 1);
+      left -= targets[part];
+    }
+    targets[PARTS - 1] = left;
+    play_round (&fleet, targets);
+    play_round (&fleet, targets);
+    g_assert_cmpuint (play_round (&fleet, targets), ==, 0);
+    /* None is further from its share than a machine. */
+    double have[PARTS];
+    kr_rebalance_count (fleet.supplies, FALSE, PARTS, have);
+    for (guint part = 0; part < PARTS; part++) {
+      g_assert_cmpfloat (have[part], <, targets[part] + eight.cpus);
+      g_assert_cmpfloat (have[part], >, targets[part] - eight.cpus);
+    }
+    g_ptr_array_unref (fleet.supplies);
+  }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/rebalance/settles", test_settles);
+  return g_test_run ();
+}
