--- a/src/node.c
+++ b/src/node.c
@@ -199,8 +199,10 @@
   if (g_str_equal (kr_request_path (request), KR_PEER_SUMMARIES))
     kr_request_reply (request, 200, kr_rent_summaries (n->rent), 0);
   else if (g_str_equal (kr_request_path (request), KR_PEER_WISHES)) {
-    kr_rent_fulfil (n->rent, json_object_get (kr_request_json (request), "Wishes"));
-    kr_request_reply (request, 200, NULL, 0);
+    json_t *body = kr_request_json (request);
+    guint64 leader = (guint64) json_integer_value (json_object_get (body, "Leader"));
+    gboolean done = kr_rent_fulfil (n->rent, json_object_get (body, "Wishes"), leader);
+    kr_request_reply (request, done ? 200 : 409, NULL, 0);
   } else if (g_str_equal (kr_request_path (request), KR_PEER_CANCELLATIONS))
     kr_request_reply (request, kr_cancel_answer (n, kr_request_json (request)), NULL, 0);
   else if (g_str_equal (kr_request_path (request), "/health"))
--- a/src/part.c
+++ b/src/part.c
@@ -551,6 +551,12 @@
     }
     if (!b->used && !late)
       continue;
+    /* Guards against a machine that stays idle with a former owner, which the state service does
+     * not reach: its successor, which does not know that the machine is up, has work for it. */
+    if (!b->used && kr_state_silence (p->node->state) > KR_STATE_SILENCE_S) {
+      let_go (p, b);
+      continue;
+    }
     g_ptr_array_remove_index_fast (p->held, i);
     answer (p, b, g_steal_pointer (&b->held), now);
   }
--- a/src/rent.c
+++ b/src/rent.c
@@ -44,6 +44,7 @@
   guint asking;   /* exchanges of this round without an answer yet */
   gboolean heard; /* since we lead, a round in which all parts were heard, or enough time */
   gint64 asked;   /* monotonic us: when a leader, we or another, last asked for our summaries */
+  guint64 newest_leader; /* the highest token of a leader that we have heard of */
   guint timer;
 };
 
@@ -133,8 +134,10 @@
 }
 
 /* --- the exchange with owners -------------------------------------------------------- */
+/* node: who sent it. Guards against a node that the state service alone does not reach: it goes on
+ * for its former parts, whose machines it sees fall silent one after the other. */
 static void
-take_summary (KrRent *r, json_t *s)
+take_summary (KrRent *r, json_t *s, const char *node)
 {
   json_t *part = json_object_get (s, "Part");
   guint p = (guint) json_integer_value (part);
@@ -143,6 +146,8 @@
     kr_info ("peers: a summary is malformed, refused");
     return;
   }
+  if (g_strcmp0 (kr_membership_holder (r->node->membership, p)->node, node) != 0)
+    return;
   json_decref (r->summaries[p].value);
   r->summaries[p].value = json_incref (s);
   r->summaries[p].at = kr_now ();
@@ -155,7 +160,7 @@
   /* A scan may bring what was told in an earlier cut; and an exchange tells more. */
   if (age < KR_TOLD_S && kr_membership_leads (r->node->membership) &&
       kr_now () - r->summaries[part].at > kr_seconds (KR_UNASKED_S))
-    take_summary (r, summary);
+    take_summary (r, summary, kr_membership_holder (r->node->membership, part)->node);
 }
 
 gint64
@@ -175,12 +180,16 @@
   return json_pack ("{so}", "Parts", parts);
 }
 
-void
-kr_rent_fulfil (KrRent *r, json_t *wishes)
+gboolean
+kr_rent_fulfil (KrRent *r, json_t *wishes, guint64 leader)
 {
   json_t *w, *id;
   size_t i, k;
 
+  r->newest_leader = MAX (r->newest_leader, kr_membership_leader (r->node->membership)->revision);
+  if (leader && leader < r->newest_leader)
+    return FALSE;
+  r->newest_leader = MAX (r->newest_leader, leader);
   json_array_foreach (wishes, i, w)
   {
     guint p = (guint) json_integer_value (json_object_get (w, "Part"));
@@ -198,13 +207,15 @@
     }
     kr_part_moves (part);
   }
+  return TRUE;
 }
 
 static void act (KrRent *r, gboolean whole);
 
 typedef struct {
   KrRent *rent;
-  gint64 round; /* its act_at */
+  const char *node; /* who was asked */
+  gint64 round;     /* its act_at */
 } Asked;
 
 static void
@@ -215,7 +226,7 @@
   json_t *s;
   size_t i;
   if (status == 200)
-    json_array_foreach (json_object_get (body, "Parts"), i, s) take_summary (r, s);
+    json_array_foreach (json_object_get (body, "Parts"), i, s) take_summary (r, s, a->node);
   if (status == 200 && r->act_at == a->round && --r->asking == 0)
     act (r, TRUE); /* all have answered: nothing to wait for */
   g_free (a);
@@ -236,12 +247,12 @@
   for (guint i = 0; i < s->others->len; i++) {
     const KrPeerSettings *o = s->others->pdata[i];
     Asked *a = g_new (Asked, 1);
-    *a = (Asked){ r, r->act_at };
+    *a = (Asked){ r, o->name, r->act_at };
     kr_client_call (r->node->peers, "GET", o->addr, KR_PEER_SUMMARIES, NULL, KR_PEER_TIMEOUT_MS,
                     r->cancel, asked, a);
   }
   Asked *own = g_new (Asked, 1);
-  *own = (Asked){ r, r->act_at };
+  *own = (Asked){ r, s->node_name, r->act_at };
   json_t *mine = kr_rent_summaries (r);
   asked (200, mine, own);
   json_decref (mine);
@@ -278,17 +289,18 @@
 send_wishes (KrRent *r)
 {
   const KrSettings *s = r->node->settings;
+  guint64 token = kr_membership_leader (r->node->membership)->revision;
   for (guint p = 0; p < s->size; p++) {
     json_t *wishes = g_steal_pointer (&r->wishes[p]);
     const KrHolder *h = kr_membership_holder (r->node->membership, p);
     if (wishes && h->node && g_str_equal (h->node, s->node_name))
-      kr_rent_fulfil (r, wishes);
+      kr_rent_fulfil (r, wishes, token);
     for (guint i = 0; wishes && h->node && i < s->others->len; i++) {
       const KrPeerSettings *o = s->others->pdata[i];
       if (g_str_equal (o->name, h->node))
         kr_client_call (r->node->peers, "POST", o->addr, KR_PEER_WISHES,
-                        json_pack ("{sO}", "Wishes", wishes), KR_PEER_TIMEOUT_MS, r->cancel,
-                        fulfilled, r);
+                        json_pack ("{sO sI}", "Wishes", wishes, "Leader", (json_int_t) token),
+                        KR_PEER_TIMEOUT_MS, r->cancel, fulfilled, r);
     }
     json_decref (wishes);
   }
@@ -769,7 +781,9 @@
 {
   KrRent *r = data;
   gint64 now = kr_now ();
-  gboolean leads = kr_membership_leads (r->node->membership), owns = FALSE;
+  /* Not where a peer reaches the state service and we do not: another one leads now or soon, and
+   * both would rent for the same work. */
+  gboolean leads = kr_membership_leads (r->node->membership) && !r->node->state_cut, owns = FALSE;
 
   for (guint p = 0; p < r->node->settings->size; p++)
     owns |= r->node->parts[p] != NULL;
--- a/src/rent.h
+++ b/src/rent.h
@@ -23,4 +23,5 @@
 #define KR_PEER_SUMMARIES "/summaries"
 #define KR_PEER_WISHES "/wishes"
 json_t *kr_rent_summaries (KrRent *self);
-void kr_rent_fulfil (KrRent *self, json_t *wishes);
+/* `leader`: the leader's token; 0: not told. FALSE: a newer leader is known, nothing was done. */
+gboolean kr_rent_fulfil (KrRent *self, json_t *wishes, guint64 leader);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -672,6 +672,28 @@
   with_seeds (crowd);
 }
 
+/* The owner of a part loses the state service alone while machines are coming up: those that report
+ * to it first are not its to use, and must find its successor instead of staying idle with it. */
+static void
+boots_at_former_owner (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 64, 1, 200, 400);
+  sim_run (5);
+  g_assert_cmpuint (sim_machines (), ==, 8);
+  sim_cut_both ("n0", "state", SIM_DROP);
+  sim_run (30);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 64);
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  finish (600);
+}
+
+static void
+test_boots_at_former_owner (void)
+{
+  with_seeds (boots_at_former_owner);
+}
+
 /* The first machines never come up. Soon after the usual time others are rented in their place, and
  * they go back. */
 static void
@@ -867,6 +889,7 @@
   g_test_add_func ("/meetings/shared-polls", test_shared_polls);
   g_test_add_func ("/meetings/poll-storm", test_poll_storm);
   g_test_add_func ("/meetings/crowd", test_crowd);
+  g_test_add_func ("/meetings/boots-at-former-owner", test_boots_at_former_owner);
   g_test_add_func ("/meetings/never-up", test_never_up);
   g_test_add_func ("/meetings/huge-array", test_huge_array);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
