A busy machine's move is taken back once it is not needed

Marked machines now count where they are, and are told to stay when their move is not needed any more.

--- a/src/part.c
+++ b/src/part.c
@@ -456,10 +456,8 @@
 kr_part_give (KrPart *p, const char *id, guint to)
 {
   KrMachine *b = kr_part_machine (p, id);
-  if (b && p->phase == OPEN && !b->drain && b->leaving_to < 0 && to != p->index &&
-      to < p->node->settings->size) {
-    b->leaving_to = (gint) to;
-  }
+  if (b && p->phase == OPEN && !b->drain && !b->moving && to < p->node->settings->size)
+    b->leaving_to = to == p->index ? -1 : (gint) to;
 }
 
 /* Guards against a late copy of a report of a machine that is gone: with no other machine
--- a/src/part.h
+++ b/src/part.h
@@ -47,7 +47,8 @@
 
 /* For the leader: {"Part","Waiting","Needs":[...],"Berths":[...]} */
 json_t *kr_part_summary (KrPart *self);
-/* Marks a machine; kr_part_moves moves what is marked and empty, together. */
+/* Marks a machine, or (`to`: this part) takes the mark away; kr_part_moves moves what is marked and
+ * empty, together. */
 void kr_part_give (KrPart *self, const char *machine, guint to);
 void kr_part_moves (KrPart *self);
 void kr_part_return (KrPart *self, const char *machine);
--- a/src/rebalance.c
+++ b/src/rebalance.c
@@ -7,20 +7,46 @@
 typedef struct {
   const KrRebalance *in;
   GPtrArray *supplies;
+  gint *chosen;   /* part that the machine shall go to; -1: it stays */
   gboolean up;    /* machines that are up are looked at now, else those that are not */
-  double *have;   /* CPUs of each part, what it is getting included */
-  guint *leaving; /* machines of each part that are on their way to another */
+  double *have;   /* CPUs of each part, what it gets included */
+  guint *leaving; /* machines of each part that shall go to another */
   guint *count;   /* machines of each part */
 } Round;
 
+/* It can go at once. */
+static gboolean
+is_free (const KrSupply *machine)
+{
+  return !machine->up || machine->idle_s >= 0;
+}
+
+static gboolean
+counts (const KrSupply *machine)
+{
+  return machine->part >= 0 && !machine->going && machine->type;
+}
+
 void
-kr_rebalance_count (const GPtrArray *supplies, gboolean up, guint parts, double *have)
+kr_rebalance_count (const GPtrArray *supplies, guint parts, double *have)
 {
   memset (have, 0, parts * sizeof *have);
   for (guint i = 0; i < supplies->len; i++) {
-    const KrSupply *s = supplies->pdata[i];
-    if (s->part >= 0 && !s->going && s->type && (s->up || !up))
-      have[s->to >= 0 ? s->to : s->part] += s->type->cpus;
+    const KrSupply *machine = supplies->pdata[i];
+    if (counts (machine))
+      have[machine->to >= 0 && is_free (machine) ? machine->to : machine->part] +=
+          machine->type->cpus;
+  }
+}
+
+static void
+count_chosen (Round *round)
+{
+  memset (round->have, 0, round->in->parts * sizeof *round->have);
+  for (guint i = 0; i < round->supplies->len; i++) {
+    const KrSupply *machine = round->supplies->pdata[i];
+    if (counts (machine) && (machine->up || !round->up))
+      round->have[round->chosen[i] >= 0 ? round->chosen[i] : machine->part] += machine->type->cpus;
   }
 }
 
@@ -56,74 +82,103 @@
 }
 
 static gboolean
-may_leave (const Round *round, const KrSupply *machine)
+may_leave (const Round *round, const KrSupply *machine, guint to)
 {
   guint part = (guint) machine->part;
-  gboolean free = !machine->up || machine->idle_s >= 0;
   /* A part where nothing waits loses nothing by emptying its machines. */
-  if (free || !round->in->waiting[part])
+  if (is_free (machine) || machine->to == (gint) to || !round->in->waiting[part])
     return TRUE;
   return round->in->busy_too && round->leaving[part] < 1 + round->count[part] / KR_LEAVING_PART;
 }
 
-/* Those near the new owner first, then those that are empty soonest. */
-static KrSupply *
+/* Larger goes first: what is on its way there already, what goes nowhere, what goes elsewhere. */
+static int
+preference (const KrSupply *machine, guint to)
+{
+  if (machine->to == (gint) to)
+    return 2;
+  return machine->to < 0 ? 1 : 0;
+}
+
+/* Whether `a` should go to the part rather than `b`: those near the new owner, then those that are
+ * empty soonest. */
+static gboolean
+goes_before (const KrSupply *a, const KrSupply *b, guint to, const char *zone)
+{
+  int preferred = preference (a, to) - preference (b, to);
+  gboolean a_near = g_strcmp0 (a->zone, zone) == 0, b_near = g_strcmp0 (b->zone, zone) == 0;
+  if (preferred != 0)
+    return preferred > 0;
+  return a_near != b_near ? a_near : a->rest_s < b->rest_s;
+}
+
+/* The index of the machine that should go to the part next, or -1. */
+static gint
 best_for (const Round *round, guint to)
 {
   const char *zone = round->in->owner_zones[to];
-  KrSupply *best = NULL;
-  gboolean best_near = FALSE;
+  gint best = -1;
   for (guint i = 0; i < round->supplies->len; i++) {
-    KrSupply *machine = round->supplies->pdata[i];
-    if (machine->part < 0 || machine->part == (gint) to || machine->going || machine->to >= 0 ||
-        !machine->type || machine->up != round->up || !brings_closer (round, machine, to) ||
-        !may_leave (round, machine))
+    const KrSupply *machine = round->supplies->pdata[i];
+    if (!counts (machine) || round->chosen[i] >= 0 || machine->part == (gint) to ||
+        machine->up != round->up || !brings_closer (round, machine, to) ||
+        !may_leave (round, machine, to))
       continue;
-    gboolean near = g_strcmp0 (machine->zone, zone) == 0;
-    if (!best || near > best_near || (near == best_near && machine->rest_s < best->rest_s)) {
-      best = machine;
-      best_near = near;
-    }
+    if (best < 0 || goes_before (machine, round->supplies->pdata[best], to, zone))
+      best = (gint) i;
   }
   return best;
 }
 
 static void
-take_note (Round *round, KrSupply *machine, guint to)
+choose (Round *round, guint index, guint to)
 {
+  const KrSupply *machine = round->supplies->pdata[index];
+  round->chosen[index] = (gint) to;
   round->leaving[machine->part]++;
   round->have[machine->part] -= machine->type->cpus;
   round->have[to] += machine->type->cpus;
-  machine->to = (gint) to;
+}
+
+static void
+choose_all (Round *round)
+{
+  guint most_moves = MAX (KR_MOVES_MIN, round->supplies->len / KR_MOVES_SHARE);
+  count_chosen (round);
+  for (guint moves = 0; moves < most_moves;) {
+    guint to = most_lacking (round);
+    gint index = best_for (round, to);
+    if (index >= 0) {
+      moves += ((KrSupply *) round->supplies->pdata[index])->to != (gint) to;
+      choose (round, (guint) index, to);
+    } else if (round->up) {
+      round->up = FALSE;
+      count_chosen (round);
+    } else
+      break;
+  }
 }
 
 void
 kr_rebalance (const KrRebalance *in, GPtrArray *supplies, KrRebalanceFunc move, gpointer data)
 {
+  g_autofree gint *chosen = g_new (gint, MAX (1, supplies->len));
   g_autofree double *have = g_new0 (double, in->parts);
   g_autofree guint *leaving = g_new0 (guint, in->parts), *count = g_new0 (guint, in->parts);
-  Round round = { in, supplies, TRUE, have, leaving, count };
-  guint most_moves = MAX (KR_MOVES_MIN, supplies->len / KR_MOVES_SHARE);
+  Round round = { in, supplies, chosen, TRUE, have, leaving, count };
 
   for (guint i = 0; i < supplies->len; i++) {
     const KrSupply *machine = supplies->pdata[i];
-    if (machine->part < 0)
-      continue;
-    count[machine->part]++;
-    leaving[machine->part] += machine->to >= 0;
+    chosen[i] = -1;
+    if (machine->part >= 0)
+      count[machine->part]++;
   }
-  kr_rebalance_count (supplies, round.up, in->parts, have);
-  for (guint moves = 0; moves < most_moves;) {
-    guint to = most_lacking (&round);
-    KrSupply *machine = best_for (&round, to);
-    if (machine) {
-      move (machine, to, data);
-      take_note (&round, machine, to);
-      moves++;
-    } else if (round.up) {
-      round.up = FALSE;
-      kr_rebalance_count (supplies, round.up, in->parts, have);
-    } else
-      break;
+  choose_all (&round);
+  for (guint i = 0; i < supplies->len; i++) {
+    KrSupply *machine = supplies->pdata[i];
+    if (machine->to == chosen[i] || !counts (machine))
+      continue;
+    machine->to = chosen[i];
+    move (machine, (guint) (chosen[i] >= 0 ? chosen[i] : machine->part), data);
   }
 }
--- a/src/rent.c
+++ b/src/rent.c
@@ -707,7 +707,7 @@
     const KrSupply *s = supplies->pdata[i];
     all += s->going || !s->type ? 0 : s->type->cpus;
   }
-  kr_rebalance_count (supplies, FALSE, size, have);
+  kr_rebalance_count (supplies, size, have);
   /* Urgent work's needs come first: it may stop other work in its part, but not in another. */
   for (guint urgent = 2; urgent-- > 0;) {
     g_autofree double *demand = g_new0 (double, size), *share = g_new0 (double, size);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -694,6 +694,42 @@
   with_seeds (boots_at_former_owner);
 }
 
+/* A node, the owner of a part and maybe the leader, loses the state service alone: it still reaches
+ * its peers. What it believes of its former part counts no more, and two leaders do not rent for
+ * the same work. */
+static void
+former_owner_and_leader (guint node)
+{
+  SimOptions o = usual;
+  o.machines = 60;
+  begin (&o);
+  submit_some (32, 150); /* 4, 4 and 8 machines */
+  sim_run (40);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 96);
+  guint before = sim_machines ();
+  g_assert_cmpuint (before, <=, 20);
+  sim_cut_both (node_name (node), "state", SIM_DROP);
+  sim_run (20);
+  g_assert_cmpuint (sim_machines (), <=, before);
+  for (guint i = 0; i < 3; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-00001%u", i);
+    g_autofree char *team = g_strdup_printf ("team%u", i);
+    sim_submit (id, team, "normal", 32, 1, 150, 600);
+  }
+  sim_run (40); /* submissions to the node that is cut off come late */
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, 192);
+  g_assert_cmpuint (sim_machines (), <=, before + 12 + 4); /* the work, and a few in part used */
+  sim_cut_both (node_name (node), "state", SIM_OPEN);
+  finish (600);
+}
+
+static void
+test_former_owner_and_leader (void)
+{
+  for (guint i = 0; i < usual.nodes; i++)
+    former_owner_and_leader (i);
+}
+
 /* The first machines never come up. Soon after the usual time others are rented in their place, and
  * they go back. */
 static void
@@ -890,6 +926,7 @@
   g_test_add_func ("/meetings/poll-storm", test_poll_storm);
   g_test_add_func ("/meetings/crowd", test_crowd);
   g_test_add_func ("/meetings/boots-at-former-owner", test_boots_at_former_owner);
+  g_test_add_func ("/meetings/former-owner-and-leader", test_former_owner_and_leader);
   g_test_add_func ("/meetings/never-up", test_never_up);
   g_test_add_func ("/meetings/huge-array", test_huge_array);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
--- a/tests/test_rebalance.c
+++ b/tests/test_rebalance.c
@@ -28,26 +28,42 @@
 count_move (const KrSupply *machine, guint to, gpointer data)
 {
   Fleet *fleet = data;
-  g_assert_cmpint (machine->part, !=, (gint) to);
+  g_assert_cmpint (machine->to, ==, (gint) to == machine->part ? -1 : (gint) to);
   fleet->moves++;
 }
 
-/* One round, carried out at once. */
 static guint
-play_round (Fleet *fleet, const double *targets)
+decide (Fleet *fleet, const double *targets)
 {
   const char *const zones[PARTS] = { "z", "z", "z" };
   const gboolean waiting[PARTS] = { TRUE, TRUE, TRUE };
   const KrRebalance in = { PARTS, targets, zones, waiting, TRUE };
   fleet->moves = 0;
   kr_rebalance (&in, fleet->supplies, count_move, fleet);
+  return fleet->moves;
+}
+
+/* One round, carried out at once. */
+static guint
+play_round (Fleet *fleet, const double *targets)
+{
+  guint moves = decide (fleet, targets);
   for (guint i = 0; i < fleet->supplies->len; i++) {
     KrSupply *machine = fleet->supplies->pdata[i];
     if (machine->to >= 0)
       machine->part = machine->to;
     machine->to = -1;
   }
-  return fleet->moves;
+  return moves;
+}
+
+static guint
+going_to (const Fleet *fleet, gint part)
+{
+  guint n = 0;
+  for (guint i = 0; i < fleet->supplies->len; i++)
+    n += ((KrSupply *) fleet->supplies->pdata[i])->to == part;
+  return n;
 }
 
 /* What is shared in whole machines settles: guards against machines that pass to and fro between
@@ -71,7 +87,7 @@
     g_assert_cmpuint (play_round (&fleet, targets), ==, 0);
     /* None is further from its share than a machine. */
     double have[PARTS];
-    kr_rebalance_count (fleet.supplies, FALSE, PARTS, have);
+    kr_rebalance_count (fleet.supplies, PARTS, have);
     for (guint part = 0; part < PARTS; part++) {
       g_assert_cmpfloat (have[part], <, targets[part] + eight.cpus);
       g_assert_cmpfloat (have[part], >, targets[part] - eight.cpus);
@@ -80,10 +96,34 @@
   }
 }
 
+/* Work comes to a part, and busy machines of the others are to run empty for it. Then machines are
+ * rented for it: guards against new ones that go to the others instead, where nothing waits, while
+ * the work waits for the busy ones. */
+static void
+test_stay (void)
+{
+  Fleet fleet = { g_ptr_array_new_with_free_func (kr_supply_free), 0 };
+  for (gint i = 0; i < 24; i++)
+    add_machine (&fleet, i % PARTS, TRUE, -1);
+  const double wanted[PARTS] = { 48, 48, 96 }, later[PARTS] = { 64, 64, 96 };
+  g_assert_cmpuint (decide (&fleet, wanted), ==, 4);
+  g_assert_cmpuint (going_to (&fleet, 2), ==, 4);
+  g_assert_cmpuint (decide (&fleet, wanted), ==, 0); /* nothing new to say */
+  double have[PARTS];
+  kr_rebalance_count (fleet.supplies, PARTS, have);
+  g_assert_cmpfloat (have[2], ==, 64); /* what is rented goes there, not to the others */
+  for (guint i = 0; i < 4; i++)
+    add_machine (&fleet, 2, FALSE, -1);
+  g_assert_cmpuint (decide (&fleet, later), ==, 4);
+  g_assert_cmpuint (going_to (&fleet, -1), ==, fleet.supplies->len);
+  g_ptr_array_unref (fleet.supplies);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rebalance/settles", test_settles);
+  g_test_add_func ("/rebalance/stay", test_stay);
   return g_test_run ();
 }
