Paid machines serve all that could run, the longest waiting get a machine and go first

Machines are shared first for jobs of which nothing has begun for 60 s, last for what could run but need not yet; renting is unchanged. A part keeps its last machine while it wants one, two take turns with a single one; a moved machine counts as up before it reports.

--- a/src/constants.h
+++ b/src/constants.h
@@ -112,18 +112,20 @@
 #define KR_RANK_MS 100         /* ms that the rank of an unchanged job is used again */
 #define KR_DEFAULT_WAIT_S 60.0 /* s; in which a job without such an objective should start */
 #define KR_BEGIN_S 120.0       /* s without a first task before a job goes first */
-#define KR_BEGIN_KEEP_S 30.0   /* s that such a task is not stopped for others */
-#define KR_UNHEARD_S 2.0       /* s; first pause of a machine that launches do not reach */
-#define KR_UNHEARD_MAX_S 60.0  /* s; longest such pause: it may hear again, and work waits */
-#define KR_UNHEARD_SHIFT 3     /* each further pause is 2^this times as long: a worker whose */
-#define KR_UNHEARD_MAX 2       /* answers are lost comes back every dozen seconds; how often */
-#define KR_PACE_TASKS 4        /* completed tasks before a pace or a mean says anything */
-#define KR_PACE_WEIGHT 0.3     /* of the newest task in a machine's pace */
-#define KR_PACE_SLOW 2.5       /* times the mean: machines of a type differ by a tenth */
-#define KR_PREEMPT_WAIT_S 1.0  /* s an urgent job waits before it may stop other work */
-#define KR_RESERVE_S 8.0       /* s room made by stopping stays reserved */
-#define KR_DEFAULT_SLACK_S 1.0 /* s over StowS granted to a task that saves */
-#define KR_KILL_REPEAT_S 1.0   /* s without a report before kills are repeated directly */
+#define KR_BEGIN_SHARE_S                                                                           \
+  60.0 /* s; then its part gets a machine, which may have to run empty first */
+#define KR_BEGIN_KEEP_S 30.0       /* s that such a task is not stopped for others */
+#define KR_UNHEARD_S 2.0           /* s; first pause of a machine that launches do not reach */
+#define KR_UNHEARD_MAX_S 60.0      /* s; longest such pause: it may hear again, and work waits */
+#define KR_UNHEARD_SHIFT 3         /* each further pause is 2^this times as long: a worker whose */
+#define KR_UNHEARD_MAX 2           /* answers are lost comes back every dozen seconds; how often */
+#define KR_PACE_TASKS 4            /* completed tasks before a pace or a mean says anything */
+#define KR_PACE_WEIGHT 0.3         /* of the newest task in a machine's pace */
+#define KR_PACE_SLOW 2.5           /* times the mean: machines of a type differ by a tenth */
+#define KR_PREEMPT_WAIT_S 1.0      /* s an urgent job waits before it may stop other work */
+#define KR_RESERVE_S 8.0           /* s room made by stopping stays reserved */
+#define KR_DEFAULT_SLACK_S 1.0     /* s over StowS granted to a task that saves */
+#define KR_KILL_REPEAT_S 1.0       /* s without a report before kills are repeated directly */
 #define KR_CANCEL_DELETE_SHARE 0.6 /* of cancel_s: then an unreachable machine is deleted */
 
 /* --- Renting ------------------------------------------------------------------------- */
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -37,6 +37,14 @@
       kr_job_clear_failures (j);
 }
 
+/* Nothing of it has begun for that long. */
+static gboolean
+waits_for_first (const KrLive *c, double seconds)
+{
+  const KrJob *j = c->job;
+  return c->in.now - j->at > seconds && j->n_done == 0 && j->n_active == 0;
+}
+
 /* Whether a job has waited long enough to stop others' tasks: at once where its class's wait
  * objective leaves no time. */
 static void
@@ -50,7 +58,7 @@
                                    KR_DEFAULT_SLACK_S);
   c->stops = j->spec->rank > lowest && !j->cancelled && c->team && now >= j->hold_until &&
              waited >= MIN (c->patience, KR_PREEMPT_WAIT_S);
-  c->starves = waited > KR_BEGIN_S && j->n_done == 0 && j->n_active == 0;
+  c->starves = waits_for_first (c, KR_BEGIN_S);
 }
 
 /* --- live jobs ----------------------------------------------------------------------- */
@@ -335,13 +343,15 @@
 
 /* Exceptions to the paper's order, within each of which it holds: a job of which nothing has begun
  * for long gets its first task, since late jobs, of which a stream never ends, go before all
- * others; then who may stop others' tasks, since what is started instead would be stopped at once.
- */
+ * others, and of several such the oldest, since they may be a stream as well; then who may stop
+ * others' tasks, since what is started instead would be stopped at once. */
 static int
 before (const KrLive *a, const KrLive *b)
 {
   if (a->starves != b->starves)
     return a->starves ? -1 : 1;
+  if (a->starves && a->job->at != b->job->at)
+    return a->job->at < b->job->at ? -1 : 1;
   if (a->stops != b->stops)
     return a->stops ? -1 : 1;
   if (a->stops && a->job->spec->rank != b->job->spec->rank)
@@ -635,69 +645,125 @@
   return b->heard && now - b->heard > kr_seconds (KR_SILENT_REPORTS * p->node->settings->report_s);
 }
 
-json_t *
-kr_part_summary (KrPart *p)
+/* Of `want` tasks, as many as the limits of the job's team let run beside `used`, which grows. */
+static double
+within_limits (const KrLive *c, double want, KrRoom *used)
 {
-  gint64 now = kr_now ();
-  rank_all (p, now);
-  gboolean waiting = FALSE;
-  g_autofree KrRoom *rooms = g_memdup2 (p->used, p->node->settings->teams->len * sizeof (KrRoom));
-  json_t *needs = json_array (), *machines = json_array ();
-  GHashTableIter it;
-  gpointer value;
+  const KrSpec *s = c->job->spec;
+  if (c->team->cpus_max > 0 && s->cpus > 0)
+    want = MIN (want, MAX (0, (c->team->cpus_max - used->cpus) / s->cpus));
+  if (c->team->gpus_max > 0 && s->gpus > 0)
+    want = MIN (want, MAX (0, (c->team->gpus_max - used->gpus) / s->gpus));
+  used->cpus += want * s->cpus;
+  used->gpus += want * s->gpus;
+  return want;
+}
+
+/* Tasks that may start as far as failures go. */
+static double
+startable (const KrJob *j, gint64 now)
+{
+  if (j->cancelled || now < j->hold_until)
+    return 0;
+  return kr_job_suspect (j) ? MIN (kr_job_unstarted (j), 1) : kr_job_unstarted (j);
+}
+
+/* Slots that the job wants started for its goal (the min variant). */
+static double
+slots_wanted (const KrLive *c)
+{
+  /* Toward a moment before the goal: fetches, reports and moves take time that the paper's
+   * estimate does not count, and a job given just what it needs ends just too late. */
+  KrEstimateInput sooner = c->in;
+  sooner.goal = sooner.submitted + KR_RENT_GOAL * (sooner.goal - sooner.submitted);
+  return kr_rank_want (&sooner);
+}
+
+static json_t *
+types_json (const KrSpec *s)
+{
+  if (!s->types)
+    return json_null ();
+  json_t *types = json_array ();
+  for (char **t = s->types; *t; t++)
+    json_array_append_new (types, json_string (*t));
+  return types;
+}
+
+/* The live jobs' needs: `First` before all others', `Slots` to meet their goals, `Most` if there is
+ * room for all. */
+static json_t *
+needs_json (KrPart *p, gint64 now, gboolean *waiting)
+{
+  gsize size = p->node->settings->teams->len * sizeof (KrRoom);
+  g_autofree KrRoom *used = g_memdup2 (p->used, size), *used_most = g_memdup2 (p->used, size);
+  json_t *needs = json_array ();
 
   for (guint i = 0; i < p->lives->len; i++) {
-    KrLive *c = p->lives->pdata[i];
+    const KrLive *c = p->lives->pdata[i];
     const KrSpec *s = c->job->spec;
     if (c->job->cancelled || !c->team)
       continue;
-    /* Toward a moment before the goal: fetches, reports and moves take time that the paper's
-     * estimate does not count, and a job given just what it needs ends just too late. */
-    KrEstimateInput sooner = c->in;
-    sooner.goal = sooner.submitted + KR_RENT_GOAL * (sooner.goal - sooner.submitted);
-    double want = kr_rank_want (&sooner);
-    if (now < c->job->hold_until)
-      want = 0;
-    else if (kr_job_suspect (c->job))
-      want = MIN (want, 1);
-    /* Not beyond what the team's limit lets run. */
-    KrRoom *used = &rooms[c->used - p->used];
-    if (c->team->cpus_max > 0 && s->cpus > 0)
-      want = MIN (want, MAX (0, (c->team->cpus_max - used->cpus) / s->cpus));
-    if (c->team->gpus_max > 0 && s->gpus > 0)
-      want = MIN (want, MAX (0, (c->team->gpus_max - used->gpus) / s->gpus));
-    waiting |= want > 0;
-    used->cpus += want * s->cpus;
-    used->gpus += want * s->gpus;
-    double slots = want + c->in.running;
-    if (slots <= 0)
+    double all = startable (c->job, now);
+    gsize team = (gsize) (c->used - p->used);
+    double want = within_limits (c, MIN (slots_wanted (c), all), &used[team]);
+    double most = within_limits (c, all, &used_most[team]);
+    *waiting |= want > 0;
+    if (most + c->in.running <= 0)
       continue;
-    json_t *types = json_null ();
-    if (s->types) {
-      types = json_array ();
-      for (char **t = s->types; *t; t++)
-        json_array_append_new (types, json_string (*t));
-    }
-    json_array_append_new (needs, json_pack ("{so ss* sb sf sf sf sf sb}", "Types", types, "Zone",
-                                             s->zone, "Spot", s->spot, "Cpus", s->cpus, "Gpus",
-                                             s->gpus, "Mem", s->mem_gb, "Slots", slots, "Urgent",
-                                             s->rank >= KR_RANK_URGENT));
-  }
-  g_hash_table_iter_init (&it, p->machines);
-  while (kr_part_next (p, &it, &value)) {
-    KrMachine *b = value;
-    /* A silent one is not idle: it may hang and go on. How long to wait is watch_machine's to say.
-     */
-    gboolean lost = silent (p, b, now);
-    double idle = b->launches->len || !b->known || lost || p->phase != OPEN
-                      ? -1
-                      : (double) (now - b->idle_since) / G_USEC_PER_SEC;
+    double first = waits_for_first (c, KR_BEGIN_SHARE_S) ? MIN (want, 1) : 0;
     json_array_append_new (
-        machines, json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot",
-                             b->spot, "Up", b->known, "Idle", idle, "Rest", rest_s (p, b, now),
-                             "Going", b->drain || b->deleting || b->notice_at != 0 || lost, "To",
-                             (json_int_t) b->leaving_to));
+        needs, json_pack ("{so ss* sb sf sf sf sf sf sf sb}", "Types", types_json (s), "Zone",
+                          s->zone, "Spot", s->spot, "Cpus", s->cpus, "Gpus", s->gpus, "Mem",
+                          s->mem_gb, "First", first, "Slots", want + c->in.running, "Most",
+                          most + c->in.running, "Urgent", s->rank >= KR_RANK_URGENT));
   }
+  return needs;
+}
+
+/* As far as is known: a machine that has just come to the part may hold anything. */
+static double
+until_empty_s (KrPart *p, const KrMachine *b, gint64 now)
+{
+  return b->known ? rest_s (p, b, now) : p->node->settings->lease_s;
+}
+
+/* Guards against one that has moved here and not reported yet: it has been up, and would otherwise
+ * count as still to come, so that a further one is moved in its place. */
+static gboolean
+has_been_up (const KrMachine *b)
+{
+  return b->known || b->used;
+}
+
+static json_t *
+machine_json (KrPart *p, const KrMachine *b, gint64 now)
+{
+  /* A silent one is not idle: it may hang and go on. How long to wait is watch_machine's to say. */
+  gboolean lost = silent (p, b, now);
+  double idle = b->launches->len || !b->known || lost || p->phase != OPEN
+                    ? -1
+                    : (double) (now - b->idle_since) / G_USEC_PER_SEC;
+  return json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", b->id, "Type", b->type, "Spot", b->spot,
+                    "Up", has_been_up (b), "Idle", idle, "Rest", until_empty_s (p, b, now), "Going",
+                    b->drain || b->deleting || b->notice_at != 0 || lost, "To",
+                    (json_int_t) b->leaving_to);
+}
+
+json_t *
+kr_part_summary (KrPart *p)
+{
+  gint64 now = kr_now ();
+  gboolean waiting = FALSE;
+  json_t *machines = json_array ();
+  GHashTableIter it;
+  gpointer machine;
+
+  rank_all (p, now);
+  json_t *needs = needs_json (p, now, &waiting);
+  g_hash_table_iter_init (&it, p->machines);
+  while (kr_part_next (p, &it, &machine))
+    json_array_append_new (machines, machine_json (p, machine, now));
   return json_pack ("{sI sb so so}", "Part", (json_int_t) p->index, "Waiting", waiting, "Needs",
                     needs, "Berths", machines);
 }
--- a/src/rebalance.c
+++ b/src/rebalance.c
@@ -66,6 +66,21 @@
   return most;
 }
 
+/* Never none where something is wanted. From a part that has one machine only, two parts take turns
+ * with it, but not before it is up. */
+static gboolean
+has_none (const Round *round, const KrSupply *machine, guint to)
+{
+  gboolean one_of_several = round->have[machine->part] > machine->type->cpus;
+  return round->have[to] <= 0 && round->in->targets[to] > 0 && (round->up || one_of_several);
+}
+
+static gboolean
+is_last (const Round *round, const KrSupply *machine)
+{
+  return round->have[machine->part] <= machine->type->cpus && round->in->targets[machine->part] > 0;
+}
+
 /* Half a machine is lacking and half a machine is over, and more than that together: with exactly
  * half on both sides it would be moved back in the next round, and so for ever. */
 static gboolean
@@ -73,12 +88,10 @@
 {
   double cpus = machine->type->cpus, lacking = lack (round, to),
          over = -lack (round, (guint) machine->part);
-  /* Never none where something is wanted: two parts may have to take turns with a machine, but not
-   * before it is up. */
-  gboolean has_none = round->have[to] <= 0 && round->in->targets[to] > 0 &&
-                      (round->up || round->have[machine->part] > cpus);
-  return over >= cpus / 2 &&
-         (has_none || (lacking >= cpus / 2 && lacking + over > cpus + CPU_EPSILON));
+  if (has_none (round, machine, to))
+    return over >= cpus / 2 || !is_last (round, machine);
+  return over >= cpus / 2 && lacking >= cpus / 2 && lacking + over > cpus + CPU_EPSILON &&
+         !is_last (round, machine);
 }
 
 static gboolean
--- a/src/rent.c
+++ b/src/rent.c
@@ -575,6 +575,10 @@
   n->shape->gpus = json_number_value (json_object_get (o, "Gpus"));
   n->shape->mem_gb = json_number_value (json_object_get (o, "Mem"));
   n->slots = json_number_value (json_object_get (o, "Slots"));
+  /* Not told by earlier versions: */
+  n->first = json_number_value (json_object_get (o, "First"));
+  json_t *most = json_object_get (o, "Most");
+  n->most = json_is_number (most) ? json_number_value (most) : n->slots;
   n->urgent = json_is_true (json_object_get (o, "Urgent"));
   return n;
 }
@@ -673,6 +677,18 @@
   return r->heard && r->node->types && r->had_list && r->records_read;
 }
 
+/* What nothing that could run would use. */
+static void
+return_idle (KrRent *r, GPtrArray *needs, GPtrArray *supplies)
+{
+  kr_shares_match (needs, supplies, TRUE);
+  for (guint i = 0; i < supplies->len; i++) {
+    const KrSupply *s = supplies->pdata[i];
+    if (s->part >= 0 && s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S && s->to < 0)
+      wish (r, (guint) s->part, s->id, -1);
+  }
+}
+
 /* The round's second half, once the parts have been heard. Not whole: only what is rented and given
  * out, from what they said last; machines that are wished to move or go would be wished so twice.
  */
@@ -702,26 +718,12 @@
     s->idle_s = -1;
     g_ptr_array_add (supplies, s);
   }
-  kr_shares_match (needs, supplies);
   for (guint i = 0; i < supplies->len; i++) {
     const KrSupply *s = supplies->pdata[i];
     all += s->going || !s->type ? 0 : s->type->cpus;
   }
   kr_rebalance_count (supplies, size, have);
-  /* Urgent work's needs come first: it may stop other work in its part, but not in another. */
-  for (guint urgent = 2; urgent-- > 0;) {
-    g_autofree double *demand = g_new0 (double, size), *share = g_new0 (double, size);
-    for (guint i = 0; i < needs->len; i++) {
-      const KrNeed *n = needs->pdata[i];
-      if (n->urgent == (urgent == 1))
-        demand[n->part] += kr_need_cpus (n, r->node->types);
-    }
-    kr_shares_targets (demand, size, all, share);
-    for (guint p = 0; p < size; p++) {
-      targets[p] += share[p];
-      all -= share[p];
-    }
-  }
+  kr_shares_of_parts (needs, r->node->types, size, all, targets);
 
   if (news->len) {
     g_autofree double *lack = g_new0 (double, size);
@@ -730,11 +732,9 @@
     assign (r, news, lack);
   } else if (whole)
     move (r, supplies, targets, now);
-  for (guint i = 0; whole && i < supplies->len; i++) {
-    KrSupply *s = supplies->pdata[i];
-    if (s->part >= 0 && s->left > 0.999 && s->idle_s > KR_IDLE_RETURN_S && s->to < 0)
-      wish (r, (guint) s->part, s->id, -1);
-  }
+  if (whole)
+    return_idle (r, needs, supplies);
+  kr_shares_match (needs, supplies, FALSE);
   rent (r, needs, now);
   send_wishes (r);
 }
--- a/src/shares.c
+++ b/src/shares.c
@@ -42,12 +42,12 @@
 }
 
 void
-kr_shares_match (GPtrArray *needs, GPtrArray *supplies)
+kr_shares_match (GPtrArray *needs, GPtrArray *supplies, gboolean most)
 {
   g_ptr_array_sort (supplies, cheap_first);
   for (guint i = 0; i < needs->len; i++) {
     KrNeed *n = needs->pdata[i];
-    n->unmet = n->slots;
+    n->unmet = most ? n->most : n->slots;
   }
   for (guint i = 0; i < supplies->len; i++)
     ((KrSupply *) supplies->pdata[i])->left = 1;
@@ -62,12 +62,12 @@
 }
 
 double
-kr_need_cpus (const KrNeed *n, const GPtrArray *types)
+kr_need_cpus (const KrNeed *n, double slots, const GPtrArray *types)
 {
   for (guint i = 0; i < types->len; i++) {
     const KrType *t = types->pdata[i];
     if (kr_place_fits_type (n->shape, t))
-      return n->slots * kr_place_share (n->shape, t) * t->cpus;
+      return slots * kr_place_share (n->shape, t) * t->cpus;
   }
   return 0;
 }
@@ -93,3 +93,37 @@
     if (targets[p] < 0)
       targets[p] = supply / open;
 }
+
+typedef enum { FIRST_TASKS, URGENT, TOWARD_GOALS, ALL_ELSE, STAGES } Stage;
+
+static double
+slots_in (const KrNeed *need, Stage stage)
+{
+  if (stage == FIRST_TASKS)
+    return need->first;
+  if (stage == ALL_ELSE)
+    return MAX (0, need->most - need->slots);
+  return need->urgent == (stage == URGENT) ? need->slots - need->first : 0;
+}
+
+void
+kr_shares_of_parts (const GPtrArray *needs, const GPtrArray *types, guint parts, double supply,
+                    double *targets)
+{
+  g_autofree double *demand = g_new0 (double, parts), *share = g_new0 (double, parts);
+  for (guint p = 0; p < parts; p++)
+    targets[p] = 0;
+  for (Stage stage = FIRST_TASKS; stage < STAGES; stage++) {
+    for (guint p = 0; p < parts; p++)
+      demand[p] = 0;
+    for (guint i = 0; i < needs->len; i++) {
+      const KrNeed *need = needs->pdata[i];
+      demand[need->part] += kr_need_cpus (need, slots_in (need, stage), types);
+    }
+    kr_shares_targets (demand, parts, supply, share);
+    for (guint p = 0; p < parts; p++) {
+      targets[p] += share[p];
+      supply -= share[p];
+    }
+  }
+}
--- a/src/shares.h
+++ b/src/shares.h
@@ -7,9 +7,11 @@
 typedef struct {
   guint part;
   KrSpec *shape; /* types, zone, spot, cpus, gpus, mem_gb */
-  double slots, unmet;
+  double first;  /* of `slots`: for jobs of which nothing has begun for long */
+  double slots;  /* to meet its jobs' goals */
+  double most;   /* if there is room for all of it */
+  double unmet;  /* out */
   gboolean urgent;
-
 } KrNeed;
 void kr_need_free (gpointer need);
 
@@ -26,12 +28,19 @@
 } KrSupply;
 void kr_supply_free (gpointer supply);
 
-/* CPUs of machines that a need takes, on the first of the types that fits. */
-double kr_need_cpus (const KrNeed *need, const GPtrArray *types);
+/* CPUs of machines that so many slots of a need take, on the first of the types that fits. */
+double kr_need_cpus (const KrNeed *need, double slots, const GPtrArray *types);
 /* How `supply` CPUs are shared among parts that want `demand`: small demands are met in full, the
  * others get equal parts of what is left (max-min); what nobody wants stays unshared. */
 void kr_shares_targets (const double *demand, guint parts, double supply, double *targets);
 
 /* Each part's machines serve its own needs first, cheap ones first, then what is left serves
- * others'. Fills unmet and left. */
-void kr_shares_match (GPtrArray *needs, GPtrArray *supplies);
+ * others'. `most`: all that could run, not only what the goals ask for. Fills unmet and left. */
+void kr_shares_match (GPtrArray *needs, GPtrArray *supplies, gboolean most);
+
+/* CPUs that each part should have of `supply`: jobs of which nothing has begun for long come first,
+ * since a stream of urgent ones may never end; then urgent work, since it may stop other work in
+ * its part, but not in another; then the rest of what the goals ask for; then what else could run,
+ * so that machines that are paid for serve it before they go back. */
+void kr_shares_of_parts (const GPtrArray *needs, const GPtrArray *types, guint parts, double supply,
+                         double *targets);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -730,6 +730,90 @@
     former_owner_and_leader (i);
 }
 
+/* A guest's array is far from its goal and asks for little. Machines that another team needs no
+ * more are paid for: they serve it before they go back. */
+static void
+paid_machines_serve_all (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 64, 1, 20, 600);
+  sim_submit ("wk-000002", "team1", "idle", 1000, 1, 10, 4000);
+  sim_run (90);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "done");
+  g_assert_cmpuint (sim_tasks_running ("wk-000002"), >=, 48);
+  sim_run (150);
+  g_assert_cmpstr (sim_told ("wk-000002"), ==, "done");
+  finish (60);
+}
+
+static void
+test_paid_machines_serve_all (void)
+{
+  with_seeds (paid_machines_serve_all);
+}
+
+/* Three machines, six teams, two of them in each part. In one part a stream of urgent jobs that
+ * never ends competes with normal ones that came before: those begin all the same, each of them and
+ * the largest too. */
+static void
+few_machines (void)
+{
+  SimOptions o = usual;
+  o.teams = 6;
+  o.machines = 3;
+  o.machine_cpus = 4;
+  o.vary = 0.5;
+  begin (&o);
+  sim_calm ();
+  for (guint i = 0; i < 8; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0007%02u", i);
+    g_autofree char *team = g_strdup_printf ("team%u", i % 3 + 3);
+    sim_submit (id, team, "normal", i < 3 ? 60 : 6, 1, 12, 200);
+  }
+  for (guint i = 0; i < 40; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0006%02u", i);
+    sim_submit (id, "team0", "urgent", 4, 2, 12, 60);
+    sim_run (7);
+  }
+  g_assert_cmpstr (sim_broken (), ==, "");
+  for (guint i = 0; i < 8; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0007%02u", i);
+    g_assert_cmpfloat (sim_began (id), >, 0);
+    g_assert_cmpfloat (sim_began (id), <, 240);
+  }
+  finish (3000);
+}
+
+/* One machine, and urgent jobs come over twice as fast as it can serve them, so that all wait long
+ * for their first task: a normal one has its turn among them by its age. */
+static void
+oldest_first (void)
+{
+  SimOptions o = usual;
+  o.teams = 6;
+  o.machines = 1;
+  o.machine_cpus = 4;
+  begin (&o);
+  for (guint i = 0; i < 45; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0008%02u", i);
+    sim_submit (id, "team0", "urgent", 1, 4, 30, 60);
+    if (i == 8)
+      sim_submit ("wk-000899", "team3", "normal", 1, 4, 30, 600);
+    sim_run (12);
+  }
+  g_assert_cmpfloat (sim_began ("wk-000899"), >, 0);
+  g_assert_cmpfloat (sim_began ("wk-000899"), <, 240);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  sim_stop ();
+}
+
+static void
+test_few_machines (void)
+{
+  with_seeds (few_machines);
+  with_seeds (oldest_first);
+}
+
 /* The first machines never come up. Soon after the usual time others are rented in their place, and
  * they go back. */
 static void
@@ -927,6 +1011,8 @@
   g_test_add_func ("/meetings/crowd", test_crowd);
   g_test_add_func ("/meetings/boots-at-former-owner", test_boots_at_former_owner);
   g_test_add_func ("/meetings/former-owner-and-leader", test_former_owner_and_leader);
+  g_test_add_func ("/meetings/paid-machines-serve-all", test_paid_machines_serve_all);
+  g_test_add_func ("/meetings/few-machines", test_few_machines);
   g_test_add_func ("/meetings/never-up", test_never_up);
   g_test_add_func ("/meetings/huge-array", test_huge_array);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
