A machine that falls silent after one report, or hears nothing, does not keep a part closed

A machine that had been heard was never given up, and one that reports but takes no command would have kept the part closed for as long as that lasted. What counts now is whether it reports still; one that does and takes no command is deleted after a lease; where only we were in touch, leases count from our last answer. Test: /meetings/heard-but-not-fenced.

--- a/src/part.c
+++ b/src/part.c
@@ -332,13 +332,28 @@
   return b->must_fence && !b->fenced;
 }
 
-/* Why a used machine that has not been reached since the takeover is given up; NULL: not yet. What
+/* Not only once since the takeover: it may have fallen silent right after. */
+static gboolean
+reports_now (KrPart *p, const KrMachine *b, gint64 now)
+{
+  double silent_s = KR_SILENT_REPORTS * p->node->settings->report_s;
+  return b->heard && now - b->heard <= kr_seconds (silent_s);
+}
+
+/* Why a used machine that could not be fenced since the takeover is given up; NULL: not yet. What
  * counts is its silence to calls that did go out, not how far we have come. */
 static const char *
-give_up (KrPart *p, const KrMachine *b, guint unreached, guint used, double age)
+give_up (KrPart *p, const KrMachine *b, guint unreached, guint used, gint64 now)
 {
-  if (b->heard || !b->tries)
+  double age = (double) (now - p->taken_at) / G_USEC_PER_SEC;
+  if (b->tries < 1)
     return NULL;
+  /* Guards against one that reports, but hears neither answers nor commands: the part would stay
+   * closed for as long as that lasts. */
+  if (reports_now (p, b, now))
+    return b->tries >= KR_FENCE_TRIES && age > p->node->settings->lease_s
+               ? "it reports, but takes no command"
+               : NULL;
   /* It was up, so lists showed it; the newest, read since, does not. */
   if (p->listed_at > p->taken_at && !b->listed)
     return "not reached, and no longer listed";
@@ -357,13 +372,12 @@
   GHashTableIter it;
   gpointer value;
   guint unreached = 0, used = 0;
-  double age = (double) (now - p->taken_at) / G_USEC_PER_SEC;
 
   g_hash_table_iter_init (&it, p->machines);
   while (kr_part_next (p, &it, &value)) {
     const KrMachine *b = value;
     used += b->must_fence;
-    unreached += kr_part_needs_fence (b) && !b->heard;
+    unreached += kr_part_needs_fence (b) && !reports_now (p, b, now);
   }
   /* Unreachable ones hold their places until the time-out: with a quarter of the fleet behind a cut
    * a fixed window would ask the last of them half a minute late. */
@@ -374,16 +388,16 @@
     const char *why;
     if (!kr_part_needs_fence (b) || b->deleting)
       continue;
-    /* Restarted ourselves, no other owner since all were fenced: nobody has answered it since the
-     * takeover, so its lease is over. */
-    if (p->quiet_before && !b->answered &&
-        kr_lease_over (p->taken_at, kr_membership_proven (p->node->membership), s->lease_s)) {
+    /* Restarted ourselves, no other owner since all were fenced: nobody else has answered it since
+     * the takeover, so its lease is over. */
+    if (p->quiet_before && kr_lease_over (MAX (p->taken_at, b->answered),
+                                          kr_membership_proven (p->node->membership), s->lease_s)) {
       kr_info ("machine %s: not reached, its lease is over", b->id);
       kr_machine_clear (b, kr_part_saw, p);
       b->must_fence = FALSE;
       continue;
     }
-    if ((why = give_up (p, b, unreached, used, age))) {
+    if ((why = give_up (p, b, unreached, used, now))) {
       delete_machine (p, b, why);
       continue;
     }
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -814,6 +814,47 @@
   with_seeds (oldest_first);
 }
 
+/* A part's owner is back at once. One of its machines reports to it, but hears nothing, and maybe
+ * falls silent right after: the part, with all its other machines, does not wait for that one. */
+static void
+heard_but_not_fenced (gboolean silent)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 300, 1, 15, 2000);
+  sim_run (35);
+  g_autofree char *m = g_strdup (sim_busiest_machine ());
+  deafen (m, SIM_DROP);
+  crash (0, 0.3);
+  sim_run (6); /* it has tried all nodes by then */
+  if (silent)
+    cut_off (m, SIM_DROP);
+  sim_run (16);
+  sim_submit ("wk-000002", "team0", "urgent", 8, 1, 5, 60);
+  sim_run (12);
+  g_assert_cmpfloat (sim_began ("wk-000002"), >, 0);
+  cut_off (m, SIM_OPEN);
+  finish (900);
+}
+
+static void
+heard_and_silent (void)
+{
+  heard_but_not_fenced (TRUE);
+}
+
+static void
+heard_and_deaf (void)
+{
+  heard_but_not_fenced (FALSE);
+}
+
+static void
+test_heard_but_not_fenced (void)
+{
+  with_seeds (heard_and_silent);
+  with_seeds (heard_and_deaf);
+}
+
 /* The first machines never come up. Soon after the usual time others are rented in their place, and
  * they go back. */
 static void
@@ -1013,6 +1054,7 @@
   g_test_add_func ("/meetings/former-owner-and-leader", test_former_owner_and_leader);
   g_test_add_func ("/meetings/paid-machines-serve-all", test_paid_machines_serve_all);
   g_test_add_func ("/meetings/few-machines", test_few_machines);
+  g_test_add_func ("/meetings/heard-but-not-fenced", test_heard_but_not_fenced);
   g_test_add_func ("/meetings/never-up", test_never_up);
   g_test_add_func ("/meetings/huge-array", test_huge_array);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
