Nodes with little to write lend changes to one whose jobs' ends wait

The leader hears how many changes wait at each node and allots them anew each second; a node keeps at least half of its part, the sum stays.

--- a/src/constants.h
+++ b/src/constants.h
@@ -67,6 +67,9 @@
 #define KR_CLOUD_WEIGHT_PART 0.5  /* a part with teams: the list, deletions (100 a call) */
 #define KR_CLOUD_WEIGHT_LEAD 4.0  /* the leader: the list, rentals (50 a call) */
 
+#define KR_BUDGET_KEEP 0.5 /* of a node's changes: what it keeps when others have more to write */
+#define KR_BUDGET_VALID_S 2.5 /* s; two rounds of the leader: then the fixed parts hold again */
+
 /* --- Machines' records --------------------------------------------------------------- */
 #define KR_CHUNK_MACHINES 80 /* machines a chunk: txn_ops of them stay below 64 KiB */
 #define KR_MACHINE_BYTES 64  /* bytes; an entry (id and address) with room to spare */
--- a/src/flow.c
+++ b/src/flow.c
@@ -85,13 +85,19 @@
 }
 
 double
-kr_bucket_wait_s (KrBucket *b)
+kr_bucket_waiting (KrBucket *b)
 {
   double cost = 0;
-  refill (b);
   for (GList *l = b->queue.head; l; l = l->next)
     cost += ((Waiter *) l->data)->cost;
-  return MAX (0, cost - b->tokens) / b->rate;
+  return cost;
+}
+
+double
+kr_bucket_wait_s (KrBucket *b)
+{
+  refill (b);
+  return MAX (0, kr_bucket_waiting (b) - b->tokens) / b->rate;
 }
 
 static gboolean serve (gpointer data);
--- a/src/flow.h
+++ b/src/flow.h
@@ -26,5 +26,7 @@
 /* What may be spent now on work that can wait: a reserve stays for the rest. A full bucket always
  * spares something. */
 double kr_bucket_spare (KrBucket *self);
+/* Cost of what waits now. */
+double kr_bucket_waiting (KrBucket *self);
 /* Seconds until what waits now has been served. */
 double kr_bucket_wait_s (KrBucket *self);
--- a/src/node.c
+++ b/src/node.c
@@ -32,25 +32,62 @@
   return MIN (n->settings->teams->len, n->settings->size);
 }
 
+static gboolean
+holds (const KrHolder *h, const char *name)
+{
+  return h->node && g_str_equal (h->node, name);
+}
+
+/* A node's share of a limit that holds for all, by the keys that it has as far as we know. */
 static double
-share (KrNode *n, double node, double part, double lead)
+share_of (KrNode *n, const char *name, double node, double part, double lead)
 {
-  double own = node + (kr_membership_leads (n->membership) ? lead : 0);
+  double own = node + (holds (kr_membership_leader (n->membership), name) ? lead : 0);
   for (guint p = 0; p < busy_parts (n); p++)
-    own += n->parts[p] ? part : 0;
+    own += holds (kr_membership_holder (n->membership, p), name) ? part : 0;
   return own / (n->settings->size * node + busy_parts (n) * part + lead);
 }
 
+static double
+state_share (KrNode *n, const char *name)
+{
+  return share_of (n, name, KR_STATE_WEIGHT_NODE, KR_STATE_WEIGHT_PART, KR_STATE_WEIGHT_LEAD);
+}
+
+double
+kr_node_base_writes (KrNode *n, const char *name)
+{
+  return state_share (n, name) * n->settings->state_write_rps;
+}
+
+double
+kr_node_waiting_writes (KrNode *n)
+{
+  double waiting = kr_state_waiting_writes (n->state);
+  for (guint p = 0; p < n->settings->size; p++)
+    waiting += n->parts[p] ? kr_part_waiting_ends (n->parts[p]) : 0;
+  return waiting;
+}
+
 /* The limits are of all nodes together. What is weighed by a key (a part, the lead) is used by its
  * holder only; where a holder does not know yet that it lost the key, the sum is passed for as long
  * as it takes to hear of it, and the service's 429 settles that. */
 static void
 set_shares (KrNode *n)
 {
-  kr_state_set_share (n->state,
-                      share (n, KR_STATE_WEIGHT_NODE, KR_STATE_WEIGHT_PART, KR_STATE_WEIGHT_LEAD));
-  kr_cloud_set_share (n->cloud,
-                      share (n, KR_CLOUD_WEIGHT_NODE, KR_CLOUD_WEIGHT_PART, KR_CLOUD_WEIGHT_LEAD));
+  const char *own = n->settings->node_name;
+  double writes = kr_now () < n->writes_until ? n->writes : kr_node_base_writes (n, own);
+  kr_state_set_rates (n->state, state_share (n, own) * n->settings->state_rps, writes);
+  kr_cloud_set_share (n->cloud, share_of (n, own, KR_CLOUD_WEIGHT_NODE, KR_CLOUD_WEIGHT_PART,
+                                          KR_CLOUD_WEIGHT_LEAD));
+}
+
+void
+kr_node_allot_writes (KrNode *n, double writes)
+{
+  n->writes = writes;
+  n->writes_until = kr_now () + (gint64) (KR_BUDGET_VALID_S * G_USEC_PER_SEC);
+  set_shares (n);
 }
 
 /* --- membership's events ------------------------------------------------------------- */
@@ -198,6 +235,8 @@
   KrNode *n = data;
   if (g_str_equal (kr_request_path (request), KR_PEER_SUMMARIES))
     kr_request_reply (request, 200, kr_rent_summaries (n->rent), 0);
+  else if (g_str_equal (kr_request_path (request), KR_PEER_BUDGET))
+    kr_request_reply (request, kr_rent_budget (n->rent, kr_request_json (request)), NULL, 0);
   else if (g_str_equal (kr_request_path (request), KR_PEER_WISHES)) {
     json_t *body = kr_request_json (request);
     guint64 leader = (guint64) json_integer_value (json_object_get (body, "Leader"));
--- a/src/node.h
+++ b/src/node.h
@@ -24,13 +24,21 @@
   KrRent *rent;
   KrApi *api;
   KrServer *public_server, *peer_server;
-  gboolean state_cut; /* a peer reaches the state service and we do not */
+  gboolean state_cut;  /* a peer reaches the state service and we do not */
+  double writes;       /* changes a second that the leader allots, */
+  gint64 writes_until; /* monotonic us: and until when */
   guint health;
 } KrNode;
 
 KrNode *kr_node_new (const KrSettings *settings, GError **error);
 void kr_node_run (KrNode *self);
 void kr_node_free (KrNode *self);
+/* Changes a second to the state service that a node may make as long as none is allotted more. */
+double kr_node_base_writes (KrNode *self, const char *name);
+/* What the leader allots this node, for KR_BUDGET_VALID_S. */
+void kr_node_allot_writes (KrNode *self, double writes);
+/* Changes that wait for the limit on this node. */
+double kr_node_waiting_writes (KrNode *self);
 /* Connections to workers at once. */
 guint kr_node_worker_conns (const KrSettings *settings);
 const KrType *kr_node_type (KrNode *self, const char *name); /* NULL: unknown */
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -111,6 +111,31 @@
   return j->chunks_missing == 0 && (j->cancelled ? j->n_active == 0 : kr_job_complete (j));
 }
 
+/* Puts and deletes of a job's end: its own key and its chunks go, what became of it comes. */
+static guint
+end_ops (const KrJob *j)
+{
+  return 1 + kr_job_chunks (j);
+}
+
+/* A cancelled job is over only when every machine that may hold its tasks is known. */
+static gboolean
+end_is_due (const KrPart *p, KrJob *j)
+{
+  return !j->writing && is_final (j) && (!j->cancelled || p->phase == OPEN);
+}
+
+guint
+kr_part_waiting_ends (KrPart *p)
+{
+  guint ops = 0;
+  for (guint i = 0; i < p->lives->len; i++) {
+    KrJob *j = ((KrLive *) p->lives->pdata[i])->job;
+    ops += end_is_due (p, j) ? end_ops (j) : 0;
+  }
+  return ops;
+}
+
 static int
 longest_ago (gconstpointer a, gconstpointer b)
 {
@@ -127,15 +152,13 @@
   g_autoptr (GPtrArray) progress = g_ptr_array_new ();
   GHashTableIter it;
   gpointer value;
-  /* A cancelled job is over only when every machine that may hold its tasks is known. */
-  gboolean may_cancel = p->phase == OPEN;
 
   g_hash_table_iter_init (&it, p->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     KrJob *j = ((KrLive *) value)->job;
     if (j->writing || j->chunks_missing)
       continue;
-    if (is_final (j) && (!j->cancelled || may_cancel))
+    if (end_is_due (p, j))
       g_ptr_array_add (ends, j);
     else if (j->dirty && !j->cancelled && now - j->flushed_at >= KR_FLUSH_MS * 1000)
       g_ptr_array_add (progress, j);
@@ -170,7 +193,7 @@
 
   for (guint i = 0; i < jobs->len; i++) {
     KrJob *j = jobs->pdata[i];
-    guint chunks = kr_job_chunks (j), ops = finals ? 1 + chunks : chunks;
+    guint chunks = kr_job_chunks (j), ops = finals ? end_ops (j) : chunks;
     gsize size = kr_job_bytes (j) * 4 / 3 + KR_VALUE_RESERVE;
     if (batch->items->len && (kr_txn_ops (txn) + ops > most || bytes + size > KR_COMMIT_BYTES))
       break;
--- a/src/part.h
+++ b/src/part.h
@@ -42,6 +42,9 @@
 /* Live counts of a job; FALSE if it is not known here. */
 gboolean kr_part_counts (KrPart *self, const char *job, guint *done, guint *running);
 
+/* Puts and deletes that the ends of its jobs wait for. */
+guint kr_part_waiting_ends (KrPart *self);
+
 /* Steps of walks over all machines so far: what the tests count. */
 guint64 kr_part_walked (KrPart *self);
 
--- a/src/rent.c
+++ b/src/rent.c
@@ -1,4 +1,5 @@
 #include "rent.h"
+#include "budget.h"
 #include "clock.h"
 #include "constants.h"
 #include "http.h"
@@ -39,11 +40,12 @@
   gboolean records_read; /* since we lead, and since a write of ours with unknown outcome */
   gint64 next_types, next_list, next_move, next_round;
   gint64 leading_since;
-  gint64 rent_at; /* monotonic us: renting goes on then, between rounds; 0: nothing to do */
-  gint64 act_at;  /* monotonic us: the round goes on then, whoever has answered; 0: it has */
-  guint asking;   /* exchanges of this round without an answer yet */
-  gboolean heard; /* since we lead, a round in which all parts were heard, or enough time */
-  gint64 asked;   /* monotonic us: when a leader, we or another, last asked for our summaries */
+  gint64 rent_at;   /* monotonic us: renting goes on then, between rounds; 0: nothing to do */
+  gint64 act_at;    /* monotonic us: the round goes on then, whoever has answered; 0: it has */
+  guint asking;     /* exchanges of this round without an answer yet */
+  double *backlogs; /* changes that wait at each node, ours first; negative: it has not told */
+  gboolean heard;   /* since we lead, a round in which all parts were heard, or enough time */
+  gint64 asked;     /* monotonic us: when a leader, we or another, last asked for our summaries */
   guint64 newest_leader; /* the highest token of a leader that we have heard of */
   guint timer;
 };
@@ -177,7 +179,30 @@
   for (guint p = 0; p < r->node->settings->size; p++)
     if (r->node->parts[p])
       json_array_append_new (parts, kr_part_summary (r->node->parts[p]));
-  return json_pack ("{so}", "Parts", parts);
+  return json_pack ("{so sf}", "Parts", parts, "Backlog", kr_node_waiting_writes (r->node));
+}
+
+/* Guards against a leader that does not know yet that there is a newer one. */
+static gboolean
+superseded (KrRent *r, guint64 leader)
+{
+  r->newest_leader = MAX (r->newest_leader, kr_membership_leader (r->node->membership)->revision);
+  if (leader && leader < r->newest_leader)
+    return TRUE;
+  r->newest_leader = MAX (r->newest_leader, leader);
+  return FALSE;
+}
+
+guint
+kr_rent_budget (KrRent *r, json_t *body)
+{
+  json_t *writes = json_object_get (body, "Writes"), *leader = json_object_get (body, "Leader");
+  if (!json_is_number (writes) || !json_is_integer (leader) || !(json_number_value (writes) > 0))
+    return 400;
+  if (superseded (r, (guint64) json_integer_value (leader)))
+    return 409;
+  kr_node_allot_writes (r->node, json_number_value (writes));
+  return 200;
 }
 
 gboolean
@@ -215,6 +240,7 @@
 typedef struct {
   KrRent *rent;
   const char *node; /* who was asked */
+  guint index;      /* its place in `backlogs` */
   gint64 round;     /* its act_at */
 } Asked;
 
@@ -227,6 +253,9 @@
   size_t i;
   if (status == 200)
     json_array_foreach (json_object_get (body, "Parts"), i, s) take_summary (r, s, a->node);
+  json_t *backlog = json_object_get (body, "Backlog");
+  if (status == 200 && r->act_at == a->round && json_is_number (backlog))
+    r->backlogs[a->index] = json_number_value (backlog);
   if (status == 200 && r->act_at == a->round && --r->asking == 0)
     act (r, TRUE); /* all have answered: nothing to wait for */
   g_free (a);
@@ -244,15 +273,17 @@
   const KrSettings *s = r->node->settings;
   r->act_at = now + KR_ANSWERS_MS * G_GINT64_CONSTANT (1000);
   r->asking = s->others->len + 1;
+  for (guint i = 0; i < r->asking; i++)
+    r->backlogs[i] = -1;
   for (guint i = 0; i < s->others->len; i++) {
     const KrPeerSettings *o = s->others->pdata[i];
     Asked *a = g_new (Asked, 1);
-    *a = (Asked){ r, o->name, r->act_at };
+    *a = (Asked){ r, o->name, i + 1, r->act_at };
     kr_client_call (r->node->peers, "GET", o->addr, KR_PEER_SUMMARIES, NULL, KR_PEER_TIMEOUT_MS,
                     r->cancel, asked, a);
   }
   Asked *own = g_new (Asked, 1);
-  *own = (Asked){ r, s->node_name, r->act_at };
+  *own = (Asked){ r, s->node_name, 0, r->act_at };
   json_t *mine = kr_rent_summaries (r);
   asked (200, mine, own);
   json_decref (mine);
@@ -306,6 +337,31 @@
   }
 }
 
+/* Guards against ends that wait for minutes: a swarm of small jobs in one part has more to write
+ * than its owner's fixed part of the limit, while the other nodes write little. */
+static void
+share_writes (KrRent *r)
+{
+  const KrSettings *s = r->node->settings;
+  guint nodes = s->others->len + 1;
+  g_autofree double *base = g_new (double, nodes), *allotted = g_new (double, nodes);
+  guint64 token = kr_membership_leader (r->node->membership)->revision;
+
+  base[0] = kr_node_base_writes (r->node, s->node_name);
+  for (guint i = 1; i < nodes; i++)
+    base[i] = kr_node_base_writes (r->node, ((KrPeerSettings *) s->others->pdata[i - 1])->name);
+  if (!kr_budget_allot (base, r->backlogs, nodes, allotted))
+    return;
+  kr_node_allot_writes (r->node, allotted[0]);
+  for (guint i = 1; i < nodes; i++) {
+    const KrPeerSettings *o = s->others->pdata[i - 1];
+    if (r->backlogs[i] >= 0)
+      kr_client_call (r->node->peers, "POST", o->addr, KR_PEER_BUDGET,
+                      json_pack ("{sI sf}", "Leader", (json_int_t) token, "Writes", allotted[i]),
+                      KR_PEER_TIMEOUT_MS, r->cancel, fulfilled, r);
+  }
+}
+
 /* Before machines are given out, all records are read anew: an earlier leader, or a write of ours
  * with unknown outcome, may have put them into a part already. */
 static void
@@ -703,6 +759,8 @@
   double all = 0;
 
   r->act_at = r->rent_at = 0;
+  if (whole)
+    share_writes (r);
   if (!knows_enough (r, now))
     return;
   collect (r, needs, supplies, now);
@@ -829,6 +887,7 @@
   r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
   r->summaries = g_new0 (Summary, node->settings->size);
   r->wishes = g_new0 (json_t *, node->settings->size);
+  r->backlogs = g_new0 (double, node->settings->others->len + 1);
   r->asked = kr_now ();
   r->timer = kr_timer_add (KR_LEAD_MS, tick, r);
   tick (r);
--- a/src/rent.h
+++ b/src/rent.h
@@ -22,6 +22,10 @@
  * [{"Part","Ids":[...],"To"}], no To: to be returned. */
 #define KR_PEER_SUMMARIES "/summaries"
 #define KR_PEER_WISHES "/wishes"
+/* And how many changes a second to the state service this node may make for now, while others have
+ * less to write: {"Leader","Writes"}; the answer's status. */
+#define KR_PEER_BUDGET "/budget"
+guint kr_rent_budget (KrRent *self, json_t *body);
 json_t *kr_rent_summaries (KrRent *self);
 /* `leader`: the leader's token; 0: not told. FALSE: a newer leader is known, nothing was done. */
 gboolean kr_rent_fulfil (KrRent *self, json_t *wishes, guint64 leader);
--- a/src/state.c
+++ b/src/state.c
@@ -7,7 +7,6 @@
   KrClient *client;
   char *host;
   KrBucket *requests, *writes;
-  double rps, write_rps; /* of all nodes together */
   gint64 heard;
 };
 
@@ -30,10 +29,8 @@
   KrState *st = g_new0 (KrState, 1);
   st->client = kr_client_new (KR_STATE_CONNS, KR_STATE_CONNS, KR_CLIENT_IDLE_S);
   st->host = g_strdup (s->state);
-  st->rps = s->state_rps;
-  st->write_rps = s->state_write_rps;
-  st->requests = kr_bucket_new (st->rps / s->size, 1);
-  st->writes = kr_bucket_new (st->write_rps / s->size, 1);
+  st->requests = kr_bucket_new (s->state_rps / s->size, 1);
+  st->writes = kr_bucket_new (s->state_write_rps / s->size, 1);
   return st;
 }
 
@@ -71,11 +68,17 @@
   return (guint) kr_bucket_spare (st->writes);
 }
 
+double
+kr_state_waiting_writes (KrState *st)
+{
+  return kr_bucket_waiting (st->writes);
+}
+
 void
-kr_state_set_share (KrState *st, double share)
+kr_state_set_rates (KrState *st, double requests, double writes)
 {
-  kr_bucket_set_rate (st->requests, st->rps * share);
-  kr_bucket_set_rate (st->writes, st->write_rps * share);
+  kr_bucket_set_rate (st->requests, requests);
+  kr_bucket_set_rate (st->writes, writes);
 }
 
 double
--- a/src/state.h
+++ b/src/state.h
@@ -26,12 +26,14 @@
 guint kr_state_burst_writes (KrState *self);
 /* Puts and deletes that may go out now for what can wait. */
 guint kr_state_spare_writes (KrState *self);
-/* This node's part (0 to 1) of the requests and changes of all nodes together. */
-void kr_state_set_share (KrState *self, double share);
-/* Time since the service last answered anything but 503, in seconds; very long if it never did: a
- * node that has just started must not tell others that it is served. */
+/* Puts and deletes that wait for the limit now. */
+double kr_state_waiting_writes (KrState *self);
+/* Requests, and puts and deletes, a second that this node may make. */
+void kr_state_set_rates (KrState *self, double requests, double writes);
 /* Requests a second that this node may make now. */
 double kr_state_request_rate (KrState *self);
+/* Time since the service last answered anything but 503, in seconds; very long if it never did: a
+ * node that has just started must not tell others that it is served. */
 double kr_state_silence (KrState *self);
 
 /* Reads a prefix whole, then follows its changes. After a gap it reads the prefix anew. */
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -855,6 +855,25 @@
   with_seeds (heard_and_deaf);
 }
 
+/* Hundreds of one-task jobs of one team: their ends are written by one owner, whose fixed part of
+ * the state service's few changes a second would take minutes for them. */
+static void
+test_swarm (void)
+{
+  SimOptions o = usual;
+  o.nodes = 7;
+  o.machines = 40;
+  o.write_rps = 15;
+  begin (&o);
+  for (guint i = 0; i < 300; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0009%03u", i);
+    sim_submit (id, "team0", "normal", 1, 1, 5, 300);
+  }
+  work_off (120);
+  g_assert_true (sim_all_over ());
+  finish (0);
+}
+
 /* The first machines never come up. Soon after the usual time others are rented in their place, and
  * they go back. */
 static void
@@ -1055,6 +1074,7 @@
   g_test_add_func ("/meetings/paid-machines-serve-all", test_paid_machines_serve_all);
   g_test_add_func ("/meetings/few-machines", test_few_machines);
   g_test_add_func ("/meetings/heard-but-not-fenced", test_heard_but_not_fenced);
+  g_test_add_func ("/meetings/swarm", test_swarm);
   g_test_add_func ("/meetings/never-up", test_never_up);
   g_test_add_func ("/meetings/huge-array", test_huge_array);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
