Tests of the meetings that had none: commands, reports, answers and questions at the worst moment

New faults in the stand-ins: direct commands held up and carried out late, old reports to every node, quick boots, questions at all nodes right after news (each answer is compared with what its user knew when asking).

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -56,7 +56,7 @@
   gboolean outage, refuse[MAX_NODES];
   double slow;
   guint lose_commits;
-  double late_writes;
+  double late_writes, late_commands;
   double write_tokens;
   gint64 write_at;
   /* cloud */
@@ -937,6 +937,8 @@
   gint64 last_ok, next_beat, last_beat, sent;
   guint node; /* reports to */
   GPtrArray *tasks;
+  json_t *kept, *kept_before; /* reports: of at most ten seconds ago, and one before */
+  gint64 kept_at;
 } Machine;
 
 /* A user's job and what the checker knows of it. */
@@ -953,6 +955,7 @@
   guint8 *completed;
   guint n_completed;
   gint64 complete_at;
+  gint64 accepted_at; /* its user was told so first */
   gint64 answered_at; /* a question about it was answered last */
   gint64 began_at;    /* its first task started; 0: not yet */
   gint64 submitted_at;
@@ -1180,6 +1183,40 @@
 {
 }
 
+/* For sim_old_reports. */
+#define KEEP_US 10000000
+
+static void
+keep_report (Machine *m, json_t *report)
+{
+  if (m->kept && S.now - m->kept_at < KEEP_US)
+    return;
+  json_decref (m->kept_before);
+  m->kept_before = m->kept;
+  m->kept = json_deep_copy (report);
+  m->kept_at = S.now;
+}
+
+static void
+send_old_report (Machine *m)
+{
+  if (!m->kept_before)
+    return;
+  for (guint i = 0; i < S.o.nodes; i++) {
+    g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", i + 1);
+    call_new (m->id, "POST", address, "/agent/beat", json_deep_copy (m->kept_before), 4,
+              copy_answered, NULL);
+  }
+}
+
+void
+sim_old_reports (void)
+{
+  g_autoptr (GList) ids = g_list_sort (g_hash_table_get_keys (S.machines), by_text);
+  for (GList *l = ids; l; l = l->next)
+    send_old_report (g_hash_table_lookup (S.machines, l->data));
+}
+
 static gboolean
 copy_arrives (gpointer data)
 {
@@ -1251,6 +1288,7 @@
     m->sent = m->last_beat = S.now;
     m->next_beat = S.now + (gint64) (S.o.report_s * g_rand_double_range (S.rng, 0.75, 1.25) * 1e6);
     json_t *r = report (m);
+    keep_report (m, r);
     if (g_rand_double (S.rng) < S.o.copies)
       copy_of (m->id, "POST", address, "/agent/beat", r);
     call_new (m->id, "POST", address, "/agent/beat", r, 4, beat_done, b);
@@ -1267,6 +1305,29 @@
   return FALSE;
 }
 
+/* 409: nothing was done. */
+static guint
+carry_out (Machine *m, Call *c)
+{
+  guint64 token = (guint64) json_integer_value (json_object_get (c->body, "Helm"));
+  guint64 session = (guint64) json_integer_value (json_object_get (c->body, "Watch"));
+  if (token < m->token || session != m->session)
+    return 409;
+  see_token (m, token);
+  execute (m, json_object_get (c->body, "Orders"));
+  return 200;
+}
+
+static gboolean
+command_late (gpointer call)
+{
+  Call *c = call;
+  Machine *m = g_hash_table_lookup (S.machines, c->to);
+  if (m && !m->dead)
+    carry_out (m, c);
+  return FALSE;
+}
+
 static void
 machine_answer (Call *c)
 {
@@ -1281,15 +1342,18 @@
     answer_call (c, 200, report (m));
     return;
   }
-  guint64 token = (guint64) json_integer_value (json_object_get (c->body, "Helm"));
-  if (token < m->token ||
-      (guint64) json_integer_value (json_object_get (c->body, "Watch")) != m->session) {
-    answer_call (c, 409, report (m));
+  if (g_rand_double (S.rng) < S.late_commands) {
+    later (g_rand_double_range (S.rng, 2, 16), command_late, c);
     return;
   }
-  see_token (m, token);
-  execute (m, json_object_get (c->body, "Orders"));
-  answer_call (c, 200, report (m));
+  guint status = carry_out (m, c);
+  answer_call (c, status, report (m));
+}
+
+void
+sim_late_commands (double share)
+{
+  S.late_commands = share;
 }
 
 static void
@@ -1300,7 +1364,9 @@
   m->id = g_strdup_printf ("host-%06u", S.next_machine);
   m->address = g_strdup_printf ("10.1.0.%u:9000", S.next_machine++);
   m->rented = S.now;
-  m->up_at = S.now + g_rand_int_range (S.rng, 6000000, 15000000);
+  double least = S.o.boot_max_s > 0 ? S.o.boot_min_s : 6;
+  double most = S.o.boot_max_s > 0 ? S.o.boot_max_s : 15;
+  m->up_at = S.now + g_rand_int_range (S.rng, (gint32) (least * 1e6), (gint32) (most * 1e6));
   if (S.boots_fail)
     m->up_at = G_MAXINT64;
   m->tasks = g_ptr_array_new_with_free_func (task_free);
@@ -1699,12 +1765,14 @@
   return u->began_at ? (u->began_at - u->submitted_at) / 1e6 : -1;
 }
 
+static void look_everywhere (User *u);
+
 static void
-tell (User *u, const char *word)
+tell (User *u, const char *word, gint64 asked_at)
 {
   gboolean final = over (u);
   u->answered_at = S.now;
-  if (final && u->asked_at < u->over_at)
+  if (final && asked_at < u->over_at)
     return; /* asked before: the two answers overtook each other */
   if (final && !g_str_equal (u->told, word))
     broken ("went_back: %s was %s, is %s", u->id, u->told, word);
@@ -1716,8 +1784,66 @@
     u->cancelled_at = S.now;
   g_free (u->told);
   u->told = g_strdup (word);
-  if (!final && over (u))
+  if (!final && over (u)) {
     u->over_at = S.now;
+    look_everywhere (u);
+  }
+}
+
+/* One of the questions that users ask at all nodes right after news. */
+typedef struct {
+  User *user;
+  guint node;
+  gboolean submits; /* it repeats the submission */
+  gint64 asked_at;
+} Look;
+
+static void
+looked (guint status, json_t *body, gpointer data)
+{
+  g_autofree Look *look = data;
+  User *u = look->user;
+  const char *word = json_string_value (json_object_get (body, "Bearing"));
+  if (status == 400 || status == 404 || status == 422)
+    broken ("forgotten: %s gets %u at n%u", u->id, status, look->node);
+  else if (status == 200 && word)
+    tell (u, word, look->asked_at);
+}
+
+static gboolean
+look (gpointer data)
+{
+  Look *l = data;
+  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", l->node + 1);
+  g_autofree char *poll = g_strdup_printf ("/api/jobs/%s", l->user->id);
+  l->asked_at = S.now;
+  if (l->submits)
+    call_new ("user", "POST", address, "/api/jobs", json_incref (l->user->body), 5, looked, l);
+  else
+    call_new ("user", "GET", address, poll, NULL, 2, looked, l);
+  return FALSE;
+}
+
+static void
+look_everywhere (User *u)
+{
+  for (guint i = 0; S.o.close_looks && i < 2 * S.o.nodes; i++) {
+    Look *l = g_new (Look, 1);
+    *l = (Look){ u, i / 2, i % 2, 0 };
+    later (g_rand_double_range (S.rng, 0, 0.02), look, l);
+  }
+}
+
+static void
+accept (User *u)
+{
+  gboolean first = !u->accepted;
+  u->accepted = TRUE;
+  u->answered_at = S.now;
+  if (!first)
+    return;
+  u->accepted_at = S.now;
+  look_everywhere (u);
 }
 
 /* Its user wants it cancelled, and was not yet told that it is. */
@@ -1733,7 +1859,7 @@
   User *u = data;
   const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 && word)
-    tell (u, word);
+    tell (u, word, u->asked_at);
   else if (status == 404)
     broken ("forgotten: %s gets 404", u->id);
   later (cancelling (u) ? 1 : 5, user_step, u);
@@ -1745,10 +1871,9 @@
   User *u = data;
   const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 || status == 201) {
-    u->accepted = TRUE;
-    u->answered_at = S.now;
+    accept (u);
     if (word)
-      tell (u, word);
+      tell (u, word, u->asked_at);
   } else if (u->accepted && (status == 400 || status == 422))
     broken ("forgotten: %s is refused", u->id);
   later (u->accepted && !cancelling (u) ? 5 : 1, user_step, u);
@@ -1759,7 +1884,7 @@
 {
   const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 && word)
-    tell (data, word);
+    tell (data, word, ((User *) data)->asked_at);
 }
 
 static void
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -20,6 +20,9 @@
   double fetch_s; /* that each task waits for its image */
   guint zones;    /* "z0", "z1", ...; 0: one */
   double vary;    /* a task runs up to this share longer or shorter than told */
+  double boot_min_s, boot_max_s; /* until a machine is up; 0: 6 and 15 */
+  gboolean
+      close_looks; /* after each acceptance and end users ask at all nodes within milliseconds */
 } SimOptions;
 
 void sim_start (guint32 seed, const SimOptions *options);
@@ -43,6 +46,12 @@
 void sim_late_writes (double share);
 /* The next n commits are executed, but their answers are lost. */
 void sim_lose_commit_answers (guint n);
+/* That share of direct commands gets no answer and is carried out once, 2 to 16 s late, where token
+ * and session still match. */
+void sim_late_commands (double share);
+/* A report that each machine sent some ten seconds ago or more, also of machines that are gone,
+ * reaches every node now. */
+void sim_old_reports (void);
 void sim_machine_kill (const char *id);
 void sim_machine_sick (const char *id, gboolean sick);
 void sim_machine_slow (const char *id, double factor);
