--- a/tests/test_races.c
+++ b/tests/test_races.c
@@ -241,6 +241,52 @@
   with_seeds (old_reports);
 }
 
+/* Every team is at its limit. Jobs of each are cancelled while machines that hold their tasks hang
+ * or are cut off, and owners and the leader change: what waits takes their place no sooner than
+ * they are surely gone. */
+static void
+teams_at_limits (void)
+{
+  SimOptions o = usual;
+  o.team_limit = 16;
+  o.vary = 0.3;
+  begin (&o);
+  for (guint i = 0; i < 9; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-0600%02u", i);
+    g_autofree char *team = g_strdup_printf ("team%u", i % 3);
+    sim_submit (id, team, "normal", 24, 1, 30, 900);
+  }
+  sim_run (40);
+  g_assert_cmpuint (sim_tasks_running (NULL), >=, 36); /* of 48 that the limits allow */
+  for (guint i = 0; i < 3; i++) {
+    g_auto (GStrv) all = sim_machine_names (NULL);
+    for (guint k = 0; all[k] && k < 4; k++)
+      if ((i + k) % 2)
+        sim_machine_hang (all[k], TRUE);
+      else
+        cut_off (all[k], SIM_HOLD);
+    for (guint k = 0; k < 3; k++) {
+      g_autofree char *id = g_strdup_printf ("wk-0600%02u", 3 * i + k);
+      if (k != i)
+        sim_abort (id);
+    }
+    crash (i, i % 2 ? 0.3 : 8);
+    sim_run (10);
+    for (guint k = 0; all[k]; k++) {
+      sim_machine_hang (all[k], FALSE);
+      cut_off (all[k], SIM_OPEN);
+    }
+    sim_run (12);
+  }
+  finish (600);
+}
+
+static void
+test_teams_at_limits (void)
+{
+  with_seeds (teams_at_limits);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -252,5 +298,6 @@
   g_test_add_func ("/races/cancel-at-handover", test_cancel_at_handover);
   g_test_add_func ("/races/close-looks", test_close_looks);
   g_test_add_func ("/races/old-reports", test_old_reports);
+  g_test_add_func ("/races/teams-at-limits", test_teams_at_limits);
   return g_test_run ();
 }
