--- a/src/agent.c
+++ b/src/agent.c
@@ -13,68 +13,70 @@
 void
 kr_launch_free (gpointer p)
 {
-  KrLaunch *l = p;
-  g_free (l->job);
-  g_free (l);
+  KrLaunch *launch = p;
+  g_free (launch->job);
+  g_free (launch);
 }
 
 KrMachine *
 kr_machine_new (const char *id)
 {
-  KrMachine *b = g_new0 (KrMachine, 1);
-  b->id = g_strdup (id);
-  b->launches = g_ptr_array_new_with_free_func (kr_launch_free);
-  b->bad_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  b->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  b->leaving_to = -1;
-  return b;
+  KrMachine *machine = g_new0 (KrMachine, 1);
+  machine->id = g_strdup (id);
+  machine->launches = g_ptr_array_new_with_free_func (kr_launch_free);
+  machine->bad_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  machine->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  machine->leaving_to = -1;
+  return machine;
 }
 
 void
 kr_machine_free (gpointer p)
 {
-  KrMachine *b = p;
-  g_free (b->id);
-  g_free (b->endpoint);
-  g_free (b->type);
-  g_free (b->zone);
-  g_free (b->reserved_for);
-  g_ptr_array_unref (b->launches);
-  g_hash_table_unref (b->bad_jobs);
-  g_hash_table_unref (b->images);
-  g_free (b);
+  KrMachine *machine = p;
+  g_free (machine->id);
+  g_free (machine->endpoint);
+  g_free (machine->type);
+  g_free (machine->zone);
+  g_free (machine->reserved_for);
+  g_ptr_array_unref (machine->launches);
+  g_hash_table_unref (machine->bad_jobs);
+  g_hash_table_unref (machine->images);
+  g_free (machine);
 }
 
 KrLaunch *
-kr_machine_launch (KrMachine *b, const char *job, guint index, guint64 attempt)
+kr_machine_launch (KrMachine *machine, const char *job, guint index, guint64 attempt)
 {
-  KrLaunch *l = g_new0 (KrLaunch, 1);
-  l->job = g_strdup (job);
-  l->index = index;
-  l->attempt = attempt;
-  l->on = b;
-  l->state = KR_TASK_DOUBT;
-  g_ptr_array_add (b->launches, l);
-  return l;
+  KrLaunch *launch = g_new0 (KrLaunch, 1);
+  launch->job = g_strdup (job);
+  launch->index = index;
+  launch->attempt = attempt;
+  launch->on = machine;
+  launch->state = KR_TASK_DOUBT;
+  g_ptr_array_add (machine->launches, launch);
+  return launch;
 }
 
 static KrLaunch *
-find (KrMachine *b, const KrTaskReport *t)
+find (KrMachine *machine, const KrTaskReport *task)
 {
-  for (guint i = 0; i < b->launches->len; i++) {
-    KrLaunch *l = b->launches->pdata[i];
-    if (l->index == t->index && l->attempt == t->attempt && g_str_equal (l->job, t->job))
-      return l;
+  for (guint i = 0; i < machine->launches->len; i++) {
+    KrLaunch *launch = machine->launches->pdata[i];
+    if (launch->index == task->index && launch->attempt == task->attempt &&
+        g_str_equal (launch->job, task->job))
+      return launch;
   }
   return NULL;
 }
 
 static gboolean
-reported (const KrReport *r, const KrLaunch *l)
+reported (const KrReport *report, const KrLaunch *launch)
 {
-  for (guint i = 0; i < r->tasks->len; i++) {
-    const KrTaskReport *t = &g_array_index (r->tasks, KrTaskReport, i);
-    if (l->index == t->index && l->attempt == t->attempt && g_str_equal (l->job, t->job))
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const KrTaskReport *task = &g_array_index (report->tasks, KrTaskReport, i);
+    if (launch->index == task->index && launch->attempt == task->attempt &&
+        g_str_equal (launch->job, task->job))
       return TRUE;
   }
   return FALSE;
@@ -82,107 +84,108 @@
 
 /* A launch that was not seen yet. */
 static KrLaunch *
-in_doubt (const KrMachine *b)
+in_doubt (const KrMachine *machine)
 {
-  for (guint i = 0; i < b->launches->len; i++) {
-    KrLaunch *l = b->launches->pdata[i];
-    if (l->state == KR_TASK_DOUBT && !l->planned && !l->kill)
-      return l;
+  for (guint i = 0; i < machine->launches->len; i++) {
+    KrLaunch *launch = machine->launches->pdata[i];
+    if (launch->state == KR_TASK_DOUBT && !launch->planned && !launch->kill)
+      return launch;
   }
   return NULL;
 }
 
 void
-kr_machine_clear (KrMachine *b, KrSawFunc saw, gpointer data)
+kr_machine_clear (KrMachine *machine, KrSawFunc saw, gpointer data)
 {
   /* Also where the lease ran out between two reports: a deaf machine that goes from node to node
    * comes back to its owner only after that, and would be given work each time. */
-  KrLaunch *lost = in_doubt (b);
+  KrLaunch *lost = in_doubt (machine);
   if (lost)
-    saw (b, lost, KR_SAW_UNHEARD, data);
-  while (b->launches->len) {
-    KrLaunch *l = g_ptr_array_steal_index (b->launches, b->launches->len - 1);
-    saw (b, l, KR_SAW_GONE, data);
-    kr_launch_free (l);
+    saw (machine, lost, KR_SAW_UNHEARD, data);
+  while (machine->launches->len) {
+    KrLaunch *launch = g_ptr_array_steal_index (machine->launches, machine->launches->len - 1);
+    saw (machine, launch, KR_SAW_GONE, data);
+    kr_launch_free (launch);
   }
 }
 
 gboolean
-kr_machine_apply (KrMachine *b, const KrReport *r, gboolean beat, guint64 token, gint64 now,
-                  KrSawFunc saw, gpointer data)
+kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
+                  gint64 now, KrSawFunc saw, gpointer data)
 {
-  if (r->session < b->session || (r->session == b->session && r->seq <= b->seq))
+  if (report->session < machine->session ||
+      (report->session == machine->session && report->seq <= machine->seq))
     return FALSE; /* guards against reports that a cut held back */
-  if (r->session > b->session)
-    kr_machine_clear (b, saw, data); /* its lease ran out: the worker killed everything */
-  b->session = r->session;
-  b->seq = r->seq;
-  b->heard = now;
-  b->token = r->token;
-  if (r->token == token) {
-    b->fenced = TRUE;
+  if (report->session > machine->session)
+    kr_machine_clear (machine, saw, data); /* its lease ran out: the worker killed everything */
+  machine->session = report->session;
+  machine->seq = report->seq;
+  machine->heard = now;
+  machine->token = report->token;
+  if (report->token == token) {
+    machine->fenced = TRUE;
     /* Fenced by a direct command, it may fall silent before its first report to us: whoever renewed
      * its lease did so before now. */
-    if (!b->answered)
-      b->answered = now;
+    if (!machine->answered)
+      machine->answered = now;
   }
-  if (!b->known || g_strcmp0 (b->endpoint, r->endpoint) != 0) {
-    g_free (b->endpoint);
-    g_free (b->type);
-    g_free (b->zone);
-    b->endpoint = g_strdup (r->endpoint);
-    b->type = g_strdup (r->type);
-    b->zone = g_strdup (r->zone);
-    b->spot = r->spot;
-    if (!b->known)
-      kr_debug ("machine %s: up", b->id);
-    b->known = TRUE;
+  if (!machine->known || g_strcmp0 (machine->endpoint, report->endpoint) != 0) {
+    g_free (machine->endpoint);
+    g_free (machine->type);
+    g_free (machine->zone);
+    machine->endpoint = g_strdup (report->endpoint);
+    machine->type = g_strdup (report->type);
+    machine->zone = g_strdup (report->zone);
+    machine->spot = report->spot;
+    if (!machine->known)
+      kr_debug ("machine %s: up", machine->id);
+    machine->known = TRUE;
   }
-  if (isnan (r->notice_s))
-    b->notice_at = 0;
-  else if (!b->notice_at)
-    b->notice_at = now + kr_seconds (r->notice_s);
+  if (isnan (report->notice_s))
+    machine->notice_at = 0;
+  else if (!machine->notice_at)
+    machine->notice_at = now + kr_seconds (report->notice_s);
 
   gboolean unheard = FALSE;
-  for (guint i = b->launches->len; i-- > 0;) {
-    KrLaunch *l = b->launches->pdata[i];
-    if (reported (r, l))
+  for (guint i = machine->launches->len; i-- > 0;) {
+    KrLaunch *launch = machine->launches->pdata[i];
+    if (reported (report, launch))
       continue;
-    if (l->planned)
+    if (launch->planned)
       continue;
     /* Not there. In doubt, only a later beat proves it: an answer of /commands or /show may have
      * been written before the worker took the response with the run. */
-    if (l->state == KR_TASK_DOUBT && !(beat && r->seq > l->doubt_seq))
+    if (launch->state == KR_TASK_DOUBT && !(beat && report->seq > launch->doubt_seq))
       continue;
-    if (l->state == KR_TASK_DOUBT && !l->kill && !unheard)
-      saw (b, l, KR_SAW_UNHEARD, data);
-    unheard |= l->state == KR_TASK_DOUBT;
-    l = g_ptr_array_steal_index (b->launches, i);
-    saw (b, l, KR_SAW_GONE, data);
-    kr_launch_free (l);
+    if (launch->state == KR_TASK_DOUBT && !launch->kill && !unheard)
+      saw (machine, launch, KR_SAW_UNHEARD, data);
+    unheard |= launch->state == KR_TASK_DOUBT;
+    launch = g_ptr_array_steal_index (machine->launches, i);
+    saw (machine, launch, KR_SAW_GONE, data);
+    kr_launch_free (launch);
   }
-  for (guint i = 0; i < r->tasks->len; i++) {
-    const KrTaskReport *t = &g_array_index (r->tasks, KrTaskReport, i);
-    KrLaunch *l = find (b, t);
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const KrTaskReport *task = &g_array_index (report->tasks, KrTaskReport, i);
+    KrLaunch *launch = find (machine, task);
     KrTaskState before;
-    if (!l) {
-      l = kr_machine_launch (b, t->job, t->index, t->attempt);
-      l->adopted = TRUE;
-      l->state = t->state;
-      saw (b, l, KR_SAW_NEW, data);
+    if (!launch) {
+      launch = kr_machine_launch (machine, task->job, task->index, task->attempt);
+      launch->adopted = TRUE;
+      launch->state = task->state;
+      saw (machine, launch, KR_SAW_NEW, data);
       before = KR_TASK_DOUBT;
     } else
-      before = l->state;
-    if (before == KR_TASK_DOUBT && !l->adopted)
-      saw (b, l, KR_SAW_HEARD, data);
-    l->state = t->state;
-    l->why = t->why;
-    if (t->state == KR_TASK_RUNNING && !l->since) {
-      l->since = now;
-      saw (b, l, KR_SAW_RUNNING, data);
+      before = launch->state;
+    if (before == KR_TASK_DOUBT && !launch->adopted)
+      saw (machine, launch, KR_SAW_HEARD, data);
+    launch->state = task->state;
+    launch->why = task->why;
+    if (task->state == KR_TASK_RUNNING && !launch->since) {
+      launch->since = now;
+      saw (machine, launch, KR_SAW_RUNNING, data);
     }
-    if (t->state == KR_TASK_EXITED && before != KR_TASK_EXITED)
-      saw (b, l, KR_SAW_EXITED, data);
+    if (task->state == KR_TASK_EXITED && before != KR_TASK_EXITED)
+      saw (machine, launch, KR_SAW_EXITED, data);
   }
   return TRUE;
 }
@@ -194,22 +197,22 @@
 }
 
 gboolean
-kr_machine_lease_over (const KrMachine *b, gint64 now, double lease_s)
+kr_machine_lease_over (const KrMachine *machine, gint64 now, double lease_s)
 {
-  return kr_lease_over (b->answered, now, lease_s);
+  return kr_lease_over (machine->answered, now, lease_s);
 }
 
 double
-kr_launch_ran_s (const KrLaunch *l, gint64 now)
+kr_launch_ran_s (const KrLaunch *launch, gint64 now)
 {
-  return l->since ? (double) (now - l->since) / G_USEC_PER_SEC : 0;
+  return launch->since ? (double) (now - launch->since) / G_USEC_PER_SEC : 0;
 }
 
 guint
-kr_machine_busy (const KrMachine *b)
+kr_machine_busy (const KrMachine *machine)
 {
   guint n = 0;
-  for (guint i = 0; i < b->launches->len; i++)
-    n += ((KrLaunch *) b->launches->pdata[i])->state != KR_TASK_EXITED;
+  for (guint i = 0; i < machine->launches->len; i++)
+    n += ((KrLaunch *) machine->launches->pdata[i])->state != KR_TASK_EXITED;
   return n;
 }
--- a/src/agent.h
+++ b/src/agent.h
@@ -74,19 +74,19 @@
 /* Takes a report in. `beat`: it came as a worker's report, not as an answer of /commands or /show:
  * only such a one settles doubt, since the worker sends the next only after it has taken or dropped
  * the response to the last. FALSE: older than what is known, nothing changed. */
-gboolean kr_machine_apply (KrMachine *self, const KrReport *report, gboolean beat, guint64 token,
+gboolean kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
                            gint64 now, KrSawFunc saw, gpointer data);
 /* Everything on it is gone (deleted, taken, or its lease surely over). */
-void kr_machine_clear (KrMachine *self, KrSawFunc saw, gpointer data);
+void kr_machine_clear (KrMachine *machine, KrSawFunc saw, gpointer data);
 /* Whether a lease that nobody has renewed since then has surely run out. */
 gboolean kr_lease_over (gint64 since, gint64 now, double lease_s);
 /* Whether the worker's lease has surely run out since we last answered it. Only meaningful for a
  * machine that is fenced: no one else answers it. */
-gboolean kr_machine_lease_over (const KrMachine *self, gint64 now, double lease_s);
-KrLaunch *kr_machine_launch (KrMachine *self, const char *job, guint index, guint64 attempt);
+gboolean kr_machine_lease_over (const KrMachine *machine, gint64 now, double lease_s);
+KrLaunch *kr_machine_launch (KrMachine *machine, const char *job, guint index, guint64 attempt);
 void kr_launch_free (gpointer launch);
 /* Seconds since it was seen running first; 0: not yet. */
-double kr_launch_ran_s (const KrLaunch *self, gint64 now);
+double kr_launch_ran_s (const KrLaunch *launch, gint64 now);
 /* What is not exited, in doubt included. */
-guint kr_machine_busy (const KrMachine *self);
+guint kr_machine_busy (const KrMachine *machine);
 gint64 kr_seconds (double s); /* as us */
--- a/src/api.c
+++ b/src/api.c
@@ -48,159 +48,159 @@
 KrApi *
 kr_api_new (KrNode *node)
 {
-  KrApi *a = g_new0 (KrApi, 1);
-  a->node = node;
-  a->cancel = kr_cancellable_child (node->cancel);
-  a->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  g_queue_init (&a->order);
-  a->polled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  a->view = kr_view_new (node->state, a->cancel);
-  return a;
+  KrApi *api = g_new0 (KrApi, 1);
+  api->node = node;
+  api->cancel = kr_cancellable_child (node->cancel);
+  api->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&api->order);
+  api->polled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  api->view = kr_view_new (node->state, api->cancel);
+  return api;
 }
 
 void
-kr_api_free (KrApi *a)
+kr_api_free (KrApi *api)
 {
-  g_cancellable_cancel (a->cancel);
-  kr_view_free (a->view);
+  g_cancellable_cancel (api->cancel);
+  kr_view_free (api->view);
 }
 
 static void
-remember (KrApi *a, const char *id, KrJobState state, guint done)
+remember (KrApi *api, const char *id, KrJobState state, guint done)
 {
-  if (g_hash_table_contains (a->finals, id))
+  if (g_hash_table_contains (api->finals, id))
     return;
-  if (a->order.length >= KR_FINAL_CACHE) {
-    g_autofree char *oldest = g_queue_pop_head (&a->order);
-    g_hash_table_remove (a->finals, oldest);
+  if (api->order.length >= KR_FINAL_CACHE) {
+    g_autofree char *oldest = g_queue_pop_head (&api->order);
+    g_hash_table_remove (api->finals, oldest);
   }
   Final *f = g_new (Final, 1);
   *f = (Final){ state, done };
-  g_hash_table_insert (a->finals, g_strdup (id), f);
-  g_queue_push_tail (&a->order, g_strdup (id));
+  g_hash_table_insert (api->finals, g_strdup (id), f);
+  g_queue_push_tail (&api->order, g_strdup (id));
 }
 
 static Visit *
-visit_new (KrApi *a, KrRequest *request, KrRoute route, const char *id, guint ms)
+visit_new (KrApi *api, KrRequest *request, KrRoute route, const char *id, guint ms)
 {
-  Visit *v = g_new0 (Visit, 1);
-  v->api = a;
-  v->request = request;
-  v->route = route;
-  v->id = g_strdup (id);
-  v->deadline = kr_now () + (gint64) ms * 1000;
-  return v;
+  Visit *visit = g_new0 (Visit, 1);
+  visit->api = api;
+  visit->request = request;
+  visit->route = route;
+  visit->id = g_strdup (id);
+  visit->deadline = kr_now () + (gint64) ms * 1000;
+  return visit;
 }
 
 /* From here on it costs requests to the state service of its own. */
 static void
-count (Visit *v)
+count (Visit *request)
 {
-  v->counted = TRUE;
-  v->api->pending++;
-  v->api->polls += v->route == KR_ROUTE_POLL;
+  request->counted = TRUE;
+  request->api->pending++;
+  request->api->polls += request->route == KR_ROUTE_POLL;
 }
 
-static void next_polls (KrApi *a, const char *id);
+static void next_polls (KrApi *api, const char *id);
 
 static void
-answer (Visit *v, guint status, json_t *body, guint retry_after_s)
+answer (Visit *request, guint status, json_t *body, guint retry_after_s)
 {
-  for (guint i = 0; v->others && i < v->others->len; i++)
-    kr_request_reply (v->others->pdata[i], status, json_incref (body), retry_after_s);
-  kr_request_reply (v->request, status, body, retry_after_s);
-  v->api->pending -= v->counted;
-  v->api->polls -= v->counted && v->route == KR_ROUTE_POLL;
-  if (v->route == KR_ROUTE_POLL)
-    next_polls (v->api, v->id);
-  g_clear_pointer (&v->others, g_ptr_array_unref);
-  g_free (v->id);
-  g_free (v);
+  for (guint i = 0; request->others && i < request->others->len; i++)
+    kr_request_reply (request->others->pdata[i], status, json_incref (body), retry_after_s);
+  kr_request_reply (request->request, status, body, retry_after_s);
+  request->api->pending -= request->counted;
+  request->api->polls -= request->counted && request->route == KR_ROUTE_POLL;
+  if (request->route == KR_ROUTE_POLL)
+    next_polls (request->api, request->id);
+  g_clear_pointer (&request->others, g_ptr_array_unref);
+  g_free (request->id);
+  g_free (request);
 }
 
 static void
-cannot_know (Visit *v)
+cannot_know (Visit *request)
 {
-  answer (v, 503, kr_wire_error ("the state service cannot be asked now"), KR_RETRY_AFTER_S);
+  answer (request, 503, kr_wire_error ("the state service cannot be asked now"), KR_RETRY_AFTER_S);
 }
 
 /* The cancellation is committed; the user comes back for the word. */
 static void
-not_yet (Visit *v)
+not_yet (Visit *request)
 {
-  answer (v, 503, kr_wire_error ("the cancellation is not confirmed yet"), KR_RETRY_AFTER_S);
+  answer (request, 503, kr_wire_error ("the cancellation is not confirmed yet"), KR_RETRY_AFTER_S);
 }
 
 /* Guards against answers from before: of a node that stood still after it had read, while another
  * told a newer state. What is over stays so. */
 static gboolean
-too_late (Visit *v)
+too_late (Visit *request)
 {
-  return kr_now () > v->deadline + KR_USER_LATE_MS * G_GINT64_CONSTANT (1000);
+  return kr_now () > request->deadline + KR_USER_LATE_MS * G_GINT64_CONSTANT (1000);
 }
 
 static guint
-left_ms (Visit *v, guint most)
+left_ms (Visit *request, guint most)
 {
-  gint64 ms = (v->deadline - kr_now ()) / 1000;
+  gint64 ms = (request->deadline - kr_now ()) / 1000;
   return (guint) CLAMP (ms, 1, most);
 }
 
 /* --- looking a job up: live first, then ended; it only ever moves that way ----------- */
-static void look (Visit *v, Found found);
-static void look_at_end (Visit *v);
+static void look (Visit *request, Found found);
+static void look_at_end (Visit *request);
 
 /* However many ask, submissions and cancellations do not wait behind them. */
 static KrTurn
-turn_of (const Visit *v)
+turn_of (const Visit *request)
 {
-  return v->route == KR_ROUTE_POLL ? KR_LAST : KR_NORMAL;
+  return request->route == KR_ROUTE_POLL ? KR_LAST : KR_NORMAL;
 }
 
 static void
 looked (guint status, json_t *body, gpointer data)
 {
-  Visit *v = data;
+  Visit *request = data;
   KrItem item;
 
-  if (too_late (v))
-    cannot_know (v);
+  if (too_late (request))
+    cannot_know (request);
   else if (status == 200 && kr_wire_item_parse (body, &item))
-    v->found (v, TRUE, &item);
-  else if (status == 404 && !v->ended_key)
-    look_at_end (v);
+    request->found (request, TRUE, &item);
+  else if (status == 404 && !request->ended_key)
+    look_at_end (request);
   else if (status == 404)
-    v->found (v, TRUE, NULL);
+    request->found (request, TRUE, NULL);
   else
-    v->found (v, FALSE, NULL);
+    request->found (request, FALSE, NULL);
 }
 
 static void
-look_at_end (Visit *v)
+look_at_end (Visit *request)
 {
-  g_autofree char *key = kr_job_end_key (v->id);
-  v->ended_key = TRUE;
-  kr_state_get (v->api->node->state, key, turn_of (v), left_ms (v, KR_STATE_TIMEOUT_MS),
-                v->api->cancel, looked, v);
+  g_autofree char *key = kr_job_end_key (request->id);
+  request->ended_key = TRUE;
+  kr_state_get (request->api->node->state, key, turn_of (request),
+                left_ms (request, KR_STATE_TIMEOUT_MS), request->api->cancel, looked, request);
 }
 
 static void
-look (Visit *v, Found found)
+look (Visit *request, Found found)
 {
-  g_autofree char *key = kr_job_key (v->id);
-  if (!v->counted)
-    count (v);
-  v->found = found;
-  v->ended_key = FALSE;
-  kr_state_get (v->api->node->state, key, turn_of (v), left_ms (v, KR_STATE_TIMEOUT_MS),
-                v->api->cancel, looked, v);
+  g_autofree char *key = kr_job_key (request->id);
+  if (!request->counted)
+    count (request);
+  request->found = found;
+  request->ended_key = FALSE;
+  kr_state_get (request->api->node->state, key, turn_of (request),
+                left_ms (request, KR_STATE_TIMEOUT_MS), request->api->cancel, looked, request);
 }
 
 /* --- a cancellation is told once the part's owner surely acts on it ------------------ */
 /* Guards against tasks that run on: an owner that the state service refuses alone does not see the
  * cancellation there, and when the service is then out for all, nobody can take the part over while
  * its machines go on reporting to it. */
-static void confirm (Visit *v);
+static void confirm (Visit *request);
 
 static gboolean
 confirm_again (gpointer data)
@@ -212,38 +212,41 @@
 static gboolean
 look_again (gpointer data)
 {
-  Visit *v = data;
-  look (v, v->found);
+  Visit *request = data;
+  look (request, request->found);
   return G_SOURCE_REMOVE;
 }
 
 static void
-try_again (Visit *v, GSourceFunc how)
+try_again (Visit *request, GSourceFunc how)
 {
-  if (++v->tries >= KR_CONFIRM_TRIES || left_ms (v, KR_CONFIRM_TIMEOUT_MS) <= KR_CONFIRM_PAUSE_MS)
-    not_yet (v);
+  if (++request->tries >= KR_CONFIRM_TRIES ||
+      left_ms (request, KR_CONFIRM_TIMEOUT_MS) <= KR_CONFIRM_PAUSE_MS)
+    not_yet (request);
   else
-    kr_timer_add (KR_CONFIRM_PAUSE_MS, how, v);
+    kr_timer_add (KR_CONFIRM_PAUSE_MS, how, request);
 }
 
 static void
-said (Visit *v, KrCancelWord word)
+said (Visit *request, KrCancelWord word)
 {
   switch (word) {
   case KR_CANCEL_SURE:
-    remember (v->api, v->id, KR_JOB_CANCELLED, v->done);
-    answer (v, 200,
-            kr_wire_job_answer (v->id, KR_JOB_CANCELLED, v->route == KR_ROUTE_POLL, v->done, 0), 0);
+    remember (request->api, request->id, KR_JOB_CANCELLED, request->done);
+    answer (request, 200,
+            kr_wire_job_answer (request->id, KR_JOB_CANCELLED, request->route == KR_ROUTE_POLL,
+                                request->done, 0),
+            0);
     break;
   case KR_CANCEL_SOON:
-    try_again (v, confirm_again);
+    try_again (request, confirm_again);
     break;
   case KR_CANCEL_UNKNOWN: /* it may have ended meanwhile */
-    try_again (v, look_again);
+    try_again (request, look_again);
     break;
   case KR_CANCEL_NOT_OWNER:
   case KR_CANCEL_SILENT:
-    not_yet (v);
+    not_yet (request);
     break;
   }
 }
@@ -257,60 +260,67 @@
 /* The owner that our view names need not be the newest: any that took its key with the revision
  * named in the cancellation, or after it, has what it takes (see kr_part_cancel). */
 static void
-confirm (Visit *v)
-{
-  KrNode *n = v->api->node;
-  const KrHolder *h =
-      v->part < n->settings->size ? kr_membership_holder (n->membership, v->part) : NULL;
-  const KrPeerSettings *peer = h && h->node ? kr_settings_peer (n->settings, h->node) : NULL;
-
-  if (h && n->parts[v->part])
-    said (v, kr_part_cancel (n->parts[v->part], v->id, v->owner, v->revision));
+confirm (Visit *request)
+{
+  KrNode *node = request->api->node;
+  const KrHolder *holder = request->part < node->settings->size
+                               ? kr_membership_holder (node->membership, request->part)
+                               : NULL;
+  const KrPeerSettings *peer =
+      holder && holder->node ? kr_settings_peer (node->settings, holder->node) : NULL;
+
+  if (holder && node->parts[request->part])
+    said (request, kr_part_cancel (node->parts[request->part], request->id, request->owner,
+                                   request->revision));
   else if (!peer)
-    not_yet (v);
+    not_yet (request);
   else
-    kr_client_call (n->peers, "POST", peer->addr, KR_PEER_CANCELLATIONS,
-                    kr_cancel_question (v->part, v->id, v->owner, v->revision),
-                    left_ms (v, KR_CONFIRM_TIMEOUT_MS), v->api->cancel, owner_said, v);
+    kr_client_call (
+        node->peers, "POST", peer->addr, KR_PEER_CANCELLATIONS,
+        kr_cancel_question (request->part, request->id, request->owner, request->revision),
+        left_ms (request, KR_CONFIRM_TIMEOUT_MS), request->api->cancel, owner_said, request);
 }
 
 /* Tells what is stored of a job. */
 static void
-answer_job (Visit *v, const KrViewJob *j)
-{
-  KrJobState state = j->state;
-  guint done = j->done, running = j->running;
-  if (j->cancelled) {
-    v->part = j->part;
-    v->owner = j->owner;
-    v->revision = j->revision;
-    v->done = done;
-    confirm (v);
+answer_job (Visit *request, const KrViewJob *view_job)
+{
+  KrJobState state = view_job->state;
+  guint done = view_job->done, running = view_job->running;
+  if (view_job->cancelled) {
+    request->part = view_job->part;
+    request->owner = view_job->owner;
+    request->revision = view_job->revision;
+    request->done = done;
+    confirm (request);
     return;
   }
   if (state == KR_JOB_DONE || state == KR_JOB_CANCELLED)
-    remember (v->api, v->id, state, done);
+    remember (request->api, request->id, state, done);
   else
-    for (guint p = 0; p < v->api->node->settings->size; p++)
-      if (v->api->node->parts[p] && kr_part_counts (v->api->node->parts[p], v->id, &done, &running))
+    for (guint p = 0; p < request->api->node->settings->size; p++)
+      if (request->api->node->parts[p] &&
+          kr_part_counts (request->api->node->parts[p], request->id, &done, &running))
         state = running ? KR_JOB_RUNNING : KR_JOB_PENDING;
-  answer (v, 200, kr_wire_job_answer (v->id, state, v->route == KR_ROUTE_POLL, done, running), 0);
+  answer (request, 200,
+          kr_wire_job_answer (request->id, state, request->route == KR_ROUTE_POLL, done, running),
+          0);
 }
 
 static void
-answer_value (Visit *v, const KrItem *item)
+answer_value (Visit *request, const KrItem *item)
 {
   KrViewJob j;
   if (kr_view_job_parse (&j, item))
-    answer_job (v, &j);
+    answer_job (request, &j);
   else
-    cannot_know (v);
+    cannot_know (request);
 }
 
 static gboolean
-answer_from_cache (KrApi *a, KrRequest *request, const char *id, gboolean counts)
+answer_from_cache (KrApi *api, KrRequest *request, const char *id, gboolean counts)
 {
-  Final *f = g_hash_table_lookup (a->finals, id);
+  Final *f = g_hash_table_lookup (api->finals, id);
   if (!f)
     return FALSE;
   kr_request_reply (request, 200, kr_wire_job_answer (id, f->state, counts, f->done, 0), 0);
@@ -326,69 +336,69 @@
 /* The stage's buffer is small: beyond it the user is told at once when to come back. Polls have a
  * part of their own, so that a storm of them leaves room for the rest. */
 static gboolean
-too_busy (KrApi *a, KrRoute route)
+too_busy (KrApi *api, KrRoute route)
 {
   /* As many as the state service answers within the time that a user waits. */
   double most =
-      MAX (KR_API_PENDING_MIN, kr_state_request_rate (a->node->state) * KR_USER_READ_MS / 1000.0);
-  return route == KR_ROUTE_POLL ? a->polls >= most * KR_API_POLL_SHARE
-                                : a->pending - a->polls >= most;
+      MAX (KR_API_PENDING_MIN, kr_state_request_rate (api->node->state) * KR_USER_READ_MS / 1000.0);
+  return route == KR_ROUTE_POLL ? api->polls >= most * KR_API_POLL_SHARE
+                                : api->pending - api->polls >= most;
 }
 
 /* --- poll ---------------------------------------------------------------------------- */
 static void
-poll_found (Visit *v, gboolean known, KrItem *item)
+poll_found (Visit *request, gboolean known, KrItem *item)
 {
   if (!known)
-    cannot_know (v);
+    cannot_know (request);
   else if (!item)
-    answer (v, 404, kr_wire_error ("no such job"), 0);
+    answer (request, 404, kr_wire_error ("no such job"), 0);
   else
-    answer_value (v, item);
+    answer_value (request, item);
 }
 
 /* What is not among the live jobs has ended, or never was. */
 static void
-look_below_end (Visit *v)
+look_below_end (Visit *request)
 {
-  if (too_busy (v->api, KR_ROUTE_POLL)) {
-    answer (v, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
+  if (too_busy (request->api, KR_ROUTE_POLL)) {
+    answer (request, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
     return;
   }
-  count (v);
-  look_at_end (v);
+  count (request);
+  look_at_end (request);
 }
 
 static void
 view_synced (gboolean known, gpointer data)
 {
-  Visit *v = data;
-  const KrViewJob *j = kr_view_find (v->api->view, v->id);
-  v->api->crowd--;
-  if (!known || too_late (v))
-    cannot_know (v);
-  else if (j)
-    answer_job (v, j);
+  Visit *request = data;
+  const KrViewJob *view_job = kr_view_find (request->api->view, request->id);
+  request->api->crowd--;
+  if (!known || too_late (request))
+    cannot_know (request);
+  else if (view_job)
+    answer_job (request, view_job);
   else
-    look_below_end (v);
+    look_below_end (request);
 }
 
 /* FALSE: too many wait already. */
 static gboolean
-start_poll (KrApi *a, KrRequest *request, GPtrArray *others, const char *id)
+start_poll (KrApi *api, KrRequest *request, GPtrArray *others, const char *id)
 {
-  gboolean alone = a->polls < KR_API_CROWD && a->crowd == 0;
-  if (!alone && a->crowd >= KR_API_CROWD_MAX)
+  gboolean alone = api->polls < KR_API_CROWD && api->crowd == 0;
+  if (!alone && api->crowd >= KR_API_CROWD_MAX)
     return FALSE;
-  Visit *v = visit_new (a, request, KR_ROUTE_POLL, id, KR_USER_READ_MS);
-  v->others = others;
-  v->found = poll_found;
-  g_hash_table_insert (a->polled, g_strdup (id), g_ptr_array_new ());
+  Visit *visit = visit_new (api, request, KR_ROUTE_POLL, id, KR_USER_READ_MS);
+  visit->others = others;
+  visit->found = poll_found;
+  g_hash_table_insert (api->polled, g_strdup (id), g_ptr_array_new ());
   if (alone)
-    look (v, poll_found);
+    look (visit, poll_found);
   else {
-    a->crowd++;
-    kr_view_sync (a->view, view_synced, v);
+    api->crowd++;
+    kr_view_sync (api->view, view_synced, visit);
   }
   return TRUE;
 }
@@ -396,14 +406,14 @@
 /* Polls of a job that came while one of it was under way share one read that begins only now: that
  * one began before they came, so what was told meanwhile might not be in it. */
 static void
-next_polls (KrApi *a, const char *id)
+next_polls (KrApi *api, const char *id)
 {
-  GPtrArray *next = g_hash_table_lookup (a->polled, id);
-  g_hash_table_remove (a->polled, id);
-  while (next->len && answer_from_cache (a, next->pdata[0], id, TRUE))
+  GPtrArray *next = g_hash_table_lookup (api->polled, id);
+  g_hash_table_remove (api->polled, id);
+  while (next->len && answer_from_cache (api, next->pdata[0], id, TRUE))
     g_ptr_array_remove_index_fast (next, 0);
   KrRequest *first = next->len ? g_ptr_array_steal_index_fast (next, 0) : NULL;
-  if (first && start_poll (a, first, next, id))
+  if (first && start_poll (api, first, next, id))
     return;
   if (first)
     g_ptr_array_add (next, first);
@@ -413,149 +423,151 @@
 }
 
 void
-kr_api_poll (KrApi *a, KrRequest *request, const char *id)
+kr_api_poll (KrApi *api, KrRequest *request, const char *id)
 {
   GPtrArray *next;
   if (!kr_wire_is_job_id (id))
     kr_request_reply (request, 404, kr_wire_error ("no such job"), 0);
-  else if (answer_from_cache (a, request, id, TRUE))
+  else if (answer_from_cache (api, request, id, TRUE))
     return;
-  else if ((next = g_hash_table_lookup (a->polled, id)))
+  else if ((next = g_hash_table_lookup (api->polled, id)))
     g_ptr_array_add (next, request);
-  else if (!start_poll (a, request, NULL, id))
+  else if (!start_poll (api, request, NULL, id))
     refuse (request);
 }
 
 /* --- submit -------------------------------------------------------------------------- */
 static void
-submit_found (Visit *v, gboolean known, KrItem *item)
+submit_found (Visit *request, gboolean known, KrItem *item)
 {
   /* Absent after a write with unknown outcome: it may still be applied, so not "no". */
   if (!known || !item)
-    cannot_know (v);
+    cannot_know (request);
   else
-    answer_value (v, item);
+    answer_value (request, item);
 }
 
 static void
 submitted (guint status, json_t *body, gpointer data)
 {
-  Visit *v = data;
+  Visit *request = data;
   if (status == 200)
-    answer (v, 201, kr_wire_job_answer (v->id, KR_JOB_PENDING, FALSE, 0, 0), 0);
+    answer (request, 201, kr_wire_job_answer (request->id, KR_JOB_PENDING, FALSE, 0, 0), 0);
   else if (status == 409 || status == 0)
-    look (v, submit_found);
+    look (request, submit_found);
   else
-    cannot_know (v);
+    cannot_know (request);
 }
 
 static const char *
-never (KrApi *a, const KrSpec *s)
+never (KrApi *api, const KrSpec *spec)
 {
-  const KrTeam *team = kr_settings_team (a->node->settings, s->team);
+  const KrTeam *team = kr_settings_team (api->node->settings, spec->team);
   gboolean fits = FALSE;
   if (!team)
     return "unknown team";
-  for (guint i = 0; i < a->node->types->len; i++)
-    fits |= kr_place_fits_type (s, a->node->types->pdata[i]);
+  for (guint i = 0; i < api->node->types->len; i++)
+    fits |= kr_place_fits_type (spec, api->node->types->pdata[i]);
   if (!fits)
     return "a task fits no allowed machine type";
-  if (!kr_place_job_ok (team, s))
+  if (!kr_place_job_ok (team, spec))
     return "the job needs more than the team's limit";
   return NULL;
 }
 
 void
-kr_api_submit (KrApi *a, KrRequest *request)
+kr_api_submit (KrApi *api, KrRequest *request)
 {
   g_autoptr (GError) error = NULL;
   g_autoptr (KrSpec) spec = kr_wire_spec_parse (kr_request_json (request), &error);
   const char *why;
-  KrState *state = a->node->state;
+  KrState *state = api->node->state;
 
   if (!spec)
     kr_request_reply (request, 400, kr_wire_error (error->message), 0);
-  else if (answer_from_cache (a, request, spec->id, FALSE))
+  else if (answer_from_cache (api, request, spec->id, FALSE))
     return;
-  else if (!a->node->types)
+  else if (!api->node->types)
     kr_request_reply (request, 503, kr_wire_error ("machine types are not yet known"),
                       KR_RETRY_AFTER_S);
-  else if ((why = never (a, spec)))
+  else if ((why = never (api, spec)))
     kr_request_reply (request, 422, kr_wire_error (why), 0);
-  else if (too_busy (a, KR_ROUTE_SUBMIT))
+  else if (too_busy (api, KR_ROUTE_SUBMIT))
     refuse (request);
   else if (kr_state_write_wait (state) > KR_USER_WAIT_S)
     kr_request_reply (request, 429, kr_wire_error ("too many writes"),
                       (guint) ceil (kr_state_write_wait (state)));
   else {
-    Visit *v = visit_new (a, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_MS);
+    Visit *visit = visit_new (api, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_MS);
     g_autofree char *key = kr_job_key (spec->id), *end = kr_job_end_key (spec->id);
     KrTxn *txn = kr_txn_new ();
-    guint part = kr_settings_part_of_team (a->node->settings, spec->team);
+    guint part = kr_settings_part_of_team (api->node->settings, spec->team);
     g_autoptr (KrJob) j = kr_job_new (g_steal_pointer (&spec), kr_time_of_day (), part);
     kr_txn_when (txn, key, 0);
     kr_txn_when (txn, end, 0);
     kr_txn_put (txn, key, kr_job_encode (j, j->done, 0), 0);
-    count (v);
-    kr_state_commit (state, txn, KR_NORMAL, KR_STATE_TIMEOUT_MS, a->cancel, submitted, v);
+    count (visit);
+    kr_state_commit (state, txn, KR_NORMAL, KR_STATE_TIMEOUT_MS, api->cancel, submitted, visit);
   }
 }
 
 /* --- abort --------------------------------------------------------------------------- */
-static void abort_found (Visit *v, gboolean known, KrItem *item);
+static void abort_found (Visit *request, gboolean known, KrItem *item);
 
 static void
 aborted (guint status, json_t *body, gpointer data)
 {
-  Visit *v = data;
-  g_autofree char *owner_key = kr_membership_owner_key (v->part);
+  Visit *request = data;
+  g_autofree char *owner_key = kr_membership_owner_key (request->part);
   if (status == 200) {
-    v->revision = kr_wire_revision (body);
-    confirm (v);
+    request->revision = kr_wire_revision (body);
+    confirm (request);
   } else if (status == 409 && kr_wire_failed_has (body, owner_key))
-    try_again (v, look_again); /* the watch shows the new owner within a round */
-  else if ((status == 409 || status == 0) && kr_now () < v->deadline)
-    look (v, abort_found);
+    try_again (request, look_again); /* the watch shows the new owner within a round */
+  else if ((status == 409 || status == 0) && kr_now () < request->deadline)
+    look (request, abort_found);
   else
-    cannot_know (v);
+    cannot_know (request);
 }
 
 static void
-abort_found (Visit *v, gboolean known, KrItem *item)
+abort_found (Visit *request, gboolean known, KrItem *item)
 {
   KrJobState state;
   guint running;
 
   if (!known)
-    cannot_know (v);
+    cannot_know (request);
   else if (!item)
-    answer (v, 404, kr_wire_error ("no such job"), 0);
-  else if (!kr_job_peek (item->value, &state, &v->done, &running) || state >= KR_JOB_DONE ||
-           (v->part = kr_job_peek_part (item->value)) >= v->api->node->settings->size)
-    answer_value (v, item);
+    answer (request, 404, kr_wire_error ("no such job"), 0);
+  else if (!kr_job_peek (item->value, &state, &request->done, &running) || state >= KR_JOB_DONE ||
+           (request->part = kr_job_peek_part (item->value)) >= request->api->node->settings->size)
+    answer_value (request, item);
   else {
     /* Under the owner that we are going to ask: whoever comes after it reads the cancellation. */
-    const KrHolder *h = kr_membership_holder (v->api->node->membership, v->part);
-    g_autofree char *key = kr_job_key (v->id), *owner_key = kr_membership_owner_key (v->part);
+    const KrHolder *holder = kr_membership_holder (request->api->node->membership, request->part);
+    g_autofree char *key = kr_job_key (request->id),
+                    *owner_key = kr_membership_owner_key (request->part);
     KrTxn *txn = kr_txn_new ();
-    v->owner = h->node ? h->revision : 0;
+    request->owner = holder->node ? holder->revision : 0;
     kr_txn_when (txn, key, item->revision);
-    kr_txn_when (txn, owner_key, v->owner);
-    kr_txn_put (txn, key, kr_job_cancel_value (item->value, v->owner), 0);
-    kr_state_commit (v->api->node->state, txn, KR_FIRST, left_ms (v, KR_STATE_TIMEOUT_MS),
-                     v->api->cancel, aborted, v);
+    kr_txn_when (txn, owner_key, request->owner);
+    kr_txn_put (txn, key, kr_job_cancel_value (item->value, request->owner), 0);
+    kr_state_commit (request->api->node->state, txn, KR_FIRST,
+                     left_ms (request, KR_STATE_TIMEOUT_MS), request->api->cancel, aborted,
+                     request);
   }
 }
 
 void
-kr_api_abort (KrApi *a, KrRequest *request, const char *id)
+kr_api_abort (KrApi *api, KrRequest *request, const char *id)
 {
   if (!kr_wire_is_job_id (id))
     kr_request_reply (request, 404, kr_wire_error ("no such job"), 0);
-  else if (answer_from_cache (a, request, id, FALSE))
+  else if (answer_from_cache (api, request, id, FALSE))
     return;
-  else if (too_busy (a, KR_ROUTE_ABORT))
+  else if (too_busy (api, KR_ROUTE_ABORT))
     refuse (request);
   else
-    look (visit_new (a, request, KR_ROUTE_ABORT, id, KR_USER_WRITE_MS), abort_found);
+    look (visit_new (api, request, KR_ROUTE_ABORT, id, KR_USER_WRITE_MS), abort_found);
 }
--- a/src/api.h
+++ b/src/api.h
@@ -5,8 +5,8 @@
 #include "wire.h"
 
 KrApi *kr_api_new (KrNode *node);
-void kr_api_free (KrApi *self);
+void kr_api_free (KrApi *api);
 /* All three take over `request`. */
-void kr_api_submit (KrApi *self, KrRequest *request);
-void kr_api_poll (KrApi *self, KrRequest *request, const char *id);
-void kr_api_abort (KrApi *self, KrRequest *request, const char *id);
+void kr_api_submit (KrApi *api, KrRequest *request);
+void kr_api_poll (KrApi *api, KrRequest *request, const char *id);
+void kr_api_abort (KrApi *api, KrRequest *request, const char *id);
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -25,32 +25,32 @@
 static void doomed_free (gpointer p);
 
 KrCloud *
-kr_cloud_new (const KrSettings *s)
+kr_cloud_new (const KrSettings *settings)
 {
-  KrCloud *c = g_new0 (KrCloud, 1);
-  c->client = kr_client_new (KR_CLOUD_CONNS, KR_CLOUD_CONNS, KR_CLIENT_IDLE_S);
-  c->host = g_strdup (s->cloud);
-  c->rps = s->cloud_rps;
-  c->requests = kr_bucket_new (c->rps / s->size, KR_CLOUD_BURST_S);
-  g_queue_init (&c->doomed);
-  return c;
+  KrCloud *cloud = g_new0 (KrCloud, 1);
+  cloud->client = kr_client_new (KR_CLOUD_CONNS, KR_CLOUD_CONNS, KR_CLIENT_IDLE_S);
+  cloud->host = g_strdup (settings->cloud);
+  cloud->rps = settings->cloud_rps;
+  cloud->requests = kr_bucket_new (cloud->rps / settings->size, KR_CLOUD_BURST_S);
+  g_queue_init (&cloud->doomed);
+  return cloud;
 }
 
 void
-kr_cloud_free (KrCloud *c)
+kr_cloud_free (KrCloud *cloud)
 {
-  kr_timer_clear (&c->delete_soon);
-  g_queue_clear_full (&c->doomed, doomed_free);
-  kr_client_free (c->client);
-  kr_bucket_free (c->requests);
-  g_free (c->host);
-  g_free (c);
+  kr_timer_clear (&cloud->delete_soon);
+  g_queue_clear_full (&cloud->doomed, doomed_free);
+  kr_client_free (cloud->client);
+  kr_bucket_free (cloud->requests);
+  g_free (cloud->host);
+  g_free (cloud);
 }
 
 void
-kr_cloud_set_share (KrCloud *c, double share)
+kr_cloud_set_share (KrCloud *cloud, double share)
 {
-  kr_bucket_set_rate (c->requests, c->rps * share);
+  kr_bucket_set_rate (cloud->requests, cloud->rps * share);
 }
 
 static void
@@ -76,25 +76,25 @@
 }
 
 static void
-start (KrCloud *c, const char *method, char *path, json_t *body, KrTurn turn, GCancellable *cancel,
-       KrReply reply, gpointer data)
+start (KrCloud *cloud, const char *method, char *path, json_t *body, KrTurn turn,
+       GCancellable *cancel, KrReply reply, gpointer data)
 {
   Op *op = g_new (Op, 1);
-  *op = (Op){ c, method, path, body, cancel ? g_object_ref (cancel) : NULL, reply, data };
-  kr_bucket_take (c->requests, 1, turn, op_send, op);
+  *op = (Op){ cloud, method, path, body, cancel ? g_object_ref (cancel) : NULL, reply, data };
+  kr_bucket_take (cloud->requests, 1, turn, op_send, op);
 }
 
 void
-kr_cloud_types (KrCloud *c, GCancellable *cancel, KrReply reply, gpointer data)
+kr_cloud_types (KrCloud *cloud, GCancellable *cancel, KrReply reply, gpointer data)
 {
-  start (c, "GET", g_strdup (KR_PATH_TYPES), NULL, KR_FIRST, cancel, reply, data);
+  start (cloud, "GET", g_strdup (KR_PATH_TYPES), NULL, KR_FIRST, cancel, reply, data);
 }
 
 void
-kr_cloud_rent (KrCloud *c, const char *request, const char *type, const char *zone, gboolean spot,
-               guint count, GCancellable *cancel, KrReply reply, gpointer data)
+kr_cloud_rent (KrCloud *cloud, const char *request, const char *type, const char *zone,
+               gboolean spot, guint count, GCancellable *cancel, KrReply reply, gpointer data)
 {
-  start (c, "POST", g_strdup (KR_PATH_RENT), kr_wire_rental (request, type, zone, spot, count),
+  start (cloud, "POST", g_strdup (KR_PATH_RENT), kr_wire_rental (request, type, zone, spot, count),
          KR_NORMAL, cancel, reply, data);
 }
 
@@ -115,7 +115,7 @@
   g_free (d);
 }
 
-static void delete_more (KrCloud *c);
+static void delete_more (KrCloud *cloud);
 
 static void
 delete_done (guint status, json_t *body, gpointer data)
@@ -131,53 +131,53 @@
 static void
 delete_send (gboolean granted, gpointer data)
 {
-  KrCloud *c = data;
+  KrCloud *cloud = data;
   GPtrArray *doomed = g_ptr_array_new_with_free_func (doomed_free);
   g_autoptr (GPtrArray) ids = g_ptr_array_new ();
 
-  c->deleting = FALSE;
-  while (doomed->len < KR_DELETE_MAX && c->doomed.length) {
-    Doomed *d = g_queue_pop_head (&c->doomed);
+  cloud->deleting = FALSE;
+  while (doomed->len < KR_DELETE_MAX && cloud->doomed.length) {
+    Doomed *d = g_queue_pop_head (&cloud->doomed);
     g_ptr_array_add (doomed, d);
     if (!d->cancel || !g_cancellable_is_cancelled (d->cancel))
       g_ptr_array_add (ids, d->id);
   }
   g_ptr_array_add (ids, NULL);
   if (granted && ids->len > 1)
-    kr_client_call (c->client, "POST", c->host, KR_PATH_DELETE,
+    kr_client_call (cloud->client, "POST", cloud->host, KR_PATH_DELETE,
                     kr_wire_deletion ((char **) ids->pdata), KR_CLOUD_TIMEOUT_MS, NULL, delete_done,
                     doomed);
   else
     delete_done (429, NULL, doomed);
-  delete_more (c);
+  delete_more (cloud);
 }
 
 static void
-delete_more (KrCloud *c)
+delete_more (KrCloud *cloud)
 {
-  if (c->deleting || c->doomed.length == 0)
+  if (cloud->deleting || cloud->doomed.length == 0)
     return;
-  c->deleting = TRUE;
-  kr_bucket_take (c->requests, 1, KR_FIRST, delete_send, c);
+  cloud->deleting = TRUE;
+  kr_bucket_take (cloud->requests, 1, KR_FIRST, delete_send, cloud);
 }
 
 static gboolean
 delete_now (gpointer data)
 {
-  KrCloud *c = data;
-  c->delete_soon = 0;
-  delete_more (c);
+  KrCloud *cloud = data;
+  cloud->delete_soon = 0;
+  delete_more (cloud);
   return G_SOURCE_REMOVE;
 }
 
 void
-kr_cloud_delete (KrCloud *c, const char *id, GCancellable *cancel, KrReply reply, gpointer data)
+kr_cloud_delete (KrCloud *cloud, const char *id, GCancellable *cancel, KrReply reply, gpointer data)
 {
   Doomed *d = g_new (Doomed, 1);
   *d = (Doomed){ g_strdup (id), cancel ? g_object_ref (cancel) : NULL, reply, data };
-  g_queue_push_tail (&c->doomed, d);
-  if (!c->delete_soon) /* what is asked for at one moment goes out together */
-    c->delete_soon = kr_timer_add (KR_DELETE_GATHER_MS, delete_now, c);
+  g_queue_push_tail (&cloud->doomed, d);
+  if (!cloud->delete_soon) /* what is asked for at one moment goes out together */
+    cloud->delete_soon = kr_timer_add (KR_DELETE_GATHER_MS, delete_now, cloud);
 }
 
 /* --- the list, page by page ---------------------------------------------------------- */
@@ -217,10 +217,10 @@
 }
 
 void
-kr_cloud_list (KrCloud *c, GCancellable *cancel, KrCloudListed listed, gpointer data)
+kr_cloud_list (KrCloud *cloud, GCancellable *cancel, KrCloudListed listed, gpointer data)
 {
   Listing *l = g_new (Listing, 1);
-  *l = (Listing){ c, g_ptr_array_new_with_free_func (kr_listed_machine_free),
+  *l = (Listing){ cloud, g_ptr_array_new_with_free_func (kr_listed_machine_free),
                   cancel ? g_object_ref (cancel) : NULL, listed, data };
   next_page (l);
 }
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -2,17 +2,17 @@
 #include "constants.h"
 
 double
-kr_estimate_mean (const KrEstimateInput *in)
+kr_estimate_mean (const KrEstimateInput *input)
 {
-  return in->count ? in->sum / in->count : in->guess_s;
+  return input->count ? input->sum / input->count : input->guess_s;
 }
 
 double
-kr_estimate_remaining (const KrEstimateInput *in)
+kr_estimate_remaining (const KrEstimateInput *input)
 {
-  double mean = kr_estimate_mean (in), rest = 0;
-  for (guint i = 0; i < in->running; i++) {
-    double r = mean - (in->elapsed ? in->elapsed[i] : 0);
+  double mean = kr_estimate_mean (input), rest = 0;
+  for (guint i = 0; i < input->running; i++) {
+    double r = mean - (input->elapsed ? input->elapsed[i] : 0);
     /* Floored: on a slow machine elapsed passes the mean, and a negative rest would make the job
      * look ahead of its goal. */
     rest += MAX (r, 0);
@@ -21,18 +21,18 @@
 }
 
 double
-kr_estimate_slots (const KrEstimateInput *in)
+kr_estimate_slots (const KrEstimateInput *input)
 {
-  double mean = MAX (kr_estimate_mean (in), 1e-3);
+  double mean = MAX (kr_estimate_mean (input), 1e-3);
   /* Floored: near the goal the quotient would swell beyond any use. */
-  double left = MAX (in->goal - in->now, KR_TIME_TO_GOAL_MIN_S);
-  return (kr_estimate_remaining (in) / mean + in->unstarted) * mean / left - in->running;
+  double left = MAX (input->goal - input->now, KR_TIME_TO_GOAL_MIN_S);
+  return (kr_estimate_remaining (input) / mean + input->unstarted) * mean / left - input->running;
 }
 
 double
-kr_estimate_lateness (const KrEstimateInput *in)
+kr_estimate_lateness (const KrEstimateInput *input)
 {
-  double work = kr_estimate_remaining (in) + in->unstarted * kr_estimate_mean (in);
-  double end = in->now + work / MAX (in->running, 1u);
-  return (end - in->submitted) / MAX (in->goal - in->submitted, KR_TIME_TO_GOAL_MIN_S);
+  double work = kr_estimate_remaining (input) + input->unstarted * kr_estimate_mean (input);
+  double end = input->now + work / MAX (input->running, 1u);
+  return (end - input->submitted) / MAX (input->goal - input->submitted, KR_TIME_TO_GOAL_MIN_S);
 }
--- a/src/estimate.h
+++ b/src/estimate.h
@@ -16,10 +16,10 @@
 } KrEstimateInput;
 
 /* Eq. 1; `guess_s` without data. */
-double kr_estimate_mean (const KrEstimateInput *in);
+double kr_estimate_mean (const KrEstimateInput *input);
 /* Sum over running tasks of mean minus elapsed, each floored at zero. */
-double kr_estimate_remaining (const KrEstimateInput *in);
+double kr_estimate_remaining (const KrEstimateInput *input);
 /* Eq. 3. */
-double kr_estimate_slots (const KrEstimateInput *in);
+double kr_estimate_slots (const KrEstimateInput *input);
 /* Expected completion against the goal: (expected end - submitted) / (goal - submitted). */
-double kr_estimate_lateness (const KrEstimateInput *in);
+double kr_estimate_lateness (const KrEstimateInput *input);
--- a/src/flow.c
+++ b/src/flow.c
@@ -35,131 +35,134 @@
 KrBucket *
 kr_bucket_new (double rate, double burst_s)
 {
-  KrBucket *b = g_new0 (KrBucket, 1);
-  b->rate = rate;
-  b->burst_s = burst_s;
-  b->burst = b->tokens = MAX (1.0, rate * burst_s);
-  b->at = kr_now ();
-  g_queue_init (&b->queue);
-  g_queue_init (&b->last);
-  return b;
+  KrBucket *bucket = g_new0 (KrBucket, 1);
+  bucket->rate = rate;
+  bucket->burst_s = burst_s;
+  bucket->burst = bucket->tokens = MAX (1.0, rate * burst_s);
+  bucket->at = kr_now ();
+  g_queue_init (&bucket->queue);
+  g_queue_init (&bucket->last);
+  return bucket;
 }
 
 void
-kr_bucket_free (KrBucket *b)
+kr_bucket_free (KrBucket *bucket)
 {
-  kr_timer_clear (&b->timer);
-  g_queue_clear_full (&b->queue, g_free);
-  g_queue_clear_full (&b->last, g_free);
-  g_free (b);
+  kr_timer_clear (&bucket->timer);
+  g_queue_clear_full (&bucket->queue, g_free);
+  g_queue_clear_full (&bucket->last, g_free);
+  g_free (bucket);
 }
 
 static void
-refill (KrBucket *b)
+refill (KrBucket *bucket)
 {
   gint64 now = kr_now ();
-  b->tokens = MIN (b->burst, b->tokens + b->rate * (now - b->at) / G_USEC_PER_SEC);
-  b->at = now;
+  bucket->tokens =
+      MIN (bucket->burst, bucket->tokens + bucket->rate * (now - bucket->at) / G_USEC_PER_SEC);
+  bucket->at = now;
 }
 
 double
-kr_bucket_rate (KrBucket *b)
+kr_bucket_rate (KrBucket *bucket)
 {
-  return b->rate;
+  return bucket->rate;
 }
 
 double
-kr_bucket_burst (KrBucket *b)
+kr_bucket_burst (KrBucket *bucket)
 {
-  return b->burst;
+  return bucket->burst;
 }
 
 double
-kr_bucket_spare (KrBucket *b)
+kr_bucket_spare (KrBucket *bucket)
 {
-  refill (b);
-  if (b->queue.length)
+  refill (bucket);
+  if (bucket->queue.length)
     return 0;
-  double reserve = MAX (1, b->burst * KR_RESERVE_SHARE);
-  return MAX (b->tokens >= b->burst ? 1 : 0, b->tokens - reserve);
+  double reserve = MAX (1, bucket->burst * KR_RESERVE_SHARE);
+  return MAX (bucket->tokens >= bucket->burst ? 1 : 0, bucket->tokens - reserve);
 }
 
 double
-kr_bucket_waiting (KrBucket *b)
+kr_bucket_waiting (KrBucket *bucket)
 {
   double cost = 0;
-  for (GList *l = b->queue.head; l; l = l->next)
+  for (GList *l = bucket->queue.head; l; l = l->next)
     cost += ((Waiter *) l->data)->cost;
   return cost;
 }
 
 double
-kr_bucket_wait_s (KrBucket *b)
+kr_bucket_wait_s (KrBucket *bucket)
 {
-  refill (b);
-  return MAX (0, kr_bucket_waiting (b) - b->tokens) / b->rate;
+  refill (bucket);
+  return MAX (0, kr_bucket_waiting (bucket) - bucket->tokens) / bucket->rate;
 }
 
 static gboolean serve (gpointer data);
 
 static GQueue *
-next_queue (KrBucket *b)
+next_queue (KrBucket *bucket)
 {
-  return b->queue.length ? &b->queue : &b->last;
+  return bucket->queue.length ? &bucket->queue : &bucket->last;
 }
 
 static void
-arm (KrBucket *b)
+arm (KrBucket *bucket)
 {
-  Waiter *w = g_queue_peek_head (next_queue (b));
-  if (!w || b->timer)
+  Waiter *w = g_queue_peek_head (next_queue (bucket));
+  if (!w || bucket->timer)
     return;
   /* A call dearer than the burst waits for a full bucket and leaves a debt. */
-  double missing = MAX (0, MIN (w->cost, b->burst) - b->tokens);
-  b->timer = kr_timer_add (MAX (1, (guint) (missing / b->rate * 1000) + 1), serve, b);
+  double missing = MAX (0, MIN (w->cost, bucket->burst) - bucket->tokens);
+  bucket->timer =
+      kr_timer_add (MAX (1, (guint) (missing / bucket->rate * 1000) + 1), serve, bucket);
 }
 
 static gboolean
 serve (gpointer data)
 {
-  KrBucket *b = data;
+  KrBucket *bucket = data;
   Waiter *w;
-  b->timer = 0;
-  refill (b);
-  while ((w = g_queue_peek_head (next_queue (b))) && b->tokens >= MIN (w->cost, b->burst)) {
-    g_queue_pop_head (next_queue (b));
-    b->tokens -= w->cost;
+  bucket->timer = 0;
+  refill (bucket);
+  while ((w = g_queue_peek_head (next_queue (bucket))) &&
+         bucket->tokens >= MIN (w->cost, bucket->burst)) {
+    g_queue_pop_head (next_queue (bucket));
+    bucket->tokens -= w->cost;
     w->go (TRUE, w->data);
     g_free (w);
   }
-  arm (b);
+  arm (bucket);
   return G_SOURCE_REMOVE;
 }
 
 void
-kr_bucket_set_rate (KrBucket *b, double rate)
+kr_bucket_set_rate (KrBucket *bucket, double rate)
 {
-  if (rate == b->rate)
+  if (rate == bucket->rate)
     return;
-  refill (b);
-  b->rate = rate;
-  b->burst = MAX (1.0, rate * b->burst_s);
-  kr_timer_clear (&b->timer);
-  arm (b);
+  refill (bucket);
+  bucket->rate = rate;
+  bucket->burst = MAX (1.0, rate * bucket->burst_s);
+  kr_timer_clear (&bucket->timer);
+  arm (bucket);
 }
 
 void
-kr_bucket_take (KrBucket *b, double cost, KrTurn turn, KrBucketGo go, gpointer data)
+kr_bucket_take (KrBucket *bucket, double cost, KrTurn turn, KrBucketGo go, gpointer data)
 {
-  GQueue *queue = turn == KR_LAST ? &b->last : &b->queue;
-  refill (b);
-  if ((turn == KR_FIRST || (b->queue.length == 0 && queue->length == 0)) &&
-      b->tokens >= MIN (cost, b->burst)) {
-    b->tokens -= cost;
+  GQueue *queue = turn == KR_LAST ? &bucket->last : &bucket->queue;
+  refill (bucket);
+  if ((turn == KR_FIRST || (bucket->queue.length == 0 && queue->length == 0)) &&
+      bucket->tokens >= MIN (cost, bucket->burst)) {
+    bucket->tokens -= cost;
     go (TRUE, data);
     return;
   }
-  if (queue->length >= MAX (KR_QUEUE_MIN, b->rate * KR_QUEUE_S) && turn != KR_FIRST) {
+  if (queue->length >= MAX (KR_QUEUE_MIN, bucket->rate * KR_QUEUE_S) && turn != KR_FIRST) {
     go (FALSE, data);
     return;
   }
@@ -169,6 +172,6 @@
     g_queue_push_head (queue, w);
   else
     g_queue_push_tail (queue, w);
-  kr_timer_clear (&b->timer);
-  arm (b);
+  kr_timer_clear (&bucket->timer);
+  arm (bucket);
 }
--- a/src/http.c
+++ b/src/http.c
@@ -21,22 +21,22 @@
 KrClient *
 kr_client_new (guint conns, guint conns_per_host, guint idle_s)
 {
-  KrClient *c = g_new0 (KrClient, 1);
-  c->session =
+  KrClient *client = g_new0 (KrClient, 1);
+  client->session =
       soup_session_new_with_options ("max-conns", conns, "max-conns-per-host", conns_per_host,
                                      "idle-timeout", idle_s, "proxy-resolver", NULL, NULL);
-  soup_session_remove_feature_by_type (c->session, SOUP_TYPE_CONTENT_DECODER);
-  soup_session_remove_feature_by_type (c->session, SOUP_TYPE_WEBSOCKET_EXTENSION_MANAGER);
-  soup_session_remove_feature_by_type (c->session, SOUP_TYPE_AUTH_MANAGER);
-  return c;
+  soup_session_remove_feature_by_type (client->session, SOUP_TYPE_CONTENT_DECODER);
+  soup_session_remove_feature_by_type (client->session, SOUP_TYPE_WEBSOCKET_EXTENSION_MANAGER);
+  soup_session_remove_feature_by_type (client->session, SOUP_TYPE_AUTH_MANAGER);
+  return client;
 }
 
 void
-kr_client_free (KrClient *c)
+kr_client_free (KrClient *client)
 {
-  soup_session_abort (c->session);
-  g_object_unref (c->session);
-  g_free (c);
+  soup_session_abort (client->session);
+  g_object_unref (client->session);
+  g_free (client);
 }
 
 static gboolean
@@ -81,8 +81,8 @@
 }
 
 void
-kr_client_call (KrClient *c, const char *method, const char *host, const char *path, json_t *body,
-                guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
+kr_client_call (KrClient *client, const char *method, const char *host, const char *path,
+                json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
 {
   g_autofree char *uri = g_strconcat ("http://", host, path, NULL);
   Call *call = g_new0 (Call, 1);
@@ -103,8 +103,8 @@
     json_decref (body);
   }
   call->timer = kr_timer_add (timeout_ms, call_late, call);
-  soup_session_send_and_read_async (c->session, call->message, G_PRIORITY_DEFAULT, call->cancel,
-                                    call_done, call);
+  soup_session_send_and_read_async (client->session, call->message, G_PRIORITY_DEFAULT,
+                                    call->cancel, call_done, call);
 }
 
 /* --- server -------------------------------------------------------------------------- */
@@ -125,7 +125,7 @@
   gboolean gone;
 };
 
-static void accept_next (KrServer *s);
+static void accept_next (KrServer *server);
 
 static void
 request_finished (SoupServerMessage *message, gpointer data)
@@ -137,20 +137,20 @@
 handle (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *query,
         gpointer data)
 {
-  KrServer *s = data;
+  KrServer *server = data;
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   if (!soup_message_body_get_accumulate (body))
     return; /* refused already, see too_large */
-  KrRequest *r = g_new0 (KrRequest, 1);
-  r->message = g_object_ref (message);
-  r->path = g_strdup (path);
+  KrRequest *request = g_new0 (KrRequest, 1);
+  request->message = g_object_ref (message);
+  request->path = g_strdup (path);
   if (body->length > 0 && body->length <= KR_BODY_MAX) {
     g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
-    r->json = json_loadb (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), 0, NULL);
+    request->json = json_loadb (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), 0, NULL);
   }
-  g_signal_connect (message, "finished", G_CALLBACK (request_finished), r);
+  g_signal_connect (message, "finished", G_CALLBACK (request_finished), request);
   soup_server_message_pause (message);
-  s->handler (r, s->data);
+  server->handler (request, server->data);
 }
 
 /* A body over the limit is refused without being read whole: nothing of it is kept, and the
@@ -193,11 +193,11 @@
 static void
 connection_gone (gpointer data, GObject *connection)
 {
-  KrServer *s = data;
-  s->conns--;
-  if (s->paused && s->conns < s->most) {
-    s->paused = FALSE;
-    accept_next (s);
+  KrServer *server = data;
+  server->conns--;
+  if (server->paused && server->conns < server->most) {
+    server->paused = FALSE;
+    accept_next (server);
   }
 }
 
@@ -211,35 +211,35 @@
 static void
 accepted (GObject *source, GAsyncResult *result, gpointer data)
 {
-  KrServer *s = data;
+  KrServer *server = data;
   g_autoptr (GError) error = NULL;
   g_autoptr (GSocketConnection) c =
       g_socket_listener_accept_finish (G_SOCKET_LISTENER (source), result, NULL, &error);
 
   if (!c) {
     if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
-      kr_timer_add (KR_ACCEPT_PAUSE_MS, accept_again, s);
+      kr_timer_add (KR_ACCEPT_PAUSE_MS, accept_again, server);
     return;
   }
-  g_socket_set_timeout (g_socket_connection_get_socket (c), s->idle_s);
+  g_socket_set_timeout (g_socket_connection_get_socket (c), server->idle_s);
   g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (c, NULL);
   g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (c, NULL);
-  s->conns++;
-  g_object_weak_ref (G_OBJECT (c), connection_gone, s);
-  if (!soup_server_accept_iostream (s->soup, G_IO_STREAM (c), local, remote, &error))
+  server->conns++;
+  g_object_weak_ref (G_OBJECT (c), connection_gone, server);
+  if (!soup_server_accept_iostream (server->soup, G_IO_STREAM (c), local, remote, &error))
     kr_debug ("connection refused: %s", error->message);
-  accept_next (s);
+  accept_next (server);
 }
 
 /* The stage before the API: with all connections in use, further ones wait in the kernel's short
  * backlog and the balancer goes elsewhere. */
 static void
-accept_next (KrServer *s)
+accept_next (KrServer *server)
 {
-  if (s->conns >= s->most)
-    s->paused = TRUE;
+  if (server->conns >= server->most)
+    server->paused = TRUE;
   else
-    g_socket_listener_accept_async (s->listener, s->cancel, accepted, s);
+    g_socket_listener_accept_async (server->listener, server->cancel, accepted, server);
 }
 
 KrServer *
@@ -257,77 +257,77 @@
     g_prefix_error (error, "cannot listen on %s: ", address);
     return NULL;
   }
-  KrServer *s = g_new0 (KrServer, 1);
-  s->soup = soup_server_new (NULL, NULL);
-  soup_server_remove_websocket_extension (s->soup, SOUP_TYPE_WEBSOCKET_EXTENSION);
-  soup_server_add_early_handler (s->soup, NULL, early, s, NULL);
-  soup_server_add_handler (s->soup, NULL, handle, s, NULL);
-  s->listener = g_steal_pointer (&listener);
-  s->cancel = kr_cancellable_child (cancel);
-  s->handler = handler;
-  s->data = data;
-  s->most = conns;
-  s->idle_s = idle_s;
-  accept_next (s);
-  return s;
+  KrServer *server = g_new0 (KrServer, 1);
+  server->soup = soup_server_new (NULL, NULL);
+  soup_server_remove_websocket_extension (server->soup, SOUP_TYPE_WEBSOCKET_EXTENSION);
+  soup_server_add_early_handler (server->soup, NULL, early, server, NULL);
+  soup_server_add_handler (server->soup, NULL, handle, server, NULL);
+  server->listener = g_steal_pointer (&listener);
+  server->cancel = kr_cancellable_child (cancel);
+  server->handler = handler;
+  server->data = data;
+  server->most = conns;
+  server->idle_s = idle_s;
+  accept_next (server);
+  return server;
 }
 
 void
-kr_server_free (KrServer *s)
+kr_server_free (KrServer *server)
 {
-  g_cancellable_cancel (s->cancel);
-  g_socket_listener_close (s->listener);
-  soup_server_disconnect (s->soup);
-  g_object_unref (s->soup);
-  g_object_unref (s->listener);
-  g_object_unref (s->cancel);
+  g_cancellable_cancel (server->cancel);
+  g_socket_listener_close (server->listener);
+  soup_server_disconnect (server->soup);
+  g_object_unref (server->soup);
+  g_object_unref (server->listener);
+  g_object_unref (server->cancel);
   /* `s` itself stays for callbacks of connections that end later; a process has two. */
 }
 
 const char *
-kr_request_method (KrRequest *r)
+kr_request_method (KrRequest *request)
 {
-  return soup_server_message_get_method (r->message);
+  return soup_server_message_get_method (request->message);
 }
 
 const char *
-kr_request_path (KrRequest *r)
+kr_request_path (KrRequest *request)
 {
-  return r->path;
+  return request->path;
 }
 
 json_t *
-kr_request_json (KrRequest *r)
+kr_request_json (KrRequest *request)
 {
-  return r->json;
+  return request->json;
 }
 
 gboolean
-kr_request_gone (KrRequest *r)
+kr_request_gone (KrRequest *request)
 {
-  return r->gone;
+  return request->gone;
 }
 
 void
-kr_request_reply (KrRequest *r, guint status, json_t *body, guint retry_after_s)
+kr_request_reply (KrRequest *request, guint status, json_t *body, guint retry_after_s)
 {
-  if (!r->gone) {
+  if (!request->gone) {
     char *s = body ? json_dumps (body, JSON_COMPACT) : g_strdup ("{}");
     if (retry_after_s) {
       g_autofree char *v = g_strdup_printf ("%u", retry_after_s);
-      soup_message_headers_replace (soup_server_message_get_response_headers (r->message),
+      soup_message_headers_replace (soup_server_message_get_response_headers (request->message),
                                     "Retry-After", v);
     }
-    soup_server_message_set_status (r->message, status, NULL);
-    soup_server_message_set_response (r->message, "application/json", SOUP_MEMORY_COPY, s,
+    soup_server_message_set_status (request->message, status, NULL);
+    soup_server_message_set_response (request->message, "application/json", SOUP_MEMORY_COPY, s,
                                       strlen (s));
     free (s);
-    soup_server_message_unpause (r->message);
+    soup_server_message_unpause (request->message);
   }
-  g_signal_handlers_disconnect_by_data (r->message, r);
+  g_signal_handlers_disconnect_by_data (request->message, request);
   json_decref (body);
-  json_decref (r->json);
-  g_object_unref (r->message);
-  g_free (r->path);
-  g_free (r);
+  json_decref (request->json);
+  g_object_unref (request->message);
+  g_free (request->path);
+  g_free (request);
 }
--- a/src/http.h
+++ b/src/http.h
@@ -12,9 +12,9 @@
 typedef void (*KrReply) (guint status, json_t *body, gpointer data);
 
 KrClient *kr_client_new (guint conns, guint conns_per_host, guint idle_s);
-void kr_client_free (KrClient *self);
+void kr_client_free (KrClient *client);
 /* Takes over `body` (may be NULL). `reply` is called exactly once, later, cancelled or not. */
-void kr_client_call (KrClient *self, const char *method, const char *host, const char *path,
+void kr_client_call (KrClient *client, const char *method, const char *host, const char *path,
                      json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply,
                      gpointer data);
 
@@ -26,7 +26,7 @@
 /* Listens on "ip:port"; at most `conns` connections, each bounded in idle time. */
 KrServer *kr_server_new (const char *address, guint conns, guint idle_s, GCancellable *cancel,
                          KrHandler handler, gpointer data, GError **error);
-void kr_server_free (KrServer *self);
+void kr_server_free (KrServer *server);
 
 const char *kr_request_method (KrRequest *request);
 const char *kr_request_path (KrRequest *request);
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -5,33 +5,33 @@
 KrJob *
 kr_job_new (KrSpec *spec, double at, guint part)
 {
-  KrJob *j = g_new0 (KrJob, 1);
-  j->spec = spec;
-  j->at = at;
-  j->part = part;
-  j->done = g_malloc0 (kr_job_bytes (j));
-  j->durable = g_malloc0 (kr_job_bytes (j));
-  j->active = g_malloc0 (spec->tasks);
-  j->hold_s = KR_JOB_HOLD_S;
-  j->failed_on = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  return j;
+  KrJob *job = g_new0 (KrJob, 1);
+  job->spec = spec;
+  job->at = at;
+  job->part = part;
+  job->done = g_malloc0 (kr_job_bytes (job));
+  job->durable = g_malloc0 (kr_job_bytes (job));
+  job->active = g_malloc0 (spec->tasks);
+  job->hold_s = KR_JOB_HOLD_S;
+  job->failed_on = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return job;
 }
 
 void
-kr_job_free (KrJob *j)
+kr_job_free (KrJob *job)
 {
-  kr_spec_free (j->spec);
-  g_free (j->done);
-  g_free (j->durable);
-  g_free (j->active);
-  g_hash_table_unref (j->failed_on);
-  g_free (j);
+  kr_spec_free (job->spec);
+  g_free (job->done);
+  g_free (job->durable);
+  g_free (job->active);
+  g_hash_table_unref (job->failed_on);
+  g_free (job);
 }
 
 gsize
-kr_job_bytes (const KrJob *j)
+kr_job_bytes (const KrJob *job)
 {
-  return (j->spec->tasks + 7) / 8;
+  return (job->spec->tasks + 7) / 8;
 }
 
 char *
@@ -53,55 +53,55 @@
 }
 
 guint
-kr_job_chunks (const KrJob *j)
+kr_job_chunks (const KrJob *job)
 {
-  return MAX (1, (j->spec->tasks + KR_CHUNK_BITS - 1) / KR_CHUNK_BITS);
+  return MAX (1, (job->spec->tasks + KR_CHUNK_BITS - 1) / KR_CHUNK_BITS);
 }
 
 /* Byte range of a chunk. KR_CHUNK_BITS is a multiple of 8. */
 static gsize
-chunk_range (const KrJob *j, guint chunk, gsize *length)
+chunk_range (const KrJob *job, guint chunk, gsize *length)
 {
-  gsize from = (gsize) chunk * (KR_CHUNK_BITS / 8), all = kr_job_bytes (j);
+  gsize from = (gsize) chunk * (KR_CHUNK_BITS / 8), all = kr_job_bytes (job);
   *length = from < all ? MIN ((gsize) KR_CHUNK_BITS / 8, all - from) : 0;
   return from;
 }
 
 json_t *
-kr_job_chunk_encode (const KrJob *j, const guint8 *done, guint chunk)
+kr_job_chunk_encode (const KrJob *job, const guint8 *done, guint chunk)
 {
-  gsize n, from = chunk_range (j, chunk, &n);
+  gsize n, from = chunk_range (job, chunk, &n);
   g_autofree char *text = g_base64_encode (done + from, n);
   return json_string (text);
 }
 
 void
-kr_job_chunk_merge (KrJob *j, guint chunk, json_t *text)
+kr_job_chunk_merge (KrJob *job, guint chunk, json_t *text)
 {
-  gsize n, got = 0, from = chunk_range (j, chunk, &n);
+  gsize n, got = 0, from = chunk_range (job, chunk, &n);
   if (!json_is_string (text) || !*json_string_value (text))
     return;
   g_autofree guchar *bytes = g_base64_decode (json_string_value (text), &got);
   for (gsize i = 0; i < MIN (n, got); i++)
     for (guint b = 0; b < 8; b++) {
       guint task = (guint) ((from + i) * 8 + b);
-      if ((bytes[i] >> b & 1) && task < j->spec->tasks) {
-        kr_job_set_done (j, task);
-        j->durable[from + i] |= (guint8) (1u << b);
+      if ((bytes[i] >> b & 1) && task < job->spec->tasks) {
+        kr_job_set_done (job, task);
+        job->durable[from + i] |= (guint8) (1u << b);
       }
     }
 }
 
 json_t *
-kr_job_encode (const KrJob *j, const guint8 *done, guint running)
+kr_job_encode (const KrJob *job, const guint8 *done, guint running)
 {
   guint n = 0;
-  for (guint t = 0; t < j->spec->tasks; t++)
+  for (guint t = 0; t < job->spec->tasks; t++)
     n += done[t / 8] >> (t % 8) & 1;
-  return json_pack ("{so sf sI sb sf sI sI sI so}", "Spec", kr_wire_spec_build (j->spec), "At",
-                    j->at, "Part", (json_int_t) j->part, "Cancelled", j->cancelled, "Sum", j->sum,
-                    "Count", (json_int_t) j->count, "N", (json_int_t) n, "R", (json_int_t) running,
-                    "Done", kr_job_chunk_encode (j, done, 0));
+  return json_pack ("{so sf sI sb sf sI sI sI so}", "Spec", kr_wire_spec_build (job->spec), "At",
+                    job->at, "Part", (json_int_t) job->part, "Cancelled", job->cancelled, "Sum",
+                    job->sum, "Count", (json_int_t) job->count, "N", (json_int_t) n, "R",
+                    (json_int_t) running, "Done", kr_job_chunk_encode (job, done, 0));
 }
 
 KrJob *
@@ -110,15 +110,15 @@
   KrSpec *spec = kr_wire_spec_parse (json_object_get (value, "Spec"), NULL);
   if (!spec)
     return NULL;
-  KrJob *j = kr_job_new (spec, json_number_value (json_object_get (value, "At")),
-                         (guint) json_integer_value (json_object_get (value, "Part")));
-  j->revision = revision;
-  j->cancelled = json_is_true (json_object_get (value, "Cancelled"));
-  j->sum = json_number_value (json_object_get (value, "Sum"));
-  j->count = (guint) json_integer_value (json_object_get (value, "Count"));
-  kr_job_chunk_merge (j, 0, json_object_get (value, "Done"));
-  j->chunks_missing = kr_job_chunks (j) - 1;
-  return j;
+  KrJob *job = kr_job_new (spec, json_number_value (json_object_get (value, "At")),
+                           (guint) json_integer_value (json_object_get (value, "Part")));
+  job->revision = revision;
+  job->cancelled = json_is_true (json_object_get (value, "Cancelled"));
+  job->sum = json_number_value (json_object_get (value, "Sum"));
+  job->count = (guint) json_integer_value (json_object_get (value, "Count"));
+  kr_job_chunk_merge (job, 0, json_object_get (value, "Done"));
+  job->chunks_missing = kr_job_chunks (job) - 1;
+  return job;
 }
 
 json_t *
@@ -171,76 +171,76 @@
 }
 
 gboolean
-kr_job_is_done (const KrJob *j, guint t)
+kr_job_is_done (const KrJob *job, guint t)
 {
-  return t < j->spec->tasks && (j->done[t / 8] >> (t % 8) & 1);
+  return t < job->spec->tasks && (job->done[t / 8] >> (t % 8) & 1);
 }
 
 gboolean
-kr_job_is_durable (const KrJob *j, guint t)
+kr_job_is_durable (const KrJob *job, guint t)
 {
-  return t < j->spec->tasks && (j->durable[t / 8] >> (t % 8) & 1);
+  return t < job->spec->tasks && (job->durable[t / 8] >> (t % 8) & 1);
 }
 
 void
-kr_job_set_done (KrJob *j, guint t)
+kr_job_set_done (KrJob *job, guint t)
 {
-  if (t < j->spec->tasks && !kr_job_is_done (j, t)) {
-    j->done[t / 8] |= (guint8) (1u << (t % 8));
-    j->n_done++;
+  if (t < job->spec->tasks && !kr_job_is_done (job, t)) {
+    job->done[t / 8] |= (guint8) (1u << (t % 8));
+    job->n_done++;
   }
 }
 
 void
-kr_job_add_active (KrJob *j, guint t)
+kr_job_add_active (KrJob *job, guint t)
 {
-  if (t < j->spec->tasks && j->active[t] < G_MAXUINT8 && j->active[t]++ == 0)
-    j->n_active++;
+  if (t < job->spec->tasks && job->active[t] < G_MAXUINT8 && job->active[t]++ == 0)
+    job->n_active++;
 }
 
 void
-kr_job_drop_active (KrJob *j, guint t)
+kr_job_drop_active (KrJob *job, guint t)
 {
-  if (t < j->spec->tasks && j->active[t] && --j->active[t] == 0) {
-    j->n_active--;
-    j->cursor = MIN (j->cursor, t);
+  if (t < job->spec->tasks && job->active[t] && --job->active[t] == 0) {
+    job->n_active--;
+    job->cursor = MIN (job->cursor, t);
   }
 }
 
 guint
-kr_job_unstarted (const KrJob *j)
+kr_job_unstarted (const KrJob *job)
 {
   /* A completed task may still be active elsewhere only after a takeover; count it once. */
-  guint taken = j->n_done + j->n_active;
-  return taken < j->spec->tasks ? j->spec->tasks - taken : 0;
+  guint taken = job->n_done + job->n_active;
+  return taken < job->spec->tasks ? job->spec->tasks - taken : 0;
 }
 
 gint64
-kr_job_next (KrJob *j)
+kr_job_next (KrJob *job)
 {
-  for (; j->cursor < j->spec->tasks; j->cursor++)
-    if (!j->active[j->cursor] && !kr_job_is_done (j, j->cursor))
-      return j->cursor;
+  for (; job->cursor < job->spec->tasks; job->cursor++)
+    if (!job->active[job->cursor] && !kr_job_is_done (job, job->cursor))
+      return job->cursor;
   return -1;
 }
 
 gboolean
-kr_job_suspect (const KrJob *j)
+kr_job_suspect (const KrJob *job)
 {
-  return g_hash_table_size (j->failed_on) >= KR_JOB_FAIL_MACHINES;
+  return g_hash_table_size (job->failed_on) >= KR_JOB_FAIL_MACHINES;
 }
 
 void
-kr_job_clear_failures (KrJob *j)
+kr_job_clear_failures (KrJob *job)
 {
-  g_hash_table_remove_all (j->failed_on);
-  j->hold_until = 0;
-  j->hold_s = KR_JOB_HOLD_S;
-  j->probing = FALSE;
+  g_hash_table_remove_all (job->failed_on);
+  job->hold_until = 0;
+  job->hold_s = KR_JOB_HOLD_S;
+  job->probing = FALSE;
 }
 
 gboolean
-kr_job_complete (const KrJob *j)
+kr_job_complete (const KrJob *job)
 {
-  return j->n_done == j->spec->tasks;
+  return job->n_done == job->spec->tasks;
 }
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -31,11 +31,11 @@
 } KrJob;
 
 KrJob *kr_job_new (KrSpec *spec, double at, guint part); /* takes `spec` */
-void kr_job_free (KrJob *self);
+void kr_job_free (KrJob *job);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrJob, kr_job_free)
 
 /* The durable form, and back; `done_count`: what the record says of itself. */
-json_t *kr_job_encode (const KrJob *self, const guint8 *done, guint running);
+json_t *kr_job_encode (const KrJob *job, const guint8 *done, guint running);
 KrJob *kr_job_decode (json_t *value, guint64 revision);
 json_t *kr_job_end_value (KrJobState state, guint done);
 /* What a stored value (live or ended) says to a user. FALSE if it is not a job's. */
@@ -50,23 +50,23 @@
 char *kr_job_key (const char *id);
 char *kr_job_end_key (const char *id);
 char *kr_job_chunk_key (const char *id, guint chunk);
-guint kr_job_chunks (const KrJob *self); /* 1: all in the job's own key */
-json_t *kr_job_chunk_encode (const KrJob *self, const guint8 *done, guint chunk);
+guint kr_job_chunks (const KrJob *job); /* 1: all in the job's own key */
+json_t *kr_job_chunk_encode (const KrJob *job, const guint8 *done, guint chunk);
 /* Adds the bits of a stored chunk to both sets. */
-void kr_job_chunk_merge (KrJob *self, guint chunk, json_t *text);
+void kr_job_chunk_merge (KrJob *job, guint chunk, json_t *text);
 
-gboolean kr_job_is_done (const KrJob *self, guint task);
-gboolean kr_job_is_durable (const KrJob *self, guint task);
-void kr_job_set_done (KrJob *self, guint task);
-void kr_job_add_active (KrJob *self, guint task);
-void kr_job_drop_active (KrJob *self, guint task);
+gboolean kr_job_is_done (const KrJob *job, guint task);
+gboolean kr_job_is_durable (const KrJob *job, guint task);
+void kr_job_set_done (KrJob *job, guint task);
+void kr_job_add_active (KrJob *job, guint task);
+void kr_job_drop_active (KrJob *job, guint task);
 /* Tasks neither completed nor possibly on a machine. */
-guint kr_job_unstarted (const KrJob *self);
+guint kr_job_unstarted (const KrJob *job);
 /* The lowest such task, or -1. */
-gint64 kr_job_next (KrJob *self);
-gboolean kr_job_complete (const KrJob *self);
+gint64 kr_job_next (KrJob *job);
+gboolean kr_job_complete (const KrJob *job);
 /* It has failed on several machines since its last success: it is at fault itself, or they are. */
-gboolean kr_job_suspect (const KrJob *self);
+gboolean kr_job_suspect (const KrJob *job);
 /* A task of it did well: it seems not at fault. */
-void kr_job_clear_failures (KrJob *self);
-gsize kr_job_bytes (const KrJob *self); /* of a done set */
+void kr_job_clear_failures (KrJob *job);
+gsize kr_job_bytes (const KrJob *job); /* of a done set */
--- a/src/membership.h
+++ b/src/membership.h
@@ -33,28 +33,30 @@
 KrMembership *kr_membership_new (const KrSettings *settings, KrState *state, KrRecords *records,
                                  GCancellable *cancel, const KrMembershipEvents *events,
                                  gpointer data);
-void kr_membership_free (KrMembership *self);
-
-gboolean kr_membership_seen (KrMembership *self); /* the state service was read at least once */
-const KrHolder *kr_membership_holder (KrMembership *self, guint part);
-gboolean kr_membership_owns (KrMembership *self, guint part);
-gboolean kr_membership_leads (KrMembership *self);
-const KrHolder *kr_membership_leader (KrMembership *self);
-const KrClaim *kr_membership_claim (KrMembership *self, guint part);
+void kr_membership_free (KrMembership *membership);
+
+gboolean
+kr_membership_seen (KrMembership *membership); /* the state service was read at least once */
+const KrHolder *kr_membership_holder (KrMembership *membership, guint part);
+gboolean kr_membership_owns (KrMembership *membership, guint part);
+gboolean kr_membership_leads (KrMembership *membership);
+const KrHolder *kr_membership_leader (KrMembership *membership);
+const KrClaim *kr_membership_claim (KrMembership *membership, guint part);
 /* Feeds what a commit of ours made of it. */
-void kr_membership_note_claim (KrMembership *self, guint part, json_t *value, guint64 revision);
-json_t *kr_membership_claim_value (KrMembership *self, gboolean settled);
+void kr_membership_note_claim (KrMembership *membership, guint part, json_t *value,
+                               guint64 revision);
+json_t *kr_membership_claim_value (KrMembership *membership, gboolean settled);
 /* Reads all of c/ anew; events.scanned follows. */
-void kr_membership_rescan (KrMembership *self);
+void kr_membership_rescan (KrMembership *membership);
 
 /* Until when (monotonic us) our keys surely stood: when the newest renewal of our lease that was
  * answered went out. */
-gint64 kr_membership_proven (KrMembership *self);
+gint64 kr_membership_proven (KrMembership *membership);
 
 /* Replaces our own key by a newer one, for a newer token. */
-void kr_membership_renew_token (KrMembership *self, guint part);
+void kr_membership_renew_token (KrMembership *membership, guint part);
 /* Gives a part up and keeps off it for a while. */
-void kr_membership_release (KrMembership *self, guint part, guint keep_off_ms);
+void kr_membership_release (KrMembership *membership, guint part, guint keep_off_ms);
 
 char *kr_membership_owner_key (guint part);
 char *kr_membership_claim_key (guint part);
--- a/src/node.h
+++ b/src/node.h
@@ -31,14 +31,14 @@
 } KrNode;
 
 KrNode *kr_node_new (const KrSettings *settings, GError **error);
-void kr_node_run (KrNode *self);
-void kr_node_free (KrNode *self);
+void kr_node_run (KrNode *node);
+void kr_node_free (KrNode *node);
 /* Changes a second to the state service that a node may make as long as none is allotted more. */
-double kr_node_base_writes (KrNode *self, const char *name);
+double kr_node_base_writes (KrNode *node, const char *name);
 /* What the leader allots this node, for KR_BUDGET_VALID_S. */
-void kr_node_allot_writes (KrNode *self, double writes);
+void kr_node_allot_writes (KrNode *node, double writes);
 /* Changes that wait for the limit on this node. */
-double kr_node_waiting_writes (KrNode *self);
+double kr_node_waiting_writes (KrNode *node);
 /* Connections to workers at once. */
 guint kr_node_worker_conns (const KrSettings *settings);
-const KrType *kr_node_type (KrNode *self, const char *name); /* NULL: unknown */
+const KrType *kr_node_type (KrNode *node, const char *name); /* NULL: unknown */
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -55,47 +55,47 @@
   gint64 listed_at; /* monotonic us of the newest list */
 };
 
-KrPart *kr_part_ref (KrPart *p);
-void kr_part_unref (KrPart *p);
-KrJob *kr_part_job (KrPart *p, const char *id);
-KrMachine *kr_part_machine (KrPart *p, const char *id);
+KrPart *kr_part_ref (KrPart *part);
+void kr_part_unref (KrPart *part);
+KrJob *kr_part_job (KrPart *part, const char *id);
+KrMachine *kr_part_machine (KrPart *part, const char *id);
 /* g_hash_table_iter_next over the machines, counted. */
-gboolean kr_part_next (KrPart *p, GHashTableIter *it, gpointer *machine);
+gboolean kr_part_next (KrPart *part, GHashTableIter *it, gpointer *machine);
 /* KrSawFunc: what a machine's report means for its tasks' jobs. */
-void kr_part_saw (KrMachine *b, KrLaunch *l, KrSaw what, gpointer part);
-void kr_part_count_launch (KrPart *p, KrLaunch *l);
-void kr_part_command_kills (KrPart *p, KrMachine *b);
-gboolean kr_part_needs_fence (const KrMachine *b);
+void kr_part_saw (KrMachine *machine, KrLaunch *launch, KrSaw what, gpointer part);
+void kr_part_count_launch (KrPart *part, KrLaunch *launch);
+void kr_part_command_kills (KrPart *part, KrMachine *machine);
+gboolean kr_part_needs_fence (const KrMachine *machine);
 /* Before a machine is taken out of `machines`. */
-void kr_part_forget (KrPart *p, KrMachine *b);
+void kr_part_forget (KrPart *part, KrMachine *machine);
 /* Answers first reports that need not wait any more. */
-void kr_part_answer_held (KrPart *p);
-void kr_part_check_open (KrPart *p);
+void kr_part_answer_held (KrPart *part);
+void kr_part_check_open (KrPart *part);
 
 /* part-record.c */
 /* A transaction that fails once the owner key is no longer ours. */
-KrTxn *kr_part_owner_txn (KrPart *p);
+KrTxn *kr_part_owner_txn (KrPart *part);
 /* Writes our name and whether every used machine was fenced. */
-KrTxn *kr_part_claim_txn (KrPart *p, gboolean settled);
-void kr_part_write_record (KrPart *p);
+KrTxn *kr_part_claim_txn (KrPart *part, gboolean settled);
+void kr_part_write_record (KrPart *part);
 /* Tells the leader through the state service what is needed, where it does not reach us. */
-void kr_part_tell_needs (KrPart *p);
+void kr_part_tell_needs (KrPart *part);
 
 /* part-progress.c */
-void kr_part_flush (KrPart *p);
+void kr_part_flush (KrPart *part);
 
 /* part-dispatch.c */
-KrLive *kr_live_new (KrPart *p, KrJob *job); /* takes `job` */
+KrLive *kr_live_new (KrPart *part, KrJob *job); /* takes `job` */
 void kr_live_free (gpointer live);
-void kr_live_add (KrLive *live, KrLaunch *l);
-void kr_live_drop (KrLaunch *l);
+void kr_live_add (KrLive *live, KrLaunch *launch);
+void kr_live_drop (KrLaunch *launch);
 /* All its tasks shall go. */
 void kr_live_stop (KrLive *live);
 /* The live job as whose task a launch counts, or NULL. */
-KrJob *kr_live_job (const KrLaunch *l);
-gboolean kr_part_usable (KrPart *p, const KrMachine *b, gint64 now);
+KrJob *kr_live_job (const KrLaunch *launch);
+gboolean kr_part_usable (KrPart *part, const KrMachine *machine, gint64 now);
 /* Adds `run` orders for the machine's free room. */
-void kr_part_grant (KrPart *p, KrMachine *b, json_t *orders, gint64 now);
-void kr_part_run_planned (KrMachine *b, json_t *orders);
-void kr_part_drop_planned (KrPart *p, KrMachine *b);
-void kr_part_preempt (KrPart *p, gint64 now);
+void kr_part_grant (KrPart *part, KrMachine *machine, json_t *orders, gint64 now);
+void kr_part_run_planned (KrMachine *machine, json_t *orders);
+void kr_part_drop_planned (KrPart *part, KrMachine *machine);
+void kr_part_preempt (KrPart *part, gint64 now);
--- a/src/part.h
+++ b/src/part.h
@@ -8,20 +8,20 @@
 /* Begins a takeover under `token`. */
 KrPart *kr_part_new (KrNode *node, guint index, guint64 token);
 /* We hold it no longer: forgets everything. */
-void kr_part_drop (KrPart *self);
-guint64 kr_part_token (KrPart *self);
+void kr_part_drop (KrPart *part);
+guint64 kr_part_token (KrPart *part);
 /* Our key was renewed by ourselves, without a gap. */
-void kr_part_renewed (KrPart *self, guint64 token);
+void kr_part_renewed (KrPart *part, guint64 token);
 
-void kr_part_jobs_scanned (KrPart *self, json_t *items);
-void kr_part_job_event (KrPart *self, const KrItem *item);
-void kr_part_record_changed (KrPart *self);
+void kr_part_jobs_scanned (KrPart *part, json_t *items);
+void kr_part_job_event (KrPart *part, const KrItem *item);
+void kr_part_record_changed (KrPart *part);
 /* All of c/ was read anew. */
-void kr_part_scanned (KrPart *self);
-void kr_part_machines_listed (KrPart *self, GHashTable *by_id); /* id -> KrListedMachine */
+void kr_part_scanned (KrPart *part);
+void kr_part_machines_listed (KrPart *part, GHashTable *by_id); /* id -> KrListedMachine */
 
 /* Takes over `request`. */
-void kr_part_beat (KrPart *self, KrRequest *request, const KrReport *report);
+void kr_part_beat (KrPart *part, KrRequest *request, const KrReport *report);
 /* What an owner says when it is asked to act on a committed cancellation. */
 typedef enum {
   KR_CANCEL_SURE,      /* nothing of the job starts any more, and what runs is being stopped */
@@ -32,7 +32,7 @@
 } KrCancelWord;
 /* A cancellation is committed, in the job's revision `revision`, when the part's owner key had the
  * revision `owner`. Acts on it at once, without the state service. */
-KrCancelWord kr_part_cancel (KrPart *self, const char *job, guint64 owner, guint64 revision);
+KrCancelWord kr_part_cancel (KrPart *part, const char *job, guint64 owner, guint64 revision);
 /* The same between nodes: {"Part","Job","Owner","Revision"}; the word is a status. */
 #define KR_PEER_CANCELLATIONS "/cancellations"
 json_t *kr_cancel_question (guint part, const char *job, guint64 owner, guint64 revision);
@@ -40,18 +40,18 @@
 KrCancelWord kr_cancel_word (guint status);
 
 /* Live counts of a job; FALSE if it is not known here. */
-gboolean kr_part_counts (KrPart *self, const char *job, guint *done, guint *running);
+gboolean kr_part_counts (KrPart *part, const char *job, guint *done, guint *running);
 
 /* Puts and deletes that the ends of its jobs wait for. */
-guint kr_part_waiting_ends (KrPart *self);
+guint kr_part_waiting_ends (KrPart *part);
 
 /* Steps of walks over all machines so far: what the tests count. */
-guint64 kr_part_walked (KrPart *self);
+guint64 kr_part_walked (KrPart *part);
 
 /* For the leader: {"Part","Waiting","Needs":[...],"Berths":[...]} */
-json_t *kr_part_summary (KrPart *self);
+json_t *kr_part_summary (KrPart *part);
 /* Marks a machine, or (`to`: this part) takes the mark away; kr_part_moves moves what is marked and
  * empty, together. */
-void kr_part_give (KrPart *self, const char *machine, guint to);
-void kr_part_moves (KrPart *self);
-void kr_part_return (KrPart *self, const char *machine);
+void kr_part_give (KrPart *part, const char *machine, guint to);
+void kr_part_moves (KrPart *part);
+void kr_part_return (KrPart *part, const char *machine);
--- a/src/rank.h
+++ b/src/rank.h
@@ -12,10 +12,10 @@
   const char *id; /* tie-break: any, but always the same */
 } KrRankKey;
 
-KrRankKey kr_rank_key (const KrEstimateInput *in, const char *id);
+KrRankKey kr_rank_key (const KrEstimateInput *input, const char *id);
 /* Negative: a goes first. */
-int kr_rank_compare (const KrRankKey *a, const KrRankKey *b);
+int kr_rank_compare (const KrRankKey *key, const KrRankKey *b);
 /* Slots that the min variant wants beyond those running: all unstarted tasks for jobs late or
  * without data, else slots needed, rounded up, floored at zero (at one if nothing runs), at most
  * the unstarted. */
-double kr_rank_want (const KrEstimateInput *in);
+double kr_rank_want (const KrEstimateInput *input);
--- a/src/record.c
+++ b/src/record.c
@@ -39,40 +39,40 @@
 KrRecords *
 kr_records_new (const KrSettings *settings, const KrRecordEvents *events, gpointer data)
 {
-  KrRecords *r = g_new0 (KrRecords, 1);
-  r->settings = settings;
-  r->events = *events;
-  r->data = data;
-  r->parts = g_new0 (GArray *, settings->size);
+  KrRecords *records = g_new0 (KrRecords, 1);
+  records->settings = settings;
+  records->events = *events;
+  records->data = data;
+  records->parts = g_new0 (GArray *, settings->size);
   for (guint p = 0; p < settings->size; p++) {
-    r->parts[p] = g_array_new (FALSE, TRUE, sizeof (Chunk));
-    g_array_set_clear_func (r->parts[p], chunk_clear);
+    records->parts[p] = g_array_new (FALSE, TRUE, sizeof (Chunk));
+    g_array_set_clear_func (records->parts[p], chunk_clear);
   }
-  r->index = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  r->room = (guint) MIN (KR_CHUNK_MACHINES,
-                         (settings->state_value_kb * 1024 - KR_VALUE_SLACK) / KR_MACHINE_BYTES);
-  return r;
+  records->index = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  records->room = (guint) MIN (
+      KR_CHUNK_MACHINES, (settings->state_value_kb * 1024 - KR_VALUE_SLACK) / KR_MACHINE_BYTES);
+  return records;
 }
 
 void
-kr_records_free (KrRecords *r)
+kr_records_free (KrRecords *records)
 {
-  for (guint p = 0; p < r->settings->size; p++)
-    g_array_unref (r->parts[p]);
-  g_free (r->parts);
-  g_hash_table_unref (r->index);
-  g_free (r);
+  for (guint p = 0; p < records->settings->size; p++)
+    g_array_unref (records->parts[p]);
+  g_free (records->parts);
+  g_hash_table_unref (records->index);
+  g_free (records);
 }
 
 static void
-note (KrRecords *r, guint part, guint chunk, json_t *machines, guint64 revision)
+note (KrRecords *records, guint part, guint chunk, json_t *machines, guint64 revision)
 {
   const char *id;
   json_t *o;
 
-  if (chunk >= r->parts[part]->len)
-    g_array_set_size (r->parts[part], chunk + 1);
-  Chunk *c = &g_array_index (r->parts[part], Chunk, chunk);
+  if (chunk >= records->parts[part]->len)
+    g_array_set_size (records->parts[part], chunk + 1);
+  Chunk *c = &g_array_index (records->parts[part], Chunk, chunk);
   if (revision <= c->revision)
     return;
   json_t *before = c->machines;
@@ -80,72 +80,74 @@
   c->revision = revision;
   json_object_foreach (machines, id, o)
   {
-    KrMember *m = g_hash_table_lookup (r->index, id);
-    if (!m)
-      g_hash_table_insert (r->index, g_strdup (id), m = g_new (KrMember, 1));
-    *m = (KrMember){ part, chunk, json_string_value (o) ? json_string_value (o) : "", revision };
+    KrMember *member = g_hash_table_lookup (records->index, id);
+    if (!member)
+      g_hash_table_insert (records->index, g_strdup (id), member = g_new (KrMember, 1));
+    *member =
+        (KrMember){ part, chunk, json_string_value (o) ? json_string_value (o) : "", revision };
   }
   /* After the additions: a machine that moved was noted at its new place, or will be. */
   json_object_foreach (before, id, o)
   {
-    const KrMember *m = json_object_get (machines, id) ? NULL : kr_records_find (r, id);
-    if (m && m->part == part && m->chunk == chunk) {
-      r->events.left (id, r->data);
-      g_hash_table_remove (r->index, id);
+    const KrMember *member = json_object_get (machines, id) ? NULL : kr_records_find (records, id);
+    if (member && member->part == part && member->chunk == chunk) {
+      records->events.left (id, records->data);
+      g_hash_table_remove (records->index, id);
     }
   }
   json_decref (before);
-  r->events.changed (part, r->data);
+  records->events.changed (part, records->data);
 }
 
 void
-kr_records_note (KrRecords *r, const KrItem *item)
+kr_records_note (KrRecords *records, const KrItem *item)
 {
   guint part, chunk;
   if (!item->value || sscanf (item->key, PREFIX "%u/%u", &part, &chunk) != 2 ||
-      part >= r->settings->size || chunk >= KR_CHUNKS_MAX)
+      part >= records->settings->size || chunk >= KR_CHUNKS_MAX)
     return;
   if (json_is_object (item->value)) {
-    note (r, part, chunk, item->value, item->revision);
+    note (records, part, chunk, item->value, item->revision);
     return;
   }
   /* Guards against a value that is none of ours: all its machines would count as gone. What was
    * known stays, under the new revision, so that the next write of the chunk puts it right. */
   kr_info ("state: %s is malformed, left as it was known", item->key);
-  json_t *known =
-      chunk < r->parts[part]->len ? g_array_index (r->parts[part], Chunk, chunk).machines : NULL;
+  json_t *known = chunk < records->parts[part]->len
+                      ? g_array_index (records->parts[part], Chunk, chunk).machines
+                      : NULL;
   json_t *machines = known ? json_incref (known) : json_object ();
-  note (r, part, chunk, machines, item->revision);
+  note (records, part, chunk, machines, item->revision);
   json_decref (machines);
 }
 
 const KrMember *
-kr_records_find (KrRecords *r, const char *machine)
+kr_records_find (KrRecords *records, const char *machine)
 {
-  return g_hash_table_lookup (r->index, machine);
+  return g_hash_table_lookup (records->index, machine);
 }
 
 void
-kr_records_walk_all (KrRecords *r, KrRecordWalk walk, gpointer data)
+kr_records_walk_all (KrRecords *records, KrRecordWalk walk, gpointer data)
 {
   GHashTableIter it;
   gpointer id, value;
-  g_hash_table_iter_init (&it, r->index);
+  g_hash_table_iter_init (&it, records->index);
   while (g_hash_table_iter_next (&it, &id, &value))
     walk (id, value, data);
 }
 
 void
-kr_records_walk (KrRecords *r, guint part, KrRecordWalk walk, gpointer data)
+kr_records_walk (KrRecords *records, guint part, KrRecordWalk walk, gpointer data)
 {
-  for (guint k = 0; k < r->parts[part]->len; k++) {
+  for (guint k = 0; k < records->parts[part]->len; k++) {
     const char *id;
     json_t *o;
-    json_object_foreach (g_array_index (r->parts[part], Chunk, k).machines, id, o)
+    json_object_foreach (g_array_index (records->parts[part], Chunk, k).machines, id, o)
     {
-      const KrMember *m = kr_records_find (r, id);
-      if (m && m->part == part)
-        walk (id, m, data);
+      const KrMember *member = kr_records_find (records, id);
+      if (member && member->part == part)
+        walk (id, member, data);
     }
   }
 }
@@ -160,25 +162,25 @@
 KrDraft *
 kr_draft_new (KrRecords *records)
 {
-  KrDraft *d = g_new (KrDraft, 1);
-  *d = (KrDraft){ records, g_array_new (FALSE, FALSE, sizeof (Change)) };
-  g_array_set_clear_func (d->changes, change_clear);
-  return d;
+  KrDraft *draft = g_new (KrDraft, 1);
+  *draft = (KrDraft){ records, g_array_new (FALSE, FALSE, sizeof (Change)) };
+  g_array_set_clear_func (draft->changes, change_clear);
+  return draft;
 }
 
 void
-kr_draft_free (KrDraft *d)
+kr_draft_free (KrDraft *draft)
 {
-  g_array_unref (d->changes);
-  g_free (d);
+  g_array_unref (draft->changes);
+  g_free (draft);
 }
 
 /* A chunk as the draft would make it; NULL: untouched. */
 static json_t *
-drafted (const KrDraft *d, guint part, guint chunk)
+drafted (const KrDraft *draft, guint part, guint chunk)
 {
-  for (guint i = 0; i < d->changes->len; i++) {
-    const Change *c = &g_array_index (d->changes, Change, i);
+  for (guint i = 0; i < draft->changes->len; i++) {
+    const Change *c = &g_array_index (draft->changes, Change, i);
     if (c->part == part && c->chunk == chunk)
       return c->machines;
   }
@@ -187,79 +189,80 @@
 
 /* A chunk as it is known; NULL: there is none yet. */
 static const Chunk *
-known (const KrDraft *d, guint part, guint chunk)
+known (const KrDraft *draft, guint part, guint chunk)
 {
-  const GArray *all = d->records->parts[part];
+  const GArray *all = draft->records->parts[part];
   return chunk < all->len ? &g_array_index (all, Chunk, chunk) : NULL;
 }
 
 static json_t *
-changed (KrDraft *d, guint part, guint chunk)
+changed (KrDraft *draft, guint part, guint chunk)
 {
-  json_t *machines = drafted (d, part, chunk);
+  json_t *machines = drafted (draft, part, chunk);
   if (machines)
     return machines;
-  const Chunk *old = known (d, part, chunk);
+  const Chunk *old = known (draft, part, chunk);
   /* Shallow: entries are never changed in place. */
   Change c = { part, chunk, old && old->machines ? json_copy (old->machines) : json_object (),
                old ? old->revision : 0 };
-  g_array_append_val (d->changes, c);
+  g_array_append_val (draft->changes, c);
   return c.machines;
 }
 
 /* Entries of a chunk as it would be. */
 static guint
-filled (const KrDraft *d, guint part, guint chunk)
+filled (const KrDraft *draft, guint part, guint chunk)
 {
-  const json_t *machines = drafted (d, part, chunk);
-  const Chunk *old = known (d, part, chunk);
+  const json_t *machines = drafted (draft, part, chunk);
+  const Chunk *old = known (draft, part, chunk);
   return (guint) json_object_size (machines ? machines : old ? old->machines : NULL);
 }
 
 void
-kr_draft_add (KrDraft *d, guint part, const char *machine, const char *address)
+kr_draft_add (KrDraft *draft, guint part, const char *machine, const char *address)
 {
   guint chunk = 0;
-  while (filled (d, part, chunk) >= d->records->room)
+  while (filled (draft, part, chunk) >= draft->records->room)
     chunk++;
-  json_object_set_new (changed (d, part, chunk), machine, json_string (address));
+  json_object_set_new (changed (draft, part, chunk), machine, json_string (address));
 }
 
 void
-kr_draft_set (KrDraft *d, const char *machine, const char *address)
+kr_draft_set (KrDraft *draft, const char *machine, const char *address)
 {
-  const KrMember *m = kr_records_find (d->records, machine);
-  if (m)
-    json_object_set_new (changed (d, m->part, m->chunk), machine, json_string (address));
+  const KrMember *member = kr_records_find (draft->records, machine);
+  if (member)
+    json_object_set_new (changed (draft, member->part, member->chunk), machine,
+                         json_string (address));
 }
 
 void
-kr_draft_remove (KrDraft *d, const char *machine)
+kr_draft_remove (KrDraft *draft, const char *machine)
 {
-  const KrMember *m = kr_records_find (d->records, machine);
-  if (m)
-    json_object_del (changed (d, m->part, m->chunk), machine);
+  const KrMember *member = kr_records_find (draft->records, machine);
+  if (member)
+    json_object_del (changed (draft, member->part, member->chunk), machine);
 }
 
 void
-kr_draft_touch (KrDraft *d, const char *machine)
+kr_draft_touch (KrDraft *draft, const char *machine)
 {
-  const KrMember *m = kr_records_find (d->records, machine);
-  if (m)
-    changed (d, m->part, m->chunk);
+  const KrMember *member = kr_records_find (draft->records, machine);
+  if (member)
+    changed (draft, member->part, member->chunk);
 }
 
 guint
-kr_draft_ops (const KrDraft *d)
+kr_draft_ops (const KrDraft *draft)
 {
-  return d->changes->len;
+  return draft->changes->len;
 }
 
 void
-kr_draft_write (const KrDraft *d, KrTxn *txn)
+kr_draft_write (const KrDraft *draft, KrTxn *txn)
 {
-  for (guint i = 0; i < d->changes->len; i++) {
-    const Change *c = &g_array_index (d->changes, Change, i);
+  for (guint i = 0; i < draft->changes->len; i++) {
+    const Change *c = &g_array_index (draft->changes, Change, i);
     g_autofree char *key = g_strdup_printf (PREFIX "%u/%u", c->part, c->chunk);
     kr_txn_when (txn, key, c->revision);
     kr_txn_put (txn, key, json_incref (c->machines), 0);
@@ -267,10 +270,10 @@
 }
 
 void
-kr_draft_done (const KrDraft *d, guint64 revision)
+kr_draft_done (const KrDraft *draft, guint64 revision)
 {
-  for (guint i = 0; i < d->changes->len; i++) {
-    const Change *c = &g_array_index (d->changes, Change, i);
-    note (d->records, c->part, c->chunk, c->machines, revision);
+  for (guint i = 0; i < draft->changes->len; i++) {
+    const Change *c = &g_array_index (draft->changes, Change, i);
+    note (draft->records, c->part, c->chunk, c->machines, revision);
   }
 }
--- a/src/record.h
+++ b/src/record.h
@@ -18,29 +18,29 @@
 } KrRecordEvents;
 
 KrRecords *kr_records_new (const KrSettings *settings, const KrRecordEvents *events, gpointer data);
-void kr_records_free (KrRecords *self);
+void kr_records_free (KrRecords *records);
 /* Takes in what a key below c/berths/ shows, if it is newer than what is known. */
-void kr_records_note (KrRecords *self, const KrItem *item);
+void kr_records_note (KrRecords *records, const KrItem *item);
 /* NULL: in no part. */
-const KrMember *kr_records_find (KrRecords *self, const char *machine);
+const KrMember *kr_records_find (KrRecords *records, const char *machine);
 /* Walks a part's machines. */
 typedef void (*KrRecordWalk) (const char *machine, const KrMember *member, gpointer data);
-void kr_records_walk (KrRecords *self, guint part, KrRecordWalk walk, gpointer data);
+void kr_records_walk (KrRecords *records, guint part, KrRecordWalk walk, gpointer data);
 /* Calls walk for all parts' machines. */
-void kr_records_walk_all (KrRecords *self, KrRecordWalk walk, gpointer data);
+void kr_records_walk_all (KrRecords *records, KrRecordWalk walk, gpointer data);
 
 /* Changes to be made in one transaction: every chunk that they touch is a condition and a put. */
 typedef struct KrDraft KrDraft;
 KrDraft *kr_draft_new (KrRecords *records);
-void kr_draft_free (KrDraft *self);
+void kr_draft_free (KrDraft *draft);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrDraft, kr_draft_free)
-void kr_draft_add (KrDraft *self, guint part, const char *machine, const char *address);
-void kr_draft_set (KrDraft *self, const char *machine, const char *address);
-void kr_draft_remove (KrDraft *self, const char *machine);
+void kr_draft_add (KrDraft *draft, guint part, const char *machine, const char *address);
+void kr_draft_set (KrDraft *draft, const char *machine, const char *address);
+void kr_draft_remove (KrDraft *draft, const char *machine);
 /* The machine's chunk is written as it is: whatever else names its revision can no longer succeed.
  */
-void kr_draft_touch (KrDraft *self, const char *machine);
-guint kr_draft_ops (const KrDraft *self);
-void kr_draft_write (const KrDraft *self, KrTxn *txn);
+void kr_draft_touch (KrDraft *draft, const char *machine);
+guint kr_draft_ops (const KrDraft *draft);
+void kr_draft_write (const KrDraft *draft, KrTxn *txn);
 /* The transaction was executed at this revision. */
-void kr_draft_done (const KrDraft *self, guint64 revision);
+void kr_draft_done (const KrDraft *draft, guint64 revision);
--- a/src/settings.c
+++ b/src/settings.c
@@ -8,9 +8,9 @@
 static void
 team_free (gpointer p)
 {
-  KrTeam *t = p;
-  g_free (t->name);
-  g_free (t);
+  KrTeam *team = p;
+  g_free (team->name);
+  g_free (team);
 }
 
 static void
@@ -25,27 +25,27 @@
 static void
 peer_free (gpointer p)
 {
-  KrPeerSettings *o = p;
-  g_free (o->name);
-  g_free (o->zone);
-  g_free (o->addr);
-  g_free (o);
+  KrPeerSettings *peer = p;
+  g_free (peer->name);
+  g_free (peer->zone);
+  g_free (peer->addr);
+  g_free (peer);
 }
 
 void
-kr_settings_free (KrSettings *s)
+kr_settings_free (KrSettings *settings)
 {
-  g_free (s->node_name);
-  g_free (s->zone);
-  g_free (s->client_listen);
-  g_free (s->internal_addr);
-  g_free (s->cloud);
-  g_free (s->state);
-  g_clear_pointer (&s->others, g_ptr_array_unref);
-  g_clear_pointer (&s->names, g_ptr_array_unref);
-  g_clear_pointer (&s->teams, g_ptr_array_unref);
-  g_clear_pointer (&s->objectives, g_ptr_array_unref);
-  g_free (s);
+  g_free (settings->node_name);
+  g_free (settings->zone);
+  g_free (settings->client_listen);
+  g_free (settings->internal_addr);
+  g_free (settings->cloud);
+  g_free (settings->state);
+  g_clear_pointer (&settings->others, g_ptr_array_unref);
+  g_clear_pointer (&settings->names, g_ptr_array_unref);
+  g_clear_pointer (&settings->teams, g_ptr_array_unref);
+  g_clear_pointer (&settings->objectives, g_ptr_array_unref);
+  g_free (settings);
 }
 
 /* A walk through the tree that remembers the first fault. */
@@ -143,14 +143,14 @@
     fault (&r, "others", "must be an array of tables");
   json_array_foreach (others, i, t)
   {
-    KrPeerSettings *p = g_new0 (KrPeerSettings, 1);
-    g_ptr_array_add (s->others, p);
+    KrPeerSettings *peer = g_new0 (KrPeerSettings, 1);
+    g_ptr_array_add (s->others, peer);
     r.where = "others";
-    p->name = text (&r, t, "node_name");
-    p->zone = text (&r, t, "zone");
-    p->addr = address (&r, t, "peer_addr");
-    if (p->name)
-      g_ptr_array_add (s->names, p->name);
+    peer->name = text (&r, t, "node_name");
+    peer->zone = text (&r, t, "zone");
+    peer->addr = address (&r, t, "peer_addr");
+    if (peer->name)
+      g_ptr_array_add (s->names, peer->name);
   }
   r.where = "";
   json_t *external = table (&r, root, "external");
@@ -238,47 +238,47 @@
     g_set_error (error, KR_SETTINGS_ERROR, 1, "%s", message ? message : "cannot be read");
     return NULL;
   }
-  KrSettings *s = kr_settings_from_json (root, error);
+  KrSettings *settings = kr_settings_from_json (root, error);
   json_decref (root);
-  return s;
+  return settings;
 }
 
 const KrTeam *
-kr_settings_team (const KrSettings *s, const char *name)
+kr_settings_team (const KrSettings *settings, const char *name)
 {
-  for (guint i = 0; i < s->teams->len; i++) {
-    const KrTeam *t = s->teams->pdata[i];
-    if (g_str_equal (t->name, name))
-      return t;
+  for (guint i = 0; i < settings->teams->len; i++) {
+    const KrTeam *team = settings->teams->pdata[i];
+    if (g_str_equal (team->name, name))
+      return team;
   }
   return NULL;
 }
 
 guint
-kr_settings_part_of_team (const KrSettings *s, const char *name)
+kr_settings_part_of_team (const KrSettings *settings, const char *name)
 {
-  for (guint i = 0; i < s->teams->len; i++)
-    if (g_str_equal (((KrTeam *) s->teams->pdata[i])->name, name))
-      return i % s->size;
+  for (guint i = 0; i < settings->teams->len; i++)
+    if (g_str_equal (((KrTeam *) settings->teams->pdata[i])->name, name))
+      return i % settings->size;
   return 0;
 }
 
 const KrPeerSettings *
-kr_settings_peer (const KrSettings *s, const char *name)
+kr_settings_peer (const KrSettings *settings, const char *name)
 {
-  for (guint i = 0; i < s->others->len; i++) {
-    const KrPeerSettings *o = s->others->pdata[i];
-    if (g_str_equal (o->name, name))
-      return o;
+  for (guint i = 0; i < settings->others->len; i++) {
+    const KrPeerSettings *peer = settings->others->pdata[i];
+    if (g_str_equal (peer->name, name))
+      return peer;
   }
   return NULL;
 }
 
 static double
-objective (const KrSettings *s, const char *kind, const char *lane, double fallback)
+objective (const KrSettings *settings, const char *kind, const char *lane, double fallback)
 {
-  for (guint i = 0; i < s->objectives->len; i++) {
-    const KrObjective *o = s->objectives->pdata[i];
+  for (guint i = 0; i < settings->objectives->len; i++) {
+    const KrObjective *o = settings->objectives->pdata[i];
     if (o->lane && o->within_s > 0 && g_str_equal (o->kind, kind) && g_str_equal (o->lane, lane))
       return o->within_s;
   }
@@ -286,13 +286,13 @@
 }
 
 double
-kr_settings_goal (const KrSettings *s, const char *lane)
+kr_settings_goal (const KrSettings *settings, const char *lane)
 {
-  return objective (s, "finished", lane, KR_DEFAULT_GOAL_S);
+  return objective (settings, "finished", lane, KR_DEFAULT_GOAL_S);
 }
 
 double
-kr_settings_wait (const KrSettings *s, const char *lane)
+kr_settings_wait (const KrSettings *settings, const char *lane)
 {
-  return objective (s, "wait", lane, KR_DEFAULT_WAIT_S);
+  return objective (settings, "wait", lane, KR_DEFAULT_WAIT_S);
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,20 +40,20 @@
 KrSettings *kr_settings_load (const char *path, GError **error);
 /* The checks alone, on a tree that stands for the file. */
 KrSettings *kr_settings_from_json (json_t *root, GError **error);
-void kr_settings_free (KrSettings *self);
+void kr_settings_free (KrSettings *settings);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrSettings, kr_settings_free)
 
 /* NULL if there is no such other node. */
-const KrPeerSettings *kr_settings_peer (const KrSettings *self, const char *name);
+const KrPeerSettings *kr_settings_peer (const KrSettings *settings, const char *name);
 /* NULL if the team is unknown. */
-const KrTeam *kr_settings_team (const KrSettings *self, const char *name);
+const KrTeam *kr_settings_team (const KrSettings *settings, const char *name);
 /* The part that a team belongs to: its place in the file, dealt round the parts. */
-guint kr_settings_part_of_team (const KrSettings *self, const char *name);
+guint kr_settings_part_of_team (const KrSettings *settings, const char *name);
 /* Seconds from submission within which a job of the class should finish; a stated default. */
-double kr_settings_goal (const KrSettings *self, const char *lane);
+double kr_settings_goal (const KrSettings *settings, const char *lane);
 
 /* Seconds within which its tasks should start; a stated default. */
-double kr_settings_wait (const KrSettings *self, const char *lane);
+double kr_settings_wait (const KrSettings *settings, const char *lane);
 
 /* settings_toml.cpp: the file as a JSON tree, or NULL and a message to free with g_free. */
 json_t *kr_toml_load (const char *path, char **message);
--- a/src/shares.c
+++ b/src/shares.c
@@ -3,42 +3,42 @@
 void
 kr_need_free (gpointer p)
 {
-  KrNeed *n = p;
-  kr_spec_free (n->shape);
-  g_free (n);
+  KrNeed *need = p;
+  kr_spec_free (need->shape);
+  g_free (need);
 }
 
 void
 kr_supply_free (gpointer p)
 {
-  KrSupply *s = p;
-  g_free (s->id);
-  g_free (s);
+  KrSupply *supply = p;
+  g_free (supply->id);
+  g_free (supply);
 }
 
 static int
 cheap_first (gconstpointer a, gconstpointer b)
 {
-  const KrSupply *x = *(KrSupply *const *) a, *y = *(KrSupply *const *) b;
-  if (x->spot != y->spot)
-    return x->spot ? -1 : 1;
+  const KrSupply *supply = *(KrSupply *const *) a, *y = *(KrSupply *const *) b;
+  if (supply->spot != y->spot)
+    return supply->spot ? -1 : 1;
   /* Busy ones first, so that idle ones are left over. */
-  if ((x->idle_s < 0) != (y->idle_s < 0))
-    return x->idle_s < 0 ? -1 : 1;
-  return g_strcmp0 (x->id, y->id);
+  if ((supply->idle_s < 0) != (y->idle_s < 0))
+    return supply->idle_s < 0 ? -1 : 1;
+  return g_strcmp0 (supply->id, y->id);
 }
 
 static void
-serve (KrSupply *s, KrNeed *n)
+serve (KrSupply *supply, KrNeed *need)
 {
-  if (s->left <= 1e-9 || n->unmet <= 1e-9 || s->going || !s->type ||
-      !kr_place_allowed (n->shape, s->type->name, s->zone, s->spot) ||
-      !kr_place_fits_type (n->shape, s->type))
+  if (supply->left <= 1e-9 || need->unmet <= 1e-9 || supply->going || !supply->type ||
+      !kr_place_allowed (need->shape, supply->type->name, supply->zone, supply->spot) ||
+      !kr_place_fits_type (need->shape, supply->type))
     return;
-  double share = kr_place_share (n->shape, s->type);
-  double k = MIN (n->unmet, s->left / share);
-  n->unmet -= k;
-  s->left -= k * share;
+  double share = kr_place_share (need->shape, supply->type);
+  double k = MIN (need->unmet, supply->left / share);
+  need->unmet -= k;
+  supply->left -= k * share;
 }
 
 void
@@ -46,28 +46,28 @@
 {
   g_ptr_array_sort (supplies, cheap_first);
   for (guint i = 0; i < needs->len; i++) {
-    KrNeed *n = needs->pdata[i];
-    n->unmet = most ? n->most : n->slots;
+    KrNeed *need = needs->pdata[i];
+    need->unmet = most ? need->most : need->slots;
   }
   for (guint i = 0; i < supplies->len; i++)
     ((KrSupply *) supplies->pdata[i])->left = 1;
   for (guint own = 2; own-- > 0;)
     for (guint i = 0; i < supplies->len; i++)
       for (guint k = 0; k < needs->len; k++) {
-        KrSupply *s = supplies->pdata[i];
-        KrNeed *n = needs->pdata[k];
-        if (!own || s->part == (gint) n->part)
-          serve (s, n);
+        KrSupply *supply = supplies->pdata[i];
+        KrNeed *need = needs->pdata[k];
+        if (!own || supply->part == (gint) need->part)
+          serve (supply, need);
       }
 }
 
 double
-kr_need_cpus (const KrNeed *n, double slots, const GPtrArray *types)
+kr_need_cpus (const KrNeed *need, double slots, const GPtrArray *types)
 {
   for (guint i = 0; i < types->len; i++) {
-    const KrType *t = types->pdata[i];
-    if (kr_place_fits_type (n->shape, t))
-      return slots * kr_place_share (n->shape, t) * t->cpus;
+    const KrType *type = types->pdata[i];
+    if (kr_place_fits_type (need->shape, type))
+      return slots * kr_place_share (need->shape, type) * type->cpus;
   }
   return 0;
 }
--- a/src/state.h
+++ b/src/state.h
@@ -7,34 +7,34 @@
 typedef struct KrState KrState;
 
 KrState *kr_state_new (const KrSettings *settings);
-void kr_state_free (KrState *self);
+void kr_state_free (KrState *state);
 
 /* status 429: refused by our own limit or the service's, not executed; 0: unknown outcome. */
-void kr_state_get (KrState *self, const char *key, KrTurn turn, guint timeout_ms,
+void kr_state_get (KrState *state, const char *key, KrTurn turn, guint timeout_ms,
                    GCancellable *cancel, KrReply reply, gpointer data);
 /* All changes below a prefix after a revision, as they are when the request is carried out. */
-void kr_state_changes (KrState *self, const char *prefix, guint64 after, guint timeout_ms,
+void kr_state_changes (KrState *state, const char *prefix, guint64 after, guint timeout_ms,
                        GCancellable *cancel, KrReply reply, gpointer data);
 /* Takes over `txn`. */
-void kr_state_commit (KrState *self, KrTxn *txn, KrTurn turn, guint timeout_ms,
+void kr_state_commit (KrState *state, KrTxn *txn, KrTurn turn, guint timeout_ms,
                       GCancellable *cancel, KrReply reply, gpointer data);
-void kr_state_lease (KrState *self, guint64 lease, guint life_ms, GCancellable *cancel,
+void kr_state_lease (KrState *state, guint64 lease, guint life_ms, GCancellable *cancel,
                      KrReply reply, gpointer data); /* lease 0: a new one */
 /* Seconds that a further write would wait now. */
-double kr_state_write_wait (KrState *self);
+double kr_state_write_wait (KrState *state);
 /* Puts and deletes that leave no debt: what a full budget holds. */
-guint kr_state_burst_writes (KrState *self);
+guint kr_state_burst_writes (KrState *state);
 /* Puts and deletes that may go out now for what can wait. */
-guint kr_state_spare_writes (KrState *self);
+guint kr_state_spare_writes (KrState *state);
 /* Puts and deletes that wait for the limit now. */
-double kr_state_waiting_writes (KrState *self);
+double kr_state_waiting_writes (KrState *state);
 /* Requests, and puts and deletes, a second that this node may make. */
-void kr_state_set_rates (KrState *self, double requests, double writes);
+void kr_state_set_rates (KrState *state, double requests, double writes);
 /* Requests a second that this node may make now. */
-double kr_state_request_rate (KrState *self);
+double kr_state_request_rate (KrState *state);
 /* Time since the service last answered anything but 503, in seconds; very long if it never did: a
  * node that has just started must not tell others that it is served. */
-double kr_state_silence (KrState *self);
+double kr_state_silence (KrState *state);
 
 /* Reads a prefix whole, then follows its changes. After a gap it reads the prefix anew. */
 typedef struct KrFollow KrFollow;
@@ -44,6 +44,6 @@
 KrFollow *kr_follow_new (KrState *state, const char *prefix, GCancellable *cancel,
                          KrFollowScan on_scan, KrFollowEvent on_event, gpointer data);
 /* Drops what is under way and reads anew: the next on_scan began after this call. */
-void kr_follow_rescan (KrFollow *self);
+void kr_follow_rescan (KrFollow *follow);
 /* Stops until the next rescan. */
-void kr_follow_stop (KrFollow *self);
+void kr_follow_stop (KrFollow *follow);
--- a/src/view.c
+++ b/src/view.c
@@ -24,63 +24,63 @@
   guint timer;
 };
 
-static void go_on (KrView *v);
+static void go_on (KrView *view);
 
 gboolean
-kr_view_job_parse (KrViewJob *j, const KrItem *item)
+kr_view_job_parse (KrViewJob *view_job, const KrItem *item)
 {
-  *j = (KrViewJob){ .revision = item->revision };
-  if (!kr_job_peek (item->value, &j->state, &j->done, &j->running))
+  *view_job = (KrViewJob){ .revision = item->revision };
+  if (!kr_job_peek (item->value, &view_job->state, &view_job->done, &view_job->running))
     return FALSE;
-  j->cancelled = kr_job_peek_cancelled (item->value, &j->part, &j->owner);
+  view_job->cancelled = kr_job_peek_cancelled (item->value, &view_job->part, &view_job->owner);
   return TRUE;
 }
 
 static void
-take (KrView *v, const KrItem *item)
+take (KrView *view, const KrItem *item)
 {
   const char *id = item->key + strlen (PREFIX);
   KrViewJob j;
   if (!item->value || !kr_view_job_parse (&j, item)) {
-    g_hash_table_remove (v->jobs, id);
+    g_hash_table_remove (view->jobs, id);
     return;
   }
-  g_hash_table_replace (v->jobs, g_strdup (id), g_memdup2 (&j, sizeof j));
+  g_hash_table_replace (view->jobs, g_strdup (id), g_memdup2 (&j, sizeof j));
 }
 
 static void
-finish (KrView *v, gboolean known)
+finish (KrView *view, gboolean known)
 {
-  g_autoptr (GArray) served = v->served;
-  v->served = g_array_new (FALSE, FALSE, sizeof (Waiter));
-  v->busy = FALSE;
-  kr_timer_clear (&v->timer);
+  g_autoptr (GArray) served = view->served;
+  view->served = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  view->busy = FALSE;
+  kr_timer_clear (&view->timer);
   if (known)
-    v->synced = v->began;
+    view->synced = view->began;
   for (guint i = 0; i < served->len; i++) {
     const Waiter *w = &g_array_index (served, Waiter, i);
     w->reply (known, w->data);
   }
-  go_on (v);
+  go_on (view);
 }
 
 static void
 scanned (json_t *items, guint64 revision, gpointer data)
 {
-  KrView *v = data;
+  KrView *view = data;
   json_t *o;
   size_t i;
 
-  kr_follow_stop (v->scan);
-  g_hash_table_remove_all (v->jobs);
+  kr_follow_stop (view->scan);
+  g_hash_table_remove_all (view->jobs);
   json_array_foreach (items, i, o)
   {
     KrItem item;
     if (kr_wire_item_parse (o, &item))
-      take (v, &item);
+      take (view, &item);
   }
-  v->revision = revision;
-  finish (v, TRUE);
+  view->revision = revision;
+  finish (view, TRUE);
 }
 
 static void
@@ -92,100 +92,101 @@
 static void
 changed (guint status, json_t *body, gpointer data)
 {
-  KrView *v = data;
+  KrView *view = data;
   json_t *o;
   size_t i;
 
   if (status == 410)
-    v->revision = 0;
+    view->revision = 0;
   if (status != 200) {
-    finish (v, FALSE);
+    finish (view, FALSE);
     return;
   }
   json_array_foreach (kr_wire_events (body), i, o)
   {
     KrItem item;
     if (kr_wire_event_parse (o, &item))
-      take (v, &item);
+      take (view, &item);
   }
-  v->revision = MAX (v->revision, kr_wire_revision (body));
-  finish (v, TRUE);
+  view->revision = MAX (view->revision, kr_wire_revision (body));
+  finish (view, TRUE);
 }
 
 static gboolean
 scan_late (gpointer data)
 {
-  KrView *v = data;
-  v->timer = 0;
-  kr_follow_stop (v->scan);
-  finish (v, FALSE);
+  KrView *view = data;
+  view->timer = 0;
+  kr_follow_stop (view->scan);
+  finish (view, FALSE);
   return G_SOURCE_REMOVE;
 }
 
 static gboolean
 start (gpointer data)
 {
-  KrView *v = data;
-  GArray *served = v->served;
+  KrView *view = data;
+  GArray *served = view->served;
   gint64 now = kr_now ();
 
-  v->timer = 0;
-  v->busy = TRUE;
-  v->served = v->waiting;
-  v->waiting = served;
-  v->began = now;
+  view->timer = 0;
+  view->busy = TRUE;
+  view->served = view->waiting;
+  view->waiting = served;
+  view->began = now;
   /* After a pause the live jobs are fewer than the changes. */
-  if (v->revision && now - v->synced < (gint64) (KR_VIEW_STALE_S * G_USEC_PER_SEC))
-    kr_state_changes (v->state, PREFIX, v->revision, KR_USER_READ_MS, v->cancel, changed, v);
+  if (view->revision && now - view->synced < (gint64) (KR_VIEW_STALE_S * G_USEC_PER_SEC))
+    kr_state_changes (view->state, PREFIX, view->revision, KR_USER_READ_MS, view->cancel, changed,
+                      view);
   else {
-    v->timer = kr_timer_add (KR_USER_READ_MS, scan_late, v);
-    kr_follow_rescan (v->scan);
+    view->timer = kr_timer_add (KR_USER_READ_MS, scan_late, view);
+    kr_follow_rescan (view->scan);
   }
   return G_SOURCE_REMOVE;
 }
 
 static void
-go_on (KrView *v)
+go_on (KrView *view)
 {
-  if (v->busy || v->timer || v->waiting->len == 0)
+  if (view->busy || view->timer || view->waiting->len == 0)
     return;
-  gint64 wait = v->began + KR_VIEW_SYNC_MS * 1000 - kr_now ();
-  v->timer = kr_timer_add ((guint) CLAMP (wait / 1000, 1, KR_VIEW_SYNC_MS), start, v);
+  gint64 wait = view->began + KR_VIEW_SYNC_MS * 1000 - kr_now ();
+  view->timer = kr_timer_add ((guint) CLAMP (wait / 1000, 1, KR_VIEW_SYNC_MS), start, view);
 }
 
 KrView *
 kr_view_new (KrState *state, GCancellable *cancel)
 {
-  KrView *v = g_new0 (KrView, 1);
-  v->state = state;
-  v->cancel = kr_cancellable_child (cancel);
-  v->scan = kr_follow_new (state, PREFIX, v->cancel, scanned, never, v);
-  v->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  v->waiting = g_array_new (FALSE, FALSE, sizeof (Waiter));
-  v->served = g_array_new (FALSE, FALSE, sizeof (Waiter));
-  return v;
+  KrView *view = g_new0 (KrView, 1);
+  view->state = state;
+  view->cancel = kr_cancellable_child (cancel);
+  view->scan = kr_follow_new (state, PREFIX, view->cancel, scanned, never, view);
+  view->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  view->waiting = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  view->served = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  return view;
 }
 
 void
-kr_view_free (KrView *v)
+kr_view_free (KrView *view)
 {
-  kr_timer_clear (&v->timer);
-  g_cancellable_cancel (v->cancel);
-  kr_follow_stop (v->scan);
+  kr_timer_clear (&view->timer);
+  g_cancellable_cancel (view->cancel);
+  kr_follow_stop (view->scan);
 }
 
 /* Joins only a request that begins after this call: one under way may have been answered before
  * what the asker has been told elsewhere. */
 void
-kr_view_sync (KrView *v, KrViewReply reply, gpointer data)
+kr_view_sync (KrView *view, KrViewReply reply, gpointer data)
 {
   const Waiter w = { reply, data };
-  g_array_append_val (v->waiting, w);
-  go_on (v);
+  g_array_append_val (view->waiting, w);
+  go_on (view);
 }
 
 const KrViewJob *
-kr_view_find (KrView *v, const char *job)
+kr_view_find (KrView *view, const char *job)
 {
-  return g_hash_table_lookup (v->jobs, job);
+  return g_hash_table_lookup (view->jobs, job);
 }
--- a/src/view.h
+++ b/src/view.h
@@ -16,12 +16,12 @@
 } KrViewJob;
 
 KrView *kr_view_new (KrState *state, GCancellable *cancel);
-void kr_view_free (KrView *self);
+void kr_view_free (KrView *view);
 
 /* known: whether the view holds every change that was made before the call. */
 typedef void (*KrViewReply) (gboolean known, gpointer data);
-void kr_view_sync (KrView *self, KrViewReply reply, gpointer data);
+void kr_view_sync (KrView *view, KrViewReply reply, gpointer data);
 /* FALSE: not a job's value. Ended ones are understood too. */
 gboolean kr_view_job_parse (KrViewJob *job, const KrItem *item);
 /* NULL: no such live job. */
-const KrViewJob *kr_view_find (KrView *self, const char *job);
+const KrViewJob *kr_view_find (KrView *view, const char *job);
--- a/src/wire.c
+++ b/src/wire.c
@@ -42,15 +42,15 @@
 static const char *const job_words[] = { "pending", "running", "done", "cancelled" };
 
 void
-kr_spec_free (KrSpec *s)
+kr_spec_free (KrSpec *spec)
 {
-  g_free (s->id);
-  g_free (s->lane);
-  g_free (s->team);
-  g_free (s->image);
-  g_free (s->zone);
-  g_strfreev (s->types);
-  g_free (s);
+  g_free (spec->id);
+  g_free (spec->lane);
+  g_free (spec->team);
+  g_free (spec->image);
+  g_free (spec->zone);
+  g_strfreev (spec->types);
+  g_free (spec);
 }
 
 gboolean
@@ -192,22 +192,23 @@
 }
 
 json_t *
-kr_wire_spec_build (const KrSpec *s)
+kr_wire_spec_build (const KrSpec *spec)
 {
   json_t *types = json_null ();
-  if (s->types) {
+  if (spec->types) {
     types = json_array ();
-    for (char **t = s->types; *t; t++)
+    for (char **t = spec->types; *t; t++)
       json_array_append_new (types, json_string (*t));
   }
-  return json_pack ("{ss ss ss ss ss sI sf sf sf ss sf so so sb sb sb sf sf sf so}", "Id", s->id,
-                    "Lane", s->lane, "Crew", s->team, "Form", form_words[s->form], "Rank",
-                    rank_words[s->rank], "Shifts", (json_int_t) s->tasks, "Cores", s->cpus,
-                    "Accelerators", s->gpus, "MemGb", s->mem_gb, "Cargo", s->image, "PullGb",
-                    s->image_gb, "Hulls", types, "Harbor", string_or_null (s->zone), "OneZone",
-                    s->one_zone, "Apart", s->apart, "Driftwood", s->spot, "SailS", s->estimate_s,
-                    "MooringS", s->checkpoint_s, "StowS", s->save_s, "TideS",
-                    isnan (s->deadline_s) ? json_null () : json_real (s->deadline_s));
+  return json_pack ("{ss ss ss ss ss sI sf sf sf ss sf so so sb sb sb sf sf sf so}", "Id", spec->id,
+                    "Lane", spec->lane, "Crew", spec->team, "Form", form_words[spec->form], "Rank",
+                    rank_words[spec->rank], "Shifts", (json_int_t) spec->tasks, "Cores", spec->cpus,
+                    "Accelerators", spec->gpus, "MemGb", spec->mem_gb, "Cargo", spec->image,
+                    "PullGb", spec->image_gb, "Hulls", types, "Harbor", string_or_null (spec->zone),
+                    "OneZone", spec->one_zone, "Apart", spec->apart, "Driftwood", spec->spot,
+                    "SailS", spec->estimate_s, "MooringS", spec->checkpoint_s, "StowS",
+                    spec->save_s, "TideS",
+                    isnan (spec->deadline_s) ? json_null () : json_real (spec->deadline_s));
 }
 
 const char *
@@ -258,16 +259,16 @@
 
 /* --- workers ------------------------------------------------------------------------- */
 void
-kr_report_free (KrReport *r)
+kr_report_free (KrReport *report)
 {
-  g_free (r->machine);
-  g_free (r->endpoint);
-  g_free (r->type);
-  g_free (r->zone);
-  for (guint i = 0; r->tasks && i < r->tasks->len; i++)
-    g_free (g_array_index (r->tasks, KrTaskReport, i).job);
-  g_clear_pointer (&r->tasks, g_array_unref);
-  g_free (r);
+  g_free (report->machine);
+  g_free (report->endpoint);
+  g_free (report->type);
+  g_free (report->zone);
+  for (guint i = 0; report->tasks && i < report->tasks->len; i++)
+    g_free (g_array_index (report->tasks, KrTaskReport, i).job);
+  g_clear_pointer (&report->tasks, g_array_unref);
+  g_free (report);
 }
 
 static KrTaskState
@@ -391,10 +392,10 @@
 void
 kr_type_free (gpointer p)
 {
-  KrType *t = p;
-  g_free (t->name);
-  g_strfreev (t->zones);
-  g_free (t);
+  KrType *type = p;
+  g_free (type->name);
+  g_strfreev (type->zones);
+  g_free (type);
 }
 
 GPtrArray *
@@ -410,19 +411,19 @@
     json_t *zones = json_object_get (o, "Harbors");
     if (!str (o, "Name") || !json_is_array (zones))
       return NULL;
-    KrType *t = g_new0 (KrType, 1);
-    g_ptr_array_add (out, t);
-    t->name = g_strdup (str (o, "Name"));
-    t->cpus = num (o, "Cores");
-    t->gpus = num (o, "Accelerators");
-    t->mem_gb = num (o, "MemGb");
-    t->cache_gb = num (o, "CacheGb");
-    t->pull_gb_s = num (o, "PullGbPerS");
-    t->price = num (o, "Rate");
-    t->spot_price = num (o, "MarketPrice");
-    t->boot_s = num (o, "ReadyS");
-    t->zones = g_new0 (char *, json_array_size (zones) + 1);
-    json_array_foreach (zones, k, z) t->zones[k] = g_strdup (json_string_value (z));
+    KrType *type = g_new0 (KrType, 1);
+    g_ptr_array_add (out, type);
+    type->name = g_strdup (str (o, "Name"));
+    type->cpus = num (o, "Cores");
+    type->gpus = num (o, "Accelerators");
+    type->mem_gb = num (o, "MemGb");
+    type->cache_gb = num (o, "CacheGb");
+    type->pull_gb_s = num (o, "PullGbPerS");
+    type->price = num (o, "Rate");
+    type->spot_price = num (o, "MarketPrice");
+    type->boot_s = num (o, "ReadyS");
+    type->zones = g_new0 (char *, json_array_size (zones) + 1);
+    json_array_foreach (zones, k, z) type->zones[k] = g_strdup (json_string_value (z));
   }
   return g_steal_pointer (&out);
 }
@@ -430,12 +431,12 @@
 void
 kr_listed_machine_free (gpointer p)
 {
-  KrListedMachine *m = p;
-  g_free (m->id);
-  g_free (m->endpoint);
-  g_free (m->type);
-  g_free (m->zone);
-  g_free (m);
+  KrListedMachine *listed = p;
+  g_free (listed->id);
+  g_free (listed->endpoint);
+  g_free (listed->type);
+  g_free (listed->zone);
+  g_free (listed);
 }
 
 json_t *
@@ -485,17 +486,17 @@
     if (!str (o, "Id") || !str (o, "Hull") || !str (o, "Harbor"))
       return FALSE;
     const char *s = str (o, "Bearing");
-    KrListedMachine *m = g_new0 (KrListedMachine, 1);
-    g_ptr_array_add (out, m);
-    m->id = g_strdup (str (o, "Id"));
-    m->endpoint = g_strdup (str (o, "Endpoint"));
-    m->type = g_strdup (str (o, "Hull"));
-    m->zone = g_strdup (str (o, "Harbor"));
-    m->spot = truth (o, "Driftwood");
-    m->state = g_strcmp0 (s, "starting") == 0 ? KR_MACHINE_STARTING
-               : g_strcmp0 (s, "failed") == 0 ? KR_MACHINE_FAILED
-                                              : KR_MACHINE_RUNNING;
-    m->held_s = num (o, "HeldS");
+    KrListedMachine *listed = g_new0 (KrListedMachine, 1);
+    g_ptr_array_add (out, listed);
+    listed->id = g_strdup (str (o, "Id"));
+    listed->endpoint = g_strdup (str (o, "Endpoint"));
+    listed->type = g_strdup (str (o, "Hull"));
+    listed->zone = g_strdup (str (o, "Harbor"));
+    listed->spot = truth (o, "Driftwood");
+    listed->state = g_strcmp0 (s, "starting") == 0 ? KR_MACHINE_STARTING
+                    : g_strcmp0 (s, "failed") == 0 ? KR_MACHINE_FAILED
+                                                   : KR_MACHINE_RUNNING;
+    listed->held_s = num (o, "HeldS");
   }
   *more = truth (body, "More");
   return TRUE;
@@ -505,51 +506,52 @@
 KrTxn *
 kr_txn_new (void)
 {
-  KrTxn *t = g_new0 (KrTxn, 1);
-  t->when = json_array ();
-  t->writes = json_array ();
-  return t;
+  KrTxn *txn = g_new0 (KrTxn, 1);
+  txn->when = json_array ();
+  txn->writes = json_array ();
+  return txn;
 }
 
 void
-kr_txn_free (KrTxn *t)
+kr_txn_free (KrTxn *txn)
 {
-  json_decref (t->when);
-  json_decref (t->writes);
-  g_free (t);
+  json_decref (txn->when);
+  json_decref (txn->writes);
+  g_free (txn);
 }
 
 void
-kr_txn_when (KrTxn *t, const char *key, guint64 revision)
+kr_txn_when (KrTxn *txn, const char *key, guint64 revision)
 {
-  json_array_append_new (t->when, json_pack ("{ss sI}", "Key", key, "Mark", (json_int_t) revision));
+  json_array_append_new (txn->when,
+                         json_pack ("{ss sI}", "Key", key, "Mark", (json_int_t) revision));
 }
 
 void
-kr_txn_put (KrTxn *t, const char *key, json_t *value, guint64 lease)
+kr_txn_put (KrTxn *txn, const char *key, json_t *value, guint64 lease)
 {
   json_t *o = json_pack ("{ss so}", "Put", key, "Value", value);
   if (lease)
     json_object_set_new (o, "Permit", json_integer ((json_int_t) lease));
-  json_array_append_new (t->writes, o);
+  json_array_append_new (txn->writes, o);
 }
 
 void
-kr_txn_remove (KrTxn *t, const char *key)
+kr_txn_remove (KrTxn *txn, const char *key)
 {
-  json_array_append_new (t->writes, json_pack ("{ss}", "Remove", key));
+  json_array_append_new (txn->writes, json_pack ("{ss}", "Remove", key));
 }
 
 guint
-kr_txn_ops (KrTxn *t)
+kr_txn_ops (KrTxn *txn)
 {
-  return (guint) json_array_size (t->writes);
+  return (guint) json_array_size (txn->writes);
 }
 
 json_t *
-kr_txn_body (KrTxn *t)
+kr_txn_body (KrTxn *txn)
 {
-  return json_pack ("{sO sO}", "When", t->when, "Writes", t->writes);
+  return json_pack ("{sO sO}", "When", txn->when, "Writes", txn->writes);
 }
 
 char *
--- a/src/wire.h
+++ b/src/wire.h
@@ -26,7 +26,7 @@
   double deadline_s; /* NAN: none */
 } KrSpec;
 
-void kr_spec_free (KrSpec *self);
+void kr_spec_free (KrSpec *spec);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrSpec, kr_spec_free)
 /* NULL and an error naming the field. */
 KrSpec *kr_wire_spec_parse (json_t *body, GError **error);
@@ -84,7 +84,7 @@
   GArray *tasks;   /* KrTaskReport */
 } KrReport;
 
-void kr_report_free (KrReport *self);
+void kr_report_free (KrReport *report);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrReport, kr_report_free)
 /* NULL if malformed. */
 KrReport *kr_wire_report_parse (json_t *body);
@@ -140,13 +140,13 @@
   json_t *when, *writes;
 } KrTxn;
 KrTxn *kr_txn_new (void);
-void kr_txn_free (KrTxn *self);
+void kr_txn_free (KrTxn *txn);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (KrTxn, kr_txn_free)
-void kr_txn_when (KrTxn *self, const char *key, guint64 revision);
-void kr_txn_put (KrTxn *self, const char *key, json_t *value, guint64 lease); /* takes `value` */
-void kr_txn_remove (KrTxn *self, const char *key);
-guint kr_txn_ops (KrTxn *self);
-json_t *kr_txn_body (KrTxn *self);
+void kr_txn_when (KrTxn *txn, const char *key, guint64 revision);
+void kr_txn_put (KrTxn *txn, const char *key, json_t *value, guint64 lease); /* takes `value` */
+void kr_txn_remove (KrTxn *txn, const char *key);
+guint kr_txn_ops (KrTxn *txn);
+json_t *kr_txn_body (KrTxn *txn);
 
 char *kr_wire_key_path (const char *key);
 char *kr_wire_scan_path (const char *prefix, const char *after, guint limit);
