--- a/src/agent.c
+++ b/src/agent.c
@@ -11,9 +11,9 @@
 }
 
 void
-kr_launch_free (gpointer p)
+kr_launch_free (gpointer data)
 {
-  KrLaunch *launch = p;
+  KrLaunch *launch = data;
   g_free (launch->job);
   g_free (launch);
 }
@@ -31,9 +31,9 @@
 }
 
 void
-kr_machine_free (gpointer p)
+kr_machine_free (gpointer data)
 {
-  KrMachine *machine = p;
+  KrMachine *machine = data;
   g_free (machine->id);
   g_free (machine->endpoint);
   g_free (machine->type);
@@ -109,52 +109,57 @@
   }
 }
 
-gboolean
-kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
-                  gint64 now, KrSawFunc saw, gpointer data)
+static void
+take_identity (KrMachine *machine, const KrReport *report)
+{
+  if (machine->known && g_strcmp0 (machine->endpoint, report->endpoint) == 0)
+    return;
+  g_free (machine->endpoint);
+  g_free (machine->type);
+  g_free (machine->zone);
+  machine->endpoint = g_strdup (report->endpoint);
+  machine->type = g_strdup (report->type);
+  machine->zone = g_strdup (report->zone);
+  machine->spot = report->spot;
+  if (!machine->known)
+    kr_debug ("machine %s: up", machine->id);
+  machine->known = TRUE;
+}
+
+static void
+take_token (KrMachine *machine, const KrReport *report, guint64 token, gint64 now)
 {
-  if (report->session < machine->session ||
-      (report->session == machine->session && report->seq <= machine->seq))
-    return FALSE; /* guards against reports that a cut held back */
-  if (report->session > machine->session)
-    kr_machine_clear (machine, saw, data); /* its lease ran out: the worker killed everything */
-  machine->session = report->session;
-  machine->seq = report->seq;
-  machine->heard = now;
   machine->token = report->token;
-  if (report->token == token) {
-    machine->fenced = TRUE;
-    /* Fenced by a direct command, it may fall silent before its first report to us: whoever renewed
-     * its lease did so before now. */
-    if (!machine->answered)
-      machine->answered = now;
-  }
-  if (!machine->known || g_strcmp0 (machine->endpoint, report->endpoint) != 0) {
-    g_free (machine->endpoint);
-    g_free (machine->type);
-    g_free (machine->zone);
-    machine->endpoint = g_strdup (report->endpoint);
-    machine->type = g_strdup (report->type);
-    machine->zone = g_strdup (report->zone);
-    machine->spot = report->spot;
-    if (!machine->known)
-      kr_debug ("machine %s: up", machine->id);
-    machine->known = TRUE;
-  }
+  if (report->token != token)
+    return;
+  machine->fenced = TRUE;
+  /* Fenced by a direct command, it may fall silent before its first report to us: whoever renewed
+   * its lease did so before now. */
+  if (!machine->answered)
+    machine->answered = now;
+}
+
+static void
+take_notice (KrMachine *machine, const KrReport *report, gint64 now)
+{
   if (isnan (report->notice_s))
     machine->notice_at = 0;
   else if (!machine->notice_at)
     machine->notice_at = now + kr_seconds (report->notice_s);
+}
 
+/* What the report does not show is gone. */
+static void
+drop_missing (KrMachine *machine, const KrReport *report, gboolean beat, KrSawFunc saw,
+              gpointer data)
+{
   gboolean unheard = FALSE;
   for (guint i = machine->launches->len; i-- > 0;) {
     KrLaunch *launch = machine->launches->pdata[i];
-    if (reported (report, launch))
-      continue;
-    if (launch->planned)
+    if (launch->planned || reported (report, launch))
       continue;
-    /* Not there. In doubt, only a later beat proves it: an answer of /commands or /show may have
-     * been written before the worker took the response with the run. */
+    /* In doubt, only a later beat proves it: an answer of /commands or /show may have been written
+     * before the worker took the response with the run. */
     if (launch->state == KR_TASK_DOUBT && !(beat && report->seq > launch->doubt_seq))
       continue;
     if (launch->state == KR_TASK_DOUBT && !launch->kill && !unheard)
@@ -164,29 +169,49 @@
     saw (machine, launch, KR_SAW_GONE, data);
     kr_launch_free (launch);
   }
-  for (guint i = 0; i < report->tasks->len; i++) {
-    const KrTaskReport *task = &g_array_index (report->tasks, KrTaskReport, i);
-    KrLaunch *launch = find (machine, task);
-    KrTaskState before;
-    if (!launch) {
-      launch = kr_machine_launch (machine, task->job, task->index, task->attempt);
-      launch->adopted = TRUE;
-      launch->state = task->state;
-      saw (machine, launch, KR_SAW_NEW, data);
-      before = KR_TASK_DOUBT;
-    } else
-      before = launch->state;
-    if (before == KR_TASK_DOUBT && !launch->adopted)
-      saw (machine, launch, KR_SAW_HEARD, data);
+}
+
+static void
+take_task (KrMachine *machine, const KrTaskReport *task, gint64 now, KrSawFunc saw, gpointer data)
+{
+  KrLaunch *launch = find (machine, task);
+  KrTaskState before = launch ? launch->state : KR_TASK_DOUBT;
+  if (!launch) {
+    launch = kr_machine_launch (machine, task->job, task->index, task->attempt);
+    launch->adopted = TRUE;
     launch->state = task->state;
-    launch->why = task->why;
-    if (task->state == KR_TASK_RUNNING && !launch->since) {
-      launch->since = now;
-      saw (machine, launch, KR_SAW_RUNNING, data);
-    }
-    if (task->state == KR_TASK_EXITED && before != KR_TASK_EXITED)
-      saw (machine, launch, KR_SAW_EXITED, data);
+    saw (machine, launch, KR_SAW_NEW, data);
+  }
+  if (before == KR_TASK_DOUBT && !launch->adopted)
+    saw (machine, launch, KR_SAW_HEARD, data);
+  launch->state = task->state;
+  launch->why = task->why;
+  if (task->state == KR_TASK_RUNNING && !launch->since) {
+    launch->since = now;
+    saw (machine, launch, KR_SAW_RUNNING, data);
   }
+  if (task->state == KR_TASK_EXITED && before != KR_TASK_EXITED)
+    saw (machine, launch, KR_SAW_EXITED, data);
+}
+
+gboolean
+kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
+                  gint64 now, KrSawFunc saw, gpointer data)
+{
+  if (report->session < machine->session ||
+      (report->session == machine->session && report->seq <= machine->seq))
+    return FALSE; /* guards against reports that a cut held back */
+  if (report->session > machine->session)
+    kr_machine_clear (machine, saw, data); /* its lease ran out: the worker killed everything */
+  machine->session = report->session;
+  machine->seq = report->seq;
+  machine->heard = now;
+  take_token (machine, report, token, now);
+  take_identity (machine, report);
+  take_notice (machine, report, now);
+  drop_missing (machine, report, beat, saw, data);
+  for (guint i = 0; i < report->tasks->len; i++)
+    take_task (machine, &g_array_index (report->tasks, KrTaskReport, i), now, saw, data);
   return TRUE;
 }
 
--- a/src/agent.h
+++ b/src/agent.h
@@ -69,7 +69,7 @@
 typedef void (*KrSawFunc) (KrMachine *machine, KrLaunch *launch, KrSaw what, gpointer data);
 
 KrMachine *kr_machine_new (const char *id);
-void kr_machine_free (gpointer machine);
+void kr_machine_free (gpointer data);
 
 /* Takes a report in. `beat`: it came as a worker's report, not as an answer of /commands or /show:
  * only such a one settles doubt, since the worker sends the next only after it has taken or dropped
@@ -84,7 +84,7 @@
  * machine that is fenced: no one else answers it. */
 gboolean kr_machine_lease_over (const KrMachine *machine, gint64 now, double lease_s);
 KrLaunch *kr_machine_launch (KrMachine *machine, const char *job, guint index, guint64 attempt);
-void kr_launch_free (gpointer launch);
+void kr_launch_free (gpointer data);
 /* Seconds since it was seen running first; 0: not yet. */
 double kr_launch_ran_s (const KrLaunch *launch, gint64 now);
 /* What is not exited, in doubt included. */
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -369,6 +369,51 @@
   return kr_rank_compare (&live->key, &b->key);
 }
 
+/* The first in rank that fits the room left. */
+static KrLive *
+first_that_fits (KrPart *part, const KrMachine *machine, const KrRoom *room, gint64 now)
+{
+  KrLive *best = NULL;
+  for (guint i = 0; i < part->lives->len; i++) {
+    KrLive *live = part->lives->pdata[i];
+    if (live->skip || (best && before (best, live) < 0))
+      continue;
+    /* Room and limits only shrink within a round: what fails once is out for good. */
+    if (!kr_place_has_room (room, live->job->spec) || !may_run_here (part, machine, live, now) ||
+        !kr_place_team_ok (live->team, live->used, live->job->spec)) {
+      live->skip = TRUE;
+      continue;
+    }
+    best = live;
+  }
+  return best;
+}
+
+/* Once the job for which room was held here has all its tasks, the rest is for the others. FALSE:
+ * it has not. */
+static gboolean
+end_reservation (KrPart *part, KrMachine *machine)
+{
+  KrJob *holder = machine->reserved_for ? kr_part_job (part, machine->reserved_for) : NULL;
+  if (!holder || kr_job_unstarted (holder))
+    return FALSE;
+  g_clear_pointer (&machine->reserved_for, g_free);
+  for (guint i = 0; i < part->lives->len; i++)
+    ((KrLive *) part->lives->pdata[i])->skip = FALSE;
+  return TRUE;
+}
+
+static void
+grant_task (KrPart *part, KrMachine *machine, KrLive *live, json_t *orders, gint64 now)
+{
+  const KrSpec *spec = live->job->spec;
+  KrLaunch *launch = start_launch (part, machine, live, (guint) kr_job_next (live->job), now);
+  launch->doubt_seq = machine->seq;
+  machine->idle_since = now;
+  kr_wire_order_run (orders, spec->id, launch->index, launch->attempt);
+  kr_debug ("task %s/%u: to %s", spec->id, launch->index, machine->id);
+}
+
 /* The paper's allocation, max variant, triggered by a machine's report: its free room goes out one
  * task at a time, to the first in rank that fits, and all are ranked anew after each grant. */
 void
@@ -383,44 +428,20 @@
   rank_all (part, now);
 
   for (;;) {
-    KrLive *best = NULL;
-    for (guint i = 0; i < part->lives->len; i++) {
-      KrLive *live = part->lives->pdata[i];
-      if (live->skip || (best && before (best, live) < 0))
-        continue;
-      /* Room and limits only shrink within a round: what fails once is out for good. */
-      if (!kr_place_has_room (&room, live->job->spec) || !may_run_here (part, machine, live, now) ||
-          !kr_place_team_ok (live->team, live->used, live->job->spec)) {
-        live->skip = TRUE;
-        continue;
-      }
-      best = live;
-    }
-    if (!best) {
-      /* The job for which room was held here has all its tasks: the rest is for the others. */
-      KrJob *holder = machine->reserved_for ? kr_part_job (part, machine->reserved_for) : NULL;
-      if (!holder || kr_job_unstarted (holder))
-        return;
-      g_clear_pointer (&machine->reserved_for, g_free);
-      for (guint i = 0; i < part->lives->len; i++)
-        ((KrLive *) part->lives->pdata[i])->skip = FALSE;
+    KrLive *best = first_that_fits (part, machine, &room, now);
+    if (!best && !end_reservation (part, machine))
+      return;
+    if (!best)
       continue;
-    }
-    KrJob *job = best->job;
-    if (job->spec->form == KR_FORM_GANG) {
+    if (best->job->spec->form == KR_FORM_GANG) {
       plan_gang (part, best, now);
       best->skip = TRUE;
       if (!free_room (part, machine, &room))
         return;
-      continue;
+    } else {
+      grant_task (part, machine, best, orders, now);
+      kr_place_take (&room, best->job->spec);
     }
-    KrLaunch *launch = start_launch (part, machine, best, (guint) kr_job_next (job), now);
-    guint task = launch->index;
-    launch->doubt_seq = machine->seq;
-    kr_place_take (&room, job->spec);
-    machine->idle_since = now;
-    kr_wire_order_run (orders, job->spec->id, task, launch->attempt);
-    kr_debug ("task %s/%u: to %s", job->spec->id, task, machine->id);
   }
 }
 
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -62,7 +62,7 @@
 /* g_hash_table_iter_next over the machines, counted. */
 gboolean kr_part_next (KrPart *part, GHashTableIter *it, gpointer *machine);
 /* KrSawFunc: what a machine's report means for its tasks' jobs. */
-void kr_part_saw (KrMachine *machine, KrLaunch *launch, KrSaw what, gpointer part);
+void kr_part_saw (KrMachine *machine, KrLaunch *launch, KrSaw what, gpointer data);
 void kr_part_count_launch (KrPart *part, KrLaunch *launch);
 void kr_part_command_kills (KrPart *part, KrMachine *machine);
 gboolean kr_part_needs_fence (const KrMachine *machine);
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -168,6 +168,58 @@
   return *finals ? g_steal_pointer (&ends) : g_steal_pointer (&progress);
 }
 
+/* Puts and deletes that may go out now. */
+static guint
+most_ops (KrPart *part, gboolean finals)
+{
+  KrState *state = part->node->state;
+  guint most =
+      finals ? MAX (KR_ENDS_MIN, kr_state_burst_writes (state)) : kr_state_spare_writes (state);
+  return MIN (most, part->node->settings->state_txn_ops);
+}
+
+static void
+add_end (KrTxn *txn, const KrJob *job)
+{
+  g_autofree char *key = kr_job_key (job->spec->id), *end = kr_job_end_key (job->spec->id);
+  KrJobState state = job->cancelled ? KR_JOB_CANCELLED : KR_JOB_DONE;
+  kr_txn_remove (txn, key);
+  kr_txn_put (txn, end, kr_job_end_value (state, job->n_done), 0);
+  for (guint c = 1; c < kr_job_chunks (job); c++) {
+    g_autofree char *chunk = kr_job_chunk_key (job->spec->id, c);
+    kr_txn_remove (txn, chunk);
+  }
+}
+
+static void
+add_progress (KrTxn *txn, const KrJob *job)
+{
+  g_autofree char *key = kr_job_key (job->spec->id);
+  kr_txn_put (txn, key, kr_job_encode (job, job->done, job->n_active), 0);
+  for (guint c = 1; c < kr_job_chunks (job); c++) {
+    g_autofree char *chunk = kr_job_chunk_key (job->spec->id, c);
+    kr_txn_put (txn, chunk, kr_job_chunk_encode (job, job->done, c), 0);
+  }
+}
+
+static void
+add_job (KrTxn *txn, Batch *batch, KrJob *job, gboolean final, gint64 now)
+{
+  g_autofree char *key = kr_job_key (job->spec->id);
+  kr_txn_when (txn, key, job->revision);
+  if (final)
+    add_end (txn, job);
+  else
+    add_progress (txn, job);
+  Written *written = g_new (Written, 1);
+  *written =
+      (Written){ g_strdup (job->spec->id), g_memdup2 (job->done, kr_job_bytes (job)), final };
+  g_ptr_array_add (batch->items, written);
+  job->writing = TRUE;
+  job->dirty = FALSE;
+  job->flushed_at = now;
+}
+
 /* One batch. Progress goes out from what other writes leave of the budget: it may be late, since
  * the workers keep what has not become durable. */
 void
@@ -179,49 +231,21 @@
   if (part->flushing || part->gone || !part->have_jobs || part->phase == LOADING)
     return;
   g_autoptr (GPtrArray) jobs = due (part, now, &finals);
-  guint most = part->node->settings->state_txn_ops;
-  if (finals)
-    most = MIN (most, MAX (KR_ENDS_MIN, kr_state_burst_writes (part->node->state)));
-  else
-    most = MIN (most, kr_state_spare_writes (part->node->state));
+  guint most = most_ops (part, finals);
   if (jobs->len == 0 || most == 0)
     return;
   KrTxn *txn = kr_part_owner_txn (part);
   Batch *batch = g_new (Batch, 1);
   gsize bytes = 0;
   *batch = (Batch){ kr_part_ref (part), g_ptr_array_new_with_free_func (written_free) };
-
   for (guint i = 0; i < jobs->len; i++) {
     KrJob *job = jobs->pdata[i];
-    guint chunks = kr_job_chunks (job), ops = finals ? end_ops (job) : chunks;
+    guint ops = finals ? end_ops (job) : kr_job_chunks (job);
     gsize size = kr_job_bytes (job) * 4 / 3 + KR_VALUE_RESERVE;
     if (batch->items->len && (kr_txn_ops (txn) + ops > most || bytes + size > KR_COMMIT_BYTES))
       break;
-    g_autofree char *key = kr_job_key (job->spec->id);
-    kr_txn_when (txn, key, job->revision);
-    if (finals) {
-      g_autofree char *end = kr_job_end_key (job->spec->id);
-      kr_txn_remove (txn, key);
-      kr_txn_put (txn, end,
-                  kr_job_end_value (job->cancelled ? KR_JOB_CANCELLED : KR_JOB_DONE, job->n_done),
-                  0);
-    } else
-      kr_txn_put (txn, key, kr_job_encode (job, job->done, job->n_active), 0);
-    for (guint c = 1; c < chunks; c++) {
-      g_autofree char *chunk = kr_job_chunk_key (job->spec->id, c);
-      if (finals)
-        kr_txn_remove (txn, chunk);
-      else
-        kr_txn_put (txn, chunk, kr_job_chunk_encode (job, job->done, c), 0);
-    }
+    add_job (txn, batch, job, finals, now);
     bytes += size;
-    Written *written = g_new (Written, 1);
-    *written =
-        (Written){ g_strdup (job->spec->id), g_memdup2 (job->done, kr_job_bytes (job)), finals };
-    g_ptr_array_add (batch->items, written);
-    job->writing = TRUE;
-    job->dirty = FALSE;
-    job->flushed_at = now;
   }
   part->flushing = TRUE;
   kr_state_commit (part->node->state, txn, finals ? KR_FIRST : KR_NORMAL, KR_STATE_TIMEOUT_MS,
--- a/src/part.c
+++ b/src/part.c
@@ -130,12 +130,56 @@
   }
 }
 
+static void
+task_done (KrPart *part, KrMachine *machine, KrJob *job, KrLaunch *launch, gint64 now)
+{
+  if (!kr_job_is_done (job, launch->index)) {
+    if (job->spec->form != KR_FORM_SERVICE) /* a service's task starts again */
+      kr_job_set_done (job, launch->index);
+    job->dirty = TRUE;
+    if (launch->since && !launch->adopted) {
+      judge_pace (machine, job, kr_launch_ran_s (launch, now));
+      job->sum += kr_launch_ran_s (launch, now);
+      job->count++;
+    }
+  }
+  kr_job_clear_failures (job);
+  g_hash_table_remove (machine->bad_jobs, job->spec->id);
+  if (kr_job_complete (job))
+    kr_part_flush (part);
+}
+
+static void
+task_exited (KrPart *part, KrMachine *machine, KrJob *job, KrLaunch *launch)
+{
+  gint64 now = kr_now ();
+  if (launch->why == KR_WHY_DONE)
+    task_done (part, machine, job, launch, now);
+  else if (launch->why == KR_WHY_ERROR) {
+    kr_info ("task %s/%u: error on %s", launch->job, launch->index, machine->id);
+    task_failed (part, machine, job, kr_launch_ran_s (launch, now), now);
+  } else if (launch->why == KR_WHY_REFUSED || launch->why == KR_WHY_UNKNOWN)
+    kr_info ("task %s/%u: start refused by %s", launch->job, launch->index, machine->id);
+  if (job->cancelled)
+    kr_part_flush (part);
+}
+
+/* Reports arrive, our answers do not: it looks idle and would be given work for ever. */
+static void
+pause_unheard (KrMachine *machine)
+{
+  guint shift = KR_UNHEARD_SHIFT * MIN (machine->unheard, KR_UNHEARD_MAX);
+  double pause_s = MIN (KR_UNHEARD_MAX_S, KR_UNHEARD_S * (1u << shift));
+  machine->pause_until = kr_now () + kr_seconds (pause_s);
+  machine->unheard++;
+  kr_info ("machine %s: a launch did not reach it, no further ones for a while", machine->id);
+}
+
 void
 kr_part_saw (KrMachine *machine, KrLaunch *launch, KrSaw what, gpointer data)
 {
   KrPart *part = data;
   KrJob *job = kr_part_job (part, launch->job);
-  gint64 now = kr_now ();
 
   switch (what) {
   case KR_SAW_NEW:
@@ -146,49 +190,21 @@
     machine->unheard = 0;
     break;
   case KR_SAW_UNHEARD:
-    /* Reports arrive, our answers do not: it looks idle and would be given work for ever. */
-    machine->pause_until =
-        now + kr_seconds (MIN (KR_UNHEARD_MAX_S,
-                               KR_UNHEARD_S * (1u << KR_UNHEARD_SHIFT *
-                                                         MIN (machine->unheard, KR_UNHEARD_MAX))));
-    machine->unheard++;
-    kr_info ("machine %s: a launch did not reach it, no further ones for a while", machine->id);
+    pause_unheard (machine);
     break;
   case KR_SAW_RUNNING:
     kr_debug ("task %s/%u: runs on %s", launch->job, launch->index, machine->id);
-    if (job)
+    if (job) {
       g_hash_table_add (machine->images, g_strdup (job->spec->image));
-    if (job)
       job->dirty = TRUE;
+    }
     break;
   case KR_SAW_EXITED:
     kr_debug ("task %s/%u: exited on %s (%d)", launch->job, launch->index, machine->id,
               launch->why);
     kr_live_drop (launch);
-    if (!job)
-      break;
-    if (launch->why == KR_WHY_DONE) {
-      if (!kr_job_is_done (job, launch->index)) {
-        if (job->spec->form != KR_FORM_SERVICE) /* a service's task starts again */
-          kr_job_set_done (job, launch->index);
-        job->dirty = TRUE;
-        if (launch->since && !launch->adopted) {
-          judge_pace (machine, job, kr_launch_ran_s (launch, now));
-          job->sum += kr_launch_ran_s (launch, now);
-          job->count++;
-        }
-      }
-      kr_job_clear_failures (job);
-      g_hash_table_remove (machine->bad_jobs, job->spec->id);
-      if (kr_job_complete (job))
-        kr_part_flush (part);
-    } else if (launch->why == KR_WHY_ERROR) {
-      kr_info ("task %s/%u: error on %s", launch->job, launch->index, machine->id);
-      task_failed (part, machine, job, kr_launch_ran_s (launch, now), now);
-    } else if (launch->why == KR_WHY_REFUSED || launch->why == KR_WHY_UNKNOWN)
-      kr_info ("task %s/%u: start refused by %s", launch->job, launch->index, machine->id);
-    if (job->cancelled)
-      kr_part_flush (part);
+    if (job)
+      task_exited (part, machine, job, launch);
     break;
   case KR_SAW_GONE:
     if (launch->state != KR_TASK_EXITED)
@@ -638,47 +654,70 @@
 }
 
 /* --- periodic duties ----------------------------------------------------------------- */
-/* For those who ask where the CPUs are that are paid for. */
+/* Where the CPUs are that are paid for. */
+typedef struct {
+  guint up, starting;
+  double running, fetching, doubt;      /* in use */
+  double held, leaving, unusable, open; /* free */
+} Status;
+
+static double *
+status_in_use (Status *status, const KrLaunch *launch)
+{
+  if (launch->state == KR_TASK_DOUBT)
+    return &status->doubt;
+  return launch->state == KR_TASK_PULLING ? &status->fetching : &status->running;
+}
+
+static double *
+status_free (Status *status, KrPart *part, const KrMachine *machine, gint64 now)
+{
+  if (!kr_part_usable (part, machine, now))
+    return &status->unusable;
+  if (machine->leaving_to >= 0)
+    return &status->leaving;
+  return machine->reserved_for ? &status->held : &status->open;
+}
+
+static void
+status_add (Status *status, KrPart *part, const KrMachine *machine, gint64 now)
+{
+  const KrType *type = machine->type ? kr_node_type (part->node, machine->type) : NULL;
+  double left = type ? type->cpus : 0;
+  if (!machine->known) {
+    status->starting++;
+    return;
+  }
+  status->up++;
+  for (guint i = 0; i < machine->launches->len; i++) {
+    const KrLaunch *launch = machine->launches->pdata[i];
+    const KrJob *job = kr_live_job (launch);
+    if (!job || launch->state == KR_TASK_EXITED)
+      continue;
+    left -= job->spec->cpus;
+    *status_in_use (status, launch) += job->spec->cpus;
+  }
+  *status_free (status, part, machine, now) += left;
+}
+
 static void
 log_status (KrPart *part, gint64 now)
 {
+  Status status = { 0 };
   GHashTableIter it;
-  gpointer value;
-  double running = 0, fetching = 0, doubt = 0, held = 0, leaving = 0, unusable = 0, open = 0;
-  guint up = 0, starting = 0, waiting = 0;
+  gpointer machine;
+  guint waiting = 0;
 
   g_hash_table_iter_init (&it, part->machines);
-  while (kr_part_next (part, &it, &value)) {
-    const KrMachine *machine = value;
-    const KrType *type = machine->type ? kr_node_type (part->node, machine->type) : NULL;
-    double left = type ? type->cpus : 0;
-    if (!machine->known) {
-      starting++;
-      continue;
-    }
-    up++;
-    for (guint i = 0; i < machine->launches->len; i++) {
-      const KrLaunch *launch = machine->launches->pdata[i];
-      const KrJob *job = kr_live_job (launch);
-      if (!job || launch->state == KR_TASK_EXITED)
-        continue;
-      left -= job->spec->cpus;
-      *(launch->state == KR_TASK_DOUBT     ? &doubt
-        : launch->state == KR_TASK_PULLING ? &fetching
-                                           : &running) += job->spec->cpus;
-    }
-    *(!kr_part_usable (part, machine, now) ? &unusable
-      : machine->leaving_to >= 0           ? &leaving
-      : machine->reserved_for              ? &held
-                                           : &open) += left;
-  }
+  while (kr_part_next (part, &it, &machine))
+    status_add (&status, part, machine, now);
   for (guint i = 0; i < part->lives->len; i++)
     waiting += kr_job_unstarted (((KrLive *) part->lives->pdata[i])->job);
   kr_debug (
       "part %u: %u jobs, %u tasks wait; %u machines up, %u starting; CPUs: %.0f running, %.0f "
       "fetching, %.0f in doubt; free: %.0f held, %.0f leaving, %.0f not usable, %.0f open",
-      part->index, part->lives->len, waiting, up, starting, running, fetching, doubt, held, leaving,
-      unusable, open);
+      part->index, part->lives->len, waiting, status.up, status.starting, status.running,
+      status.fetching, status.doubt, status.held, status.leaving, status.unusable, status.open);
 }
 
 static void
--- a/src/part.h
+++ b/src/part.h
@@ -32,15 +32,15 @@
 } KrCancelWord;
 /* A cancellation is committed, in the job's revision `revision`, when the part's owner key had the
  * revision `owner`. Acts on it at once, without the state service. */
-KrCancelWord kr_part_cancel (KrPart *part, const char *job, guint64 owner, guint64 revision);
+KrCancelWord kr_part_cancel (KrPart *part, const char *id, guint64 owner, guint64 revision);
 /* The same between nodes: {"Part","Job","Owner","Revision"}; the word is a status. */
 #define KR_PEER_CANCELLATIONS "/cancellations"
-json_t *kr_cancel_question (guint part, const char *job, guint64 owner, guint64 revision);
+json_t *kr_cancel_question (guint part, const char *id, guint64 owner, guint64 revision);
 guint kr_cancel_answer (KrNode *node, json_t *question); /* the status */
 KrCancelWord kr_cancel_word (guint status);
 
 /* Live counts of a job; FALSE if it is not known here. */
-gboolean kr_part_counts (KrPart *part, const char *job, guint *done, guint *running);
+gboolean kr_part_counts (KrPart *part, const char *id, guint *done, guint *running);
 
 /* Puts and deletes that the ends of its jobs wait for. */
 guint kr_part_waiting_ends (KrPart *part);
@@ -52,6 +52,6 @@
 json_t *kr_part_summary (KrPart *part);
 /* Marks a machine, or (`to`: this part) takes the mark away; kr_part_moves moves what is marked and
  * empty, together. */
-void kr_part_give (KrPart *part, const char *machine, guint to);
+void kr_part_give (KrPart *part, const char *id, guint to);
 void kr_part_moves (KrPart *part);
-void kr_part_return (KrPart *part, const char *machine);
+void kr_part_return (KrPart *part, const char *id);
--- a/src/rent.c
+++ b/src/rent.c
@@ -554,22 +554,27 @@
   return d < 0 ? -1 : d > 0;
 }
 
-/* What no machine will serve is asked of the cheapest open pools: one call a type and zone. */
+/* Requests whose outcome is not known go out again under their names. */
 static void
-rent_unmet (KrRent *rent, GPtrArray *needs, gint64 now)
+repeat_requests (KrRent *rent)
 {
-  g_autoptr (GArray) offers = g_array_new (FALSE, FALSE, sizeof (Offer));
   GHashTableIter it;
   gpointer value;
-
   g_hash_table_iter_init (&it, rent->pools);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     Pool *pool = value;
     if (pool->request && !pool->busy)
       ask (rent, pool, pool->count);
   }
-  for (guint i = 0; i < rent->node->types->len; i++) {
-    const KrType *type = rent->node->types->pdata[i];
+}
+
+/* What can be rented, the cheapest first. */
+static GArray *
+offers_by_price (const GPtrArray *types)
+{
+  GArray *offers = g_array_new (FALSE, FALSE, sizeof (Offer));
+  for (guint i = 0; i < types->len; i++) {
+    const KrType *type = types->pdata[i];
     Offer spot = { type, TRUE, type->spot_price / MAX (type->cpus, 1) };
     Offer ordinary = { type, FALSE, type->price / MAX (type->cpus, 1) };
     if (type->spot_price > 0)
@@ -577,43 +582,80 @@
     g_array_append_val (offers, ordinary);
   }
   g_array_sort (offers, by_price);
-  gboolean spot_open = FALSE;
+  return offers;
+}
+
+static gboolean
+any_spot_open (KrRent *rent, gint64 now)
+{
+  GHashTableIter it;
+  gpointer value;
+  gboolean open = FALSE;
   g_hash_table_iter_init (&it, rent->pools);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const Pool *pool = value;
-    spot_open |= pool->spot && (pool->busy || now >= pool->closed_until);
+    open |= pool->spot && (pool->busy || now >= pool->closed_until);
   }
+  return open;
+}
+
+static GPtrArray *
+open_pools (KrRent *rent, const Offer *offer, gint64 now)
+{
+  GPtrArray *open = g_ptr_array_new ();
+  for (char **zone = offer->type->zones; *zone; zone++) {
+    Pool *pool = find_pool (rent, offer->type->name, *zone, offer->spot);
+    if (!pool->busy && !pool->request && now >= pool->closed_until)
+      g_ptr_array_add (open, pool);
+  }
+  return open;
+}
+
+static gboolean
+offer_serves (const Offer *offer, const Pool *pool, const KrNeed *need, gboolean spot_open)
+{
+  /* Work that may use spot gets ordinary machines only when spot ones are refused. */
+  if (need->unmet <= 1e-9 || (!offer->spot && need->shape->spot && spot_open))
+    return FALSE;
+  return kr_place_allowed (need->shape, offer->type->name, pool->zone, offer->spot) &&
+         kr_place_fits_type (need->shape, offer->type);
+}
+
+/* Asks a pool for its share, one of `pools` that are left, of what is unmet. */
+static void
+rent_from (KrRent *rent, const Offer *offer, Pool *pool, guint pools, GPtrArray *needs,
+           gboolean spot_open)
+{
+  double machines = 0;
+  g_autofree double *taken = g_new0 (double, needs->len);
+  for (guint i = 0; i < needs->len; i++) {
+    const KrNeed *need = needs->pdata[i];
+    if (!offer_serves (offer, pool, need, spot_open))
+      continue;
+    taken[i] = need->shape->zone ? need->unmet : need->unmet / pools;
+    machines += taken[i] * kr_place_share (need->shape, offer->type);
+  }
+  /* What is over a call's size is left to the other pools: a thousand machines from one, 50 at a
+   * time, would come late. */
+  double asked = machines > 0 ? MIN (1, KR_RENT_MAX / machines) : 0;
+  for (guint i = 0; i < needs->len; i++)
+    ((KrNeed *) needs->pdata[i])->unmet -= taken[i] * asked;
+  if (machines > KR_RENT_LEAST)
+    ask (rent, pool, (guint) ceil (machines));
+}
+
+/* What no machine will serve is asked of the cheapest open pools: one call a type and zone. */
+static void
+rent_unmet (KrRent *rent, GPtrArray *needs, gint64 now)
+{
+  repeat_requests (rent);
+  g_autoptr (GArray) offers = offers_by_price (rent->node->types);
+  gboolean spot_open = any_spot_open (rent, now);
   for (guint i = 0; i < offers->len; i++) {
-    const Offer *f = &g_array_index (offers, Offer, i);
-    g_autoptr (GPtrArray) open = g_ptr_array_new ();
-    for (char **z = f->type->zones; *z; z++) {
-      Pool *pool = find_pool (rent, f->type->name, *z, f->spot);
-      if (!pool->busy && !pool->request && now >= pool->closed_until)
-        g_ptr_array_add (open, pool);
-    }
-    for (guint z = 0; z < open->len; z++) {
-      Pool *pool = open->pdata[z];
-      double machines = 0, share_out = open->len - z;
-      g_autofree double *taken = g_new0 (double, needs->len);
-      for (guint k = 0; k < needs->len; k++) {
-        KrNeed *need = needs->pdata[k];
-        /* Work that may use spot gets ordinary machines only when spot ones are refused. */
-        if (need->unmet <= 1e-9 || (!f->spot && need->shape->spot && spot_open) ||
-            !kr_place_allowed (need->shape, f->type->name, pool->zone, f->spot) ||
-            !kr_place_fits_type (need->shape, f->type))
-          continue;
-        double part = need->shape->zone ? 1 : 1 / share_out;
-        taken[k] = need->unmet * part;
-        machines += taken[k] * kr_place_share (need->shape, f->type);
-      }
-      /* What is over a call's size is left to the other pools: a thousand machines from one, 50 at
-       * a time, would come late. */
-      double asked = machines > 0 ? MIN (1, KR_RENT_MAX / machines) : 0;
-      for (guint k = 0; k < needs->len; k++)
-        ((KrNeed *) needs->pdata[k])->unmet -= taken[k] * asked;
-      if (machines > KR_RENT_LEAST)
-        ask (rent, pool, (guint) ceil (machines));
-    }
+    const Offer *offer = &g_array_index (offers, Offer, i);
+    g_autoptr (GPtrArray) open = open_pools (rent, offer, now);
+    for (guint k = 0; k < open->len; k++)
+      rent_from (rent, offer, open->pdata[k], open->len - k, needs, spot_open);
   }
 }
 
--- a/src/rent.h
+++ b/src/rent.h
@@ -7,7 +7,7 @@
 KrRent *kr_rent_new (KrNode *node);
 void kr_rent_free (KrRent *rent);
 /* A machine is in no part any more. */
-void kr_rent_left (KrRent *rent, const char *machine);
+void kr_rent_left (KrRent *rent, const char *id);
 /* The list is read now: a part is being taken over. */
 void kr_rent_list_soon (KrRent *rent);
 /* All records were read anew. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -121,112 +121,159 @@
   return strcmp (*(char *const *) a, *(char *const *) b);
 }
 
-KrSettings *
-kr_settings_from_json (json_t *root, GError **error)
+static void
+read_others (Reader *r, json_t *root, KrSettings *settings)
 {
-  g_autoptr (KrSettings) s = g_new0 (KrSettings, 1);
-  Reader r = { "", NULL };
-  json_t *t, *facts;
+  json_t *others = json_object_get (root, "others"), *t;
   size_t i;
-
-  s->others = g_ptr_array_new_with_free_func (peer_free);
-  s->names = g_ptr_array_new ();
-  s->teams = g_ptr_array_new_with_free_func (team_free);
-  s->objectives = g_ptr_array_new_with_free_func (objective_free);
-
-  s->node_name = text (&r, root, "node_name");
-  s->zone = text (&r, root, "zone");
-  s->client_listen = address (&r, root, "client_listen");
-  s->internal_addr = address (&r, root, "internal_addr");
-  json_t *others = json_object_get (root, "others");
   if (others && !json_is_array (others))
-    fault (&r, "others", "must be an array of tables");
+    fault (r, "others", "must be an array of tables");
+  r->where = "others";
   json_array_foreach (others, i, t)
   {
     KrPeerSettings *peer = g_new0 (KrPeerSettings, 1);
-    g_ptr_array_add (s->others, peer);
-    r.where = "others";
-    peer->name = text (&r, t, "node_name");
-    peer->zone = text (&r, t, "zone");
-    peer->addr = address (&r, t, "peer_addr");
+    g_ptr_array_add (settings->others, peer);
+    peer->name = text (r, t, "node_name");
+    peer->zone = text (r, t, "zone");
+    peer->addr = address (r, t, "peer_addr");
     if (peer->name)
-      g_ptr_array_add (s->names, peer->name);
+      g_ptr_array_add (settings->names, peer->name);
   }
-  r.where = "";
-  json_t *external = table (&r, root, "external");
-  r.where = "external";
-  s->cloud = address (&r, external, "cloud");
-  s->state = address (&r, external, "state");
-  r.where = "";
-  facts = table (&r, root, "facts");
-  r.where = "facts";
-  s->size = (guint) number (&r, facts, "size", 1, 64, NAN);
-  s->clock_error_s = number (&r, facts, "clock_error_ms", 0, 1e6, 0) / 1000;
-  json_t *teams = json_object_get (facts, "teams");
+  r->where = "";
+}
+
+static void
+read_external (Reader *r, json_t *root, KrSettings *settings)
+{
+  json_t *external = table (r, root, "external");
+  r->where = "external";
+  settings->cloud = address (r, external, "cloud");
+  settings->state = address (r, external, "state");
+  r->where = "";
+}
+
+static void
+read_teams (Reader *r, json_t *facts, KrSettings *settings)
+{
+  json_t *teams = json_object_get (facts, "teams"), *t;
+  size_t i;
   if (!json_is_array (teams) || json_array_size (teams) == 0)
-    fault (&r, "teams", "must be a non-empty array of tables");
+    fault (r, "teams", "must be a non-empty array of tables");
+  r->where = "facts.teams";
   json_array_foreach (teams, i, t)
   {
     KrTeam *team = g_new0 (KrTeam, 1);
-    g_ptr_array_add (s->teams, team);
-    r.where = "facts.teams";
-    team->name = text (&r, t, "name");
-    team->cpus = number (&r, t, "cpus", 0, 1e9, 0);
-    team->cpus_max = number (&r, t, "cpus_max", 0, 1e9, 0);
-    team->gpus = number (&r, t, "gpus", 0, 1e9, 0);
-    team->gpus_max = number (&r, t, "gpus_max", 0, 1e9, 0);
+    g_ptr_array_add (settings->teams, team);
+    team->name = text (r, t, "name");
+    team->cpus = number (r, t, "cpus", 0, 1e9, 0);
+    team->cpus_max = number (r, t, "cpus_max", 0, 1e9, 0);
+    team->gpus = number (r, t, "gpus", 0, 1e9, 0);
+    team->gpus_max = number (r, t, "gpus_max", 0, 1e9, 0);
   }
+  r->where = "facts";
+}
+
+static void
+read_objectives (Reader *r, json_t *facts, KrSettings *settings)
+{
+  json_t *t;
+  size_t i;
+  r->where = "facts.objectives";
   json_array_foreach (json_object_get (facts, "objectives"), i, t)
   {
-    KrObjective *o = g_new0 (KrObjective, 1);
-    g_ptr_array_add (s->objectives, o);
-    r.where = "facts.objectives";
-    o->kind = text (&r, t, "kind");
-    o->lane = g_strdup (json_string_value (json_object_get (t, "class")));
-    o->share = number (&r, t, "share", 0, 1, 0);
-    o->within_s = number (&r, t, "within_s", 0, 1e9, 0);
+    KrObjective *objective = g_new0 (KrObjective, 1);
+    g_ptr_array_add (settings->objectives, objective);
+    objective->kind = text (r, t, "kind");
+    objective->lane = g_strdup (json_string_value (json_object_get (t, "class")));
+    objective->share = number (r, t, "share", 0, 1, 0);
+    objective->within_s = number (r, t, "within_s", 0, 1e9, 0);
   }
-  r.where = "facts";
-  t = table (&r, facts, "workers");
-  r.where = "facts.workers";
-  s->report_s = number (&r, t, "report_s", 0.01, 3600, NAN);
-  s->lease_s = number (&r, t, "lease_s", 0.1, 86400, NAN);
-  s->cancel_s = number (&r, t, "cancel_s", 0.1, 86400, NAN);
-  r.where = "facts";
-  t = table (&r, facts, "state");
-  r.where = "facts.state";
-  s->state_rps = number (&r, t, "rps", 0.1, 1e9, NAN);
-  s->state_write_rps = number (&r, t, "write_rps", 0.1, 1e9, NAN);
-  s->state_value_kb = number (&r, t, "value_kb", 7, 1e6, NAN);
-  s->state_txn_ops = (guint) number (&r, t, "txn_ops", 6, 1e6, NAN);
-  r.where = "facts";
-  t = table (&r, facts, "cloud");
-  r.where = "facts.cloud";
-  s->cloud_rps = number (&r, t, "rps", 0.01, 1e9, NAN);
-  s->cloud_list_lag_s = number (&r, t, "list_lag_s", 0, 86400, NAN);
-  r.where = "facts";
-  t = table (&r, facts, "resources");
-  r.where = "facts.resources";
-  s->core_share = number (&r, t, "core_share", 0.001, 1e6, 1);
-  s->ram_mb = number (&r, t, "ram_mb", 1, 1e9, 256);
-  s->sockets = (guint) number (&r, t, "sockets", 64, 1e9, 1024);
+  r->where = "facts";
+}
 
+/* A table of [facts]; what is read next is named below it. */
+static json_t *
+facts_table (Reader *r, json_t *facts, const char *name, const char *where)
+{
+  r->where = "facts";
+  json_t *t = table (r, facts, name);
+  r->where = where;
+  return t;
+}
+
+static void
+read_limits (Reader *r, json_t *facts, KrSettings *settings)
+{
+  json_t *t = facts_table (r, facts, "workers", "facts.workers");
+  settings->report_s = number (r, t, "report_s", 0.01, 3600, NAN);
+  settings->lease_s = number (r, t, "lease_s", 0.1, 86400, NAN);
+  settings->cancel_s = number (r, t, "cancel_s", 0.1, 86400, NAN);
+  t = facts_table (r, facts, "state", "facts.state");
+  settings->state_rps = number (r, t, "rps", 0.1, 1e9, NAN);
+  settings->state_write_rps = number (r, t, "write_rps", 0.1, 1e9, NAN);
+  settings->state_value_kb = number (r, t, "value_kb", 7, 1e6, NAN);
+  settings->state_txn_ops = (guint) number (r, t, "txn_ops", 6, 1e6, NAN);
+  t = facts_table (r, facts, "cloud", "facts.cloud");
+  settings->cloud_rps = number (r, t, "rps", 0.01, 1e9, NAN);
+  settings->cloud_list_lag_s = number (r, t, "list_lag_s", 0, 86400, NAN);
+  t = facts_table (r, facts, "resources", "facts.resources");
+  settings->core_share = number (r, t, "core_share", 0.001, 1e6, 1);
+  settings->ram_mb = number (r, t, "ram_mb", 1, 1e9, 256);
+  settings->sockets = (guint) number (r, t, "sockets", 64, 1e9, 1024);
+}
+
+static void
+read_facts (Reader *r, json_t *root, KrSettings *settings)
+{
+  json_t *facts = table (r, root, "facts");
+  r->where = "facts";
+  settings->size = (guint) number (r, facts, "size", 1, 64, NAN);
+  settings->clock_error_s = number (r, facts, "clock_error_ms", 0, 1e6, 0) / 1000;
+  read_teams (r, facts, settings);
+  read_objectives (r, facts, settings);
+  read_limits (r, facts, settings);
+}
+
+/* This node's place among the sorted names. FALSE with an error if a name stands twice. */
+static gboolean
+sort_names (KrSettings *settings, GError **error)
+{
+  g_ptr_array_add (settings->names, settings->node_name);
+  g_ptr_array_sort (settings->names, by_name);
+  for (guint i = 0; i < settings->names->len; i++) {
+    if (i && g_strcmp0 (settings->names->pdata[i - 1], settings->names->pdata[i]) == 0) {
+      g_set_error (error, KR_SETTINGS_ERROR, 0, "others.node_name: '%s' stands twice",
+                   (char *) settings->names->pdata[i]);
+      return FALSE;
+    }
+    if (settings->names->pdata[i] == settings->node_name)
+      settings->self = i;
+  }
+  return TRUE;
+}
+
+KrSettings *
+kr_settings_from_json (json_t *root, GError **error)
+{
+  g_autoptr (KrSettings) settings = g_new0 (KrSettings, 1);
+  Reader r = { "", NULL };
+
+  settings->others = g_ptr_array_new_with_free_func (peer_free);
+  settings->names = g_ptr_array_new ();
+  settings->teams = g_ptr_array_new_with_free_func (team_free);
+  settings->objectives = g_ptr_array_new_with_free_func (objective_free);
+  settings->node_name = text (&r, root, "node_name");
+  settings->zone = text (&r, root, "zone");
+  settings->client_listen = address (&r, root, "client_listen");
+  settings->internal_addr = address (&r, root, "internal_addr");
+  read_others (&r, root, settings);
+  read_external (&r, root, settings);
+  read_facts (&r, root, settings);
   if (r.fault) {
     g_propagate_error (error, r.fault);
     return NULL;
   }
-  g_ptr_array_add (s->names, s->node_name);
-  g_ptr_array_sort (s->names, by_name);
-  for (guint k = 0; k < s->names->len; k++) {
-    if (k && g_str_equal (s->names->pdata[k - 1], s->names->pdata[k])) {
-      g_set_error (error, KR_SETTINGS_ERROR, 0, "others.node_name: '%s' stands twice",
-                   (char *) s->names->pdata[k]);
-      return NULL;
-    }
-    if (s->names->pdata[k] == s->node_name)
-      s->self = k;
-  }
-  return g_steal_pointer (&s);
+  return sort_names (settings, error) ? g_steal_pointer (&settings) : NULL;
 }
 
 KrSettings *
--- a/src/shares.c
+++ b/src/shares.c
@@ -1,17 +1,17 @@
 #include "shares.h"
 
 void
-kr_need_free (gpointer p)
+kr_need_free (gpointer data)
 {
-  KrNeed *need = p;
+  KrNeed *need = data;
   kr_spec_free (need->shape);
   g_free (need);
 }
 
 void
-kr_supply_free (gpointer p)
+kr_supply_free (gpointer data)
 {
-  KrSupply *supply = p;
+  KrSupply *supply = data;
   g_free (supply->id);
   g_free (supply);
 }
--- a/src/shares.h
+++ b/src/shares.h
@@ -13,7 +13,7 @@
   double unmet;  /* out */
   gboolean urgent;
 } KrNeed;
-void kr_need_free (gpointer need);
+void kr_need_free (gpointer data);
 
 typedef struct {
   char *id;
@@ -26,7 +26,7 @@
   gint to;       /* part that it goes to when empty; -1: none */
   double left;   /* out: share not needed, 1 = none of it */
 } KrSupply;
-void kr_supply_free (gpointer supply);
+void kr_supply_free (gpointer data);
 
 /* CPUs of machines that so many slots of a need take, on the first of the types that fits. */
 double kr_need_cpus (const KrNeed *need, double slots, const GPtrArray *types);
--- a/src/wire.c
+++ b/src/wire.c
@@ -129,32 +129,32 @@
 
 /* Only what may be null may be missing: Hulls, Harbor, TideS. */
 KrSpec *
-kr_wire_spec_parse (json_t *o, GError **error)
+kr_wire_spec_parse (json_t *body, GError **error)
 {
   g_autoptr (KrSpec) s = g_new0 (KrSpec, 1);
   GError *fault = NULL;
 
-  if (!json_is_object (o)) {
+  if (!json_is_object (body)) {
     bad (error, "the body");
     return NULL;
   }
-  s->id = need_str (o, "Id", &fault);
+  s->id = need_str (body, "Id", &fault);
   if (s->id && !kr_wire_is_job_id (s->id))
     bad (&fault, "Id");
-  s->lane = need_str (o, "Lane", &fault);
-  s->team = need_str (o, "Crew", &fault);
-  s->form = word_of (o, "Form", form_words, G_N_ELEMENTS (form_words), &fault);
-  s->rank = word_of (o, "Rank", rank_words, G_N_ELEMENTS (rank_words), &fault);
-  if (!json_is_integer (json_object_get (o, "Shifts")))
+  s->lane = need_str (body, "Lane", &fault);
+  s->team = need_str (body, "Crew", &fault);
+  s->form = word_of (body, "Form", form_words, G_N_ELEMENTS (form_words), &fault);
+  s->rank = word_of (body, "Rank", rank_words, G_N_ELEMENTS (rank_words), &fault);
+  if (!json_is_integer (json_object_get (body, "Shifts")))
     bad (&fault, "Shifts");
-  s->tasks = (guint) need_num (o, "Shifts", 1, 100000, &fault);
-  s->cpus = need_num (o, "Cores", 0, 1e6, &fault);
-  s->gpus = need_num (o, "Accelerators", 0, 1e6, &fault);
-  s->mem_gb = need_num (o, "MemGb", 0, 1e7, &fault);
-  s->image = need_str (o, "Cargo", &fault);
-  s->image_gb = need_num (o, "PullGb", 0, 1e6, &fault);
-  if (!is_null (o, "Hulls")) {
-    json_t *a = json_object_get (o, "Hulls"), *v;
+  s->tasks = (guint) need_num (body, "Shifts", 1, 100000, &fault);
+  s->cpus = need_num (body, "Cores", 0, 1e6, &fault);
+  s->gpus = need_num (body, "Accelerators", 0, 1e6, &fault);
+  s->mem_gb = need_num (body, "MemGb", 0, 1e7, &fault);
+  s->image = need_str (body, "Cargo", &fault);
+  s->image_gb = need_num (body, "PullGb", 0, 1e6, &fault);
+  if (!is_null (body, "Hulls")) {
+    json_t *a = json_object_get (body, "Hulls"), *v;
     size_t i, n = json_array_size (a);
     if (!json_is_array (a) || n == 0 || n > 64)
       bad (&fault, "Hulls");
@@ -170,14 +170,14 @@
       }
     }
   }
-  s->zone = maybe_str (o, "Harbor", &fault);
-  s->one_zone = need_bool (o, "OneZone", &fault);
-  s->apart = need_bool (o, "Apart", &fault);
-  s->spot = need_bool (o, "Driftwood", &fault);
-  s->estimate_s = need_num (o, "SailS", 0, 1e9, &fault);
-  s->checkpoint_s = need_num (o, "MooringS", 0, 1e9, &fault);
-  s->save_s = need_num (o, "StowS", 0, 1e9, &fault);
-  s->deadline_s = is_null (o, "TideS") ? NAN : need_num (o, "TideS", 0, 1e9, &fault);
+  s->zone = maybe_str (body, "Harbor", &fault);
+  s->one_zone = need_bool (body, "OneZone", &fault);
+  s->apart = need_bool (body, "Apart", &fault);
+  s->spot = need_bool (body, "Driftwood", &fault);
+  s->estimate_s = need_num (body, "SailS", 0, 1e9, &fault);
+  s->checkpoint_s = need_num (body, "MooringS", 0, 1e9, &fault);
+  s->save_s = need_num (body, "StowS", 0, 1e9, &fault);
+  s->deadline_s = is_null (body, "TideS") ? NAN : need_num (body, "TideS", 0, 1e9, &fault);
   if (fault) {
     g_propagate_error (error, fault);
     return NULL;
@@ -301,25 +301,25 @@
 }
 
 KrReport *
-kr_wire_report_parse (json_t *o)
+kr_wire_report_parse (json_t *body)
 {
   g_autoptr (KrReport) r = g_new0 (KrReport, 1);
-  json_t *tasks = json_object_get (o, "Shifts"), *t;
+  json_t *tasks = json_object_get (body, "Shifts"), *t;
   size_t i;
 
   r->tasks = g_array_new (FALSE, TRUE, sizeof (KrTaskReport));
-  if (!str (o, "Berth") || !str (o, "Endpoint") || !str (o, "Hull") || !str (o, "Harbor") ||
-      uint_of (o, "Watch") == 0)
+  if (!str (body, "Berth") || !str (body, "Endpoint") || !str (body, "Hull") ||
+      !str (body, "Harbor") || uint_of (body, "Watch") == 0)
     return NULL;
-  r->machine = g_strdup (str (o, "Berth"));
-  r->endpoint = g_strdup (str (o, "Endpoint"));
-  r->type = g_strdup (str (o, "Hull"));
-  r->zone = g_strdup (str (o, "Harbor"));
-  r->spot = truth (o, "Driftwood");
-  r->session = uint_of (o, "Watch");
-  r->seq = uint_of (o, "Log");
-  r->token = uint_of (o, "Helm");
-  r->notice_s = is_null (o, "RecallS") ? NAN : num (o, "RecallS");
+  r->machine = g_strdup (str (body, "Berth"));
+  r->endpoint = g_strdup (str (body, "Endpoint"));
+  r->type = g_strdup (str (body, "Hull"));
+  r->zone = g_strdup (str (body, "Harbor"));
+  r->spot = truth (body, "Driftwood");
+  r->session = uint_of (body, "Watch");
+  r->seq = uint_of (body, "Log");
+  r->token = uint_of (body, "Helm");
+  r->notice_s = is_null (body, "RecallS") ? NAN : num (body, "RecallS");
   json_array_foreach (tasks, i, t)
   {
     const char *name = str (t, "Shift");
@@ -390,9 +390,9 @@
 
 /* --- cloud --------------------------------------------------------------------------- */
 void
-kr_type_free (gpointer p)
+kr_type_free (gpointer data)
 {
-  KrType *type = p;
+  KrType *type = data;
   g_free (type->name);
   g_strfreev (type->zones);
   g_free (type);
@@ -429,9 +429,9 @@
 }
 
 void
-kr_listed_machine_free (gpointer p)
+kr_listed_machine_free (gpointer data)
 {
-  KrListedMachine *listed = p;
+  KrListedMachine *listed = data;
   g_free (listed->id);
   g_free (listed->endpoint);
   g_free (listed->type);
@@ -599,11 +599,11 @@
 }
 
 gboolean
-kr_wire_item_parse (json_t *o, KrItem *item)
+kr_wire_item_parse (json_t *body, KrItem *item)
 {
-  item->key = str (o, "Key");
-  item->value = json_object_get (o, "Value");
-  item->revision = uint_of (o, "Mark");
+  item->key = str (body, "Key");
+  item->value = json_object_get (body, "Value");
+  item->revision = uint_of (body, "Mark");
   return item->key != NULL;
 }
 
@@ -621,13 +621,13 @@
 }
 
 gboolean
-kr_wire_event_parse (json_t *o, KrItem *item)
+kr_wire_event_parse (json_t *event, KrItem *item)
 {
-  item->key = str (o, "Put");
-  item->value = item->key ? json_object_get (o, "Value") : NULL;
+  item->key = str (event, "Put");
+  item->value = item->key ? json_object_get (event, "Value") : NULL;
   if (!item->key)
-    item->key = str (o, "Remove");
-  item->revision = uint_of (o, "Mark");
+    item->key = str (event, "Remove");
+  item->revision = uint_of (event, "Mark");
   return item->key != NULL;
 }
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -105,7 +105,7 @@
   char **zones;
 } KrType;
 
-void kr_type_free (gpointer type);
+void kr_type_free (gpointer data);
 GPtrArray *kr_wire_types_parse (json_t *body); /* KrType; NULL if malformed */
 
 typedef enum { KR_MACHINE_STARTING, KR_MACHINE_RUNNING, KR_MACHINE_FAILED } KrListedState;
@@ -115,7 +115,7 @@
   KrListedState state;
   double held_s;
 } KrListedMachine;
-void kr_listed_machine_free (gpointer machine);
+void kr_listed_machine_free (gpointer data);
 
 json_t *kr_wire_rental (const char *request, const char *type, const char *zone, gboolean spot,
                         guint count);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -755,64 +755,110 @@
   S.lose_commits = n;
 }
 
+/* The limits that the settings and the protocol tell. */
 static void
-commit (Call *c)
+check_size (const Call *c, json_t *writes)
 {
-  json_t *w = json_object_get (c->body, "When"), *t = json_object_get (c->body, "Writes"), *o;
-  json_t *failed = json_array ();
+  json_t *o;
   size_t i;
-
-  g_assert_cmpuint (json_array_size (t), <=, 12); /* the limits that the settings tell */
-  g_assert_cmpuint (json_array_size (w), <=, 48);
-  S.write_tokens = MIN (S.o.write_rps, S.write_tokens + (S.now - S.write_at) / 1e6 * S.o.write_rps);
-  S.write_at = S.now;
-  if (S.write_tokens < 0) {
-    answer_call (c, 429, NULL);
-    json_decref (failed);
-    return;
-  }
-  S.write_tokens -= (double) json_array_size (t);
+  g_assert_cmpuint (json_array_size (writes), <=, 12);
+  g_assert_cmpuint (json_array_size (json_object_get (c->body, "When")), <=, 48);
   if (json_dumpb (c->body, NULL, 0, JSON_COMPACT) > TXN_BYTES)
     broken ("a transaction of more than %d bytes", TXN_BYTES);
-  json_array_foreach (t, i, o)
+  json_array_foreach (writes, i, o)
   {
     json_t *v = json_object_get (o, "Value");
     if (v && json_dumpb (v, NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY) > S.o.value_kb * 1024)
       broken ("a value of more than %g KiB: %s", S.o.value_kb,
               json_string_value (json_object_get (o, "Put")));
   }
-  json_array_foreach (t, i, o)
+}
+
+static guint64
+lease_of (json_t *write)
+{
+  return (guint64) json_integer_value (json_object_get (write, "Permit"));
+}
+
+static gboolean
+leases_stand (json_t *writes)
+{
+  json_t *o;
+  size_t i;
+  json_array_foreach (writes, i, o)
   {
-    guint64 lease = (guint64) json_integer_value (json_object_get (o, "Permit"));
-    if (lease && !g_hash_table_contains (S.leases, &lease)) {
-      answer_call (c, 400, json_pack ("{ss}", "error", "no such lease"));
-      json_decref (failed);
-      return;
-    }
+    guint64 lease = lease_of (o);
+    if (lease && !g_hash_table_contains (S.leases, &lease))
+      return FALSE;
   }
-  json_array_foreach (w, i, o)
+  return TRUE;
+}
+
+/* Keys that are not at the revision which the transaction names. */
+static json_t *
+conflicts (const Call *c)
+{
+  json_t *failed = json_array (), *o;
+  size_t i;
+  json_array_foreach (json_object_get (c->body, "When"), i, o)
   {
     const char *key = json_string_value (json_object_get (o, "Key"));
     Entry *e = g_hash_table_lookup (S.store, key);
     if ((guint64) json_integer_value (json_object_get (o, "Mark")) != (e ? e->mark : 0))
       json_array_append_new (failed, json_string (key));
   }
-  if (json_array_size (failed)) {
-    answer_call (c, 409,
-                 json_pack ("{so sI}", "failed", failed, "Ledger", (json_int_t) S.revision));
-    return;
-  }
-  json_decref (failed);
+  return failed;
+}
+
+static void
+carry_out_writes (json_t *writes)
+{
+  json_t *o;
+  size_t i;
   S.revision++;
-  json_array_foreach (t, i, o)
+  json_array_foreach (writes, i, o)
   {
     const char *put = json_string_value (json_object_get (o, "Put"));
     if (put)
-      change (put, json_object_get (o, "Value"),
-              (guint64) json_integer_value (json_object_get (o, "Permit")));
+      change (put, json_object_get (o, "Value"), lease_of (o));
     else
       change (json_string_value (json_object_get (o, "Remove")), NULL, 0);
   }
+}
+
+/* FALSE: more changes than the service takes. */
+static gboolean
+within_write_limit (json_t *writes)
+{
+  S.write_tokens = MIN (S.o.write_rps, S.write_tokens + (S.now - S.write_at) / 1e6 * S.o.write_rps);
+  S.write_at = S.now;
+  if (S.write_tokens < 0)
+    return FALSE;
+  S.write_tokens -= (double) json_array_size (writes);
+  return TRUE;
+}
+
+static void
+commit (Call *c)
+{
+  json_t *writes = json_object_get (c->body, "Writes");
+  if (!within_write_limit (writes)) {
+    answer_call (c, 429, NULL);
+    return;
+  }
+  check_size (c, writes);
+  if (!leases_stand (writes)) {
+    answer_call (c, 400, json_pack ("{ss}", "error", "no such lease"));
+    return;
+  }
+  json_t *failed = conflicts (c);
+  if (json_array_size (failed)) {
+    answer_call (c, 409,
+                 json_pack ("{so sI}", "failed", failed, "Ledger", (json_int_t) S.revision));
+    return;
+  }
+  json_decref (failed);
+  carry_out_writes (writes);
   if (S.lose_commits)
     S.lose_commits--;
   else
@@ -1040,7 +1086,7 @@
     if (v && u && g_str_equal (v->team, u->team))
       used += v->cpus;
   }
-  if (S.o.team_limit > 0 && used > S.o.team_limit + 1e-6)
+  if (u && S.o.team_limit > 0 && used > S.o.team_limit + 1e-6)
     broken ("quota: %s uses %g", u->team, used);
   check_place (m, u);
   /* Stricter than the rule: none may start once its user was told. */
@@ -1662,7 +1708,7 @@
   g_hash_table_iter_init (&it, S.machines);
   while (g_hash_table_iter_next (&it, NULL, &value)) {
     const Machine *m = value;
-    if (zone ? !g_str_equal (m->zone, zone) : m != only)
+    if (!m || (zone ? !g_str_equal (m->zone, zone) : m != only))
       continue;
     for (guint i = 0; i < m->tasks->len; i++) {
       const Task *t = m->tasks->pdata[i];
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -125,4 +125,4 @@
 /* Reports handled so far, and what walks over machines they cost. */
 guint sim_beats (guint64 *steps);
 /* Seconds from its submission to its first task's start; -1: none yet. */
-double sim_began (const char *job);
+double sim_began (const char *id);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -104,7 +104,8 @@
   memset (body, ' ', n);
   g_assert_cmpuint (post (body, n, NULL), ==, 413);
   g_assert_cmpuint (handled, ==, before);
-  memcpy (body, "{}", 2);
+  body[0] = '{';
+  body[1] = '}';
   g_assert_cmpuint (post (body, KR_BODY_MAX, NULL), ==, 200);
 }
 
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -7,6 +7,7 @@
 node_name (guint i)
 {
   static const char *const names[] = { "n0", "n1", "n2" };
+  g_assert_cmpuint (i, <, G_N_ELEMENTS (names));
   return names[i];
 }
 
@@ -966,6 +967,94 @@
   with_seeds (mistaken_job);
 }
 
+/* What troubles a round of `everything` brings, as bits. */
+enum {
+  LATE_WRITES = 1 << 0,
+  NO_STATE = 1 << 1,
+  NO_PEER = 1 << 2,
+  REFUSED = 1 << 3,
+  NODE_HANGS = 1 << 4,
+  MACHINES_HANG = 1 << 5,
+  MACHINES_MUTE = 1 << 6,
+  MACHINES_CUT = 1 << 7,
+  MACHINES_DEAF = 1 << 8,
+  OUTAGE = 1 << 9,
+  TROUBLES = 10
+};
+
+static void
+trouble_machine (const char *machine, guint troubles, SimCut how)
+{
+  if (troubles & MACHINES_HANG)
+    sim_machine_hang (machine, TRUE);
+  if (troubles & MACHINES_MUTE)
+    sim_machine_mute (machine, TRUE);
+  if (troubles & MACHINES_CUT)
+    cut_off (machine, how);
+  if (troubles & MACHINES_DEAF)
+    deafen (machine, how);
+}
+
+/* To nodes a and b. */
+static void
+trouble_nodes (guint a, guint b, guint troubles, SimCut how)
+{
+  if (troubles & LATE_WRITES)
+    sim_late_writes (0.3);
+  if (troubles & NO_STATE)
+    sim_cut_both (node_name (a), "state", how);
+  if (troubles & NO_PEER)
+    sim_cut_both (node_name (a), node_name (b), how);
+  if (troubles & REFUSED)
+    sim_state_refuse (b, TRUE);
+  if (troubles & NODE_HANGS)
+    sim_node_hang (b, TRUE);
+}
+
+static void
+end_troubles (guint a, guint b, char **machines)
+{
+  sim_late_writes (0);
+  sim_cut_both (node_name (a), "state", SIM_OPEN);
+  sim_cut_both (node_name (a), node_name (b), SIM_OPEN);
+  sim_state_refuse (b, FALSE);
+  sim_node_hang (b, FALSE);
+  for (char **m = machines; *m; m++) {
+    sim_machine_hang (*m, FALSE);
+    sim_machine_mute (*m, FALSE);
+    cut_off (*m, SIM_OPEN);
+  }
+}
+
+static void
+trouble_round (GRand *r, guint i)
+{
+  guint a = (guint) g_rand_int_range (r, 0, 3), b = (a + 1) % 3;
+  g_auto (GStrv) all = sim_machine_names (NULL);
+  guint n = g_strv_length (all), first = n ? (guint) g_rand_int_range (r, 0, (gint) n) : 0;
+  SimCut how = g_rand_boolean (r) ? SIM_HOLD : SIM_DROP;
+  guint troubles = 0;
+  for (guint k = 0; k < 3; k++)
+    troubles |= 1u << g_rand_int_range (r, 0, TROUBLES);
+  trouble_nodes (a, b, troubles, how);
+  for (guint k = first; k < n && k < first + 3; k++)
+    trouble_machine (all[k], troubles, how);
+  if (i % 4 == 0) {
+    g_autofree char *id = g_strdup_printf ("wk-0004%02u", i / 4);
+    sim_abort (id);
+  }
+  if (troubles & OUTAGE) {
+    sim_state_outage (TRUE);
+    sim_run (g_rand_double_range (r, 1, 30));
+    sim_state_outage (FALSE);
+  }
+  sim_run (g_rand_double_range (r, 0.5, 15));
+  if (g_rand_boolean (r))
+    crash (a, g_rand_boolean (r) ? 0.2 : g_rand_double_range (r, 1, 9));
+  end_troubles (a, b, all);
+  sim_run (g_rand_double_range (r, 0, 8));
+}
+
 /* Every trouble there is, drawn at random, several at a time. */
 static void
 everything (void)
@@ -987,56 +1076,7 @@
   }
   sim_run (15);
   for (guint i = 0; i < 20; i++) {
-    guint a = (guint) g_rand_int_range (r, 0, 3), b = (a + 1) % 3;
-    g_auto (GStrv) all = sim_machine_names (NULL);
-    guint n = g_strv_length (all), first = n ? (guint) g_rand_int_range (r, 0, (gint) n) : 0;
-    SimCut how = g_rand_boolean (r) ? SIM_HOLD : SIM_DROP;
-    guint picked = 0;
-    for (guint k = 0; k < 3; k++)
-      picked |= 1u << g_rand_int_range (r, 0, 10);
-    if (picked & 1)
-      sim_late_writes (0.3);
-    if (picked & 2)
-      sim_cut_both (node_name (a), "state", how);
-    if (picked & 4)
-      sim_cut_both (node_name (a), node_name (b), how);
-    if (picked & 8)
-      sim_state_refuse (b, TRUE);
-    if (picked & 16)
-      sim_node_hang (b, TRUE);
-    for (guint k = first; k < n && k < first + 3; k++) {
-      if (picked & 32)
-        sim_machine_hang (all[k], TRUE);
-      if (picked & 64)
-        sim_machine_mute (all[k], TRUE);
-      if (picked & 128)
-        cut_off (all[k], how);
-      if (picked & 256)
-        deafen (all[k], how);
-    }
-    if (i % 4 == 0) {
-      g_autofree char *id = g_strdup_printf ("wk-0004%02u", i / 4);
-      sim_abort (id);
-    }
-    if (picked & 512) {
-      sim_state_outage (TRUE);
-      sim_run (g_rand_double_range (r, 1, 30));
-      sim_state_outage (FALSE);
-    }
-    sim_run (g_rand_double_range (r, 0.5, 15));
-    if (g_rand_boolean (r))
-      crash (a, g_rand_boolean (r) ? 0.2 : g_rand_double_range (r, 1, 9));
-    sim_late_writes (0);
-    sim_cut_both (node_name (a), "state", SIM_OPEN);
-    sim_cut_both (node_name (a), node_name (b), SIM_OPEN);
-    sim_state_refuse (b, FALSE);
-    sim_node_hang (b, FALSE);
-    for (guint k = 0; k < n; k++) {
-      sim_machine_hang (all[k], FALSE);
-      sim_machine_mute (all[k], FALSE);
-      cut_off (all[k], SIM_OPEN);
-    }
-    sim_run (g_rand_double_range (r, 0, 8));
+    trouble_round (r, i);
     g_assert_cmpstr (sim_broken (), ==, "");
   }
   finish (900);
--- a/tests/test_shares.c
+++ b/tests/test_shares.c
@@ -7,9 +7,10 @@
 model_targets (const double *demand, guint parts, double supply, double *targets)
 {
   const double drop = 0.01;
+  guint drops = (guint) ceil (supply / drop);
   for (guint p = 0; p < parts; p++)
     targets[p] = 0;
-  for (; supply > 0; supply -= drop) {
+  for (; drops > 0; drops--) {
     gint least = -1;
     for (guint p = 0; p < parts; p++)
       if (targets[p] + drop <= demand[p] && (least < 0 || targets[p] < targets[least]))
