--- a/src/budget.c
+++ b/src/budget.c
@@ -8,10 +8,12 @@
   return backlog < 0 ? base : CLAMP (backlog, base * KR_BUDGET_KEEP, base);
 }
 
+/* What does not pass by itself within a few seconds: a burst of that length is nobody's to pay for
+ * with slower answers to users. */
 static double
 beyond (double base, double backlog)
 {
-  return MAX (0, backlog - base);
+  return backlog > base * KR_BUDGET_LATE_S ? backlog - base : 0;
 }
 
 gboolean
--- a/src/budget.h
+++ b/src/budget.h
@@ -10,9 +10,10 @@
  * @nodes: how many nodes
  * @allotted: (out): changes a second that each node may make
  *
- * A node with little to write lends at most half of its part to those with more, in proportion to
- * what waits there. Where the backlog is not known, nothing is lent or given: that node may not
- * hear of it. The sum is never larger than that of the fixed parts.
+ * A node with little to write lends at most half of its part to those where more waits than they
+ * can write within some seconds, in proportion to that. Where the backlog is not known, nothing is
+ * lent or given: that node may not hear of it. The sum is never larger than that of the fixed
+ * parts.
  *
  * Returns: whether any part differs from the fixed one
  */
--- a/src/constants.h
+++ b/src/constants.h
@@ -67,7 +67,8 @@
 #define KR_CLOUD_WEIGHT_PART 0.5  /* a part with teams: the list, deletions (100 a call) */
 #define KR_CLOUD_WEIGHT_LEAD 4.0  /* the leader: the list, rentals (50 a call) */
 
-#define KR_BUDGET_KEEP 0.5 /* of a node's changes: what it keeps when others have more to write */
+#define KR_BUDGET_KEEP 0.5   /* of a node's changes: what it keeps when others have more to write */
+#define KR_BUDGET_LATE_S 4.0 /* s that what waits would take, before others lend */
 #define KR_BUDGET_VALID_S 2.5 /* s; two rounds of the leader: then the fixed parts hold again */
 
 /* --- Machines' records --------------------------------------------------------------- */
