--- a/tests/scenes.c
+++ b/tests/scenes.c
@@ -119,6 +119,14 @@
   }
 }
 
+void
+crash (guint node, double away_s)
+{
+  sim_node_kill (node);
+  sim_run (away_s);
+  sim_node_start (node);
+}
+
 void
 crash_all (guint nodes, double away_s)
 {
--- a/tests/scenes.h
+++ b/tests/scenes.h
@@ -25,6 +25,8 @@
 void cut_workers (const char *node, SimCut how);
 /* Between those who may take over from n0 and n0, a machine, and the cloud. */
 void cut_successors (const char *machine, SimCut how);
+/* It ends without notice and is back after a while. */
+void crash (guint node, double away_s);
 void crash_all (guint nodes, double away_s);
 /* A valid submission with one field set to a JSON value, or (NULL) left out. */
 char *job_with (const char *field, const char *value);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -35,14 +35,6 @@
     sim_machine_hang (machines[i], on);
 }
 
-static void
-crash (guint node, double away_s)
-{
-  sim_node_kill (node);
-  sim_run (away_s);
-  sim_node_start (node);
-}
-
 /* Work goes on inside a zone that is cut off for longer than a lease; what it reports, and what its
  * node wrote, comes late or never. */
 static void
--- a/tests/test_races.c
+++ b/tests/test_races.c
@@ -3,14 +3,6 @@
  * docs/incidents/meetings.md lists these together with test_meetings.c. */
 #include "scenes.h"
 
-static void
-crash (guint node, double away_s)
-{
-  sim_node_kill (node);
-  sim_run (away_s);
-  sim_node_start (node);
-}
-
 /* One-task jobs come four a second for minutes, and a quarter of them is cancelled, at any moment
  * from before the first report to about the end. */
 static void
