One check of a superseded leader; the stand-in checks every commit's size again; comparators' names

- kr_rent_fulfil held a copy of superseded() and calls it now.
- Splitting the state service's stand-in had put the checks of a transaction's size behind its 429, so that a refused one was not checked.
- The renames had left comparators with one whole name and one letter; two of a kind are a and b.

--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -356,17 +356,17 @@
  * others, and of several such the oldest, since they may be a stream as well; then who may stop
  * others' tasks, since what is started instead would be stopped at once. */
 static int
-before (const KrLive *live, const KrLive *b)
-{
-  if (live->starves != b->starves)
-    return live->starves ? -1 : 1;
-  if (live->starves && live->job->at != b->job->at)
-    return live->job->at < b->job->at ? -1 : 1;
-  if (live->stops != b->stops)
-    return live->stops ? -1 : 1;
-  if (live->stops && live->job->spec->rank != b->job->spec->rank)
-    return live->job->spec->rank > b->job->spec->rank ? -1 : 1;
-  return kr_rank_compare (&live->key, &b->key);
+before (const KrLive *a, const KrLive *b)
+{
+  if (a->starves != b->starves)
+    return a->starves ? -1 : 1;
+  if (a->starves && a->job->at != b->job->at)
+    return a->job->at < b->job->at ? -1 : 1;
+  if (a->stops != b->stops)
+    return a->stops ? -1 : 1;
+  if (a->stops && a->job->spec->rank != b->job->spec->rank)
+    return a->job->spec->rank > b->job->spec->rank ? -1 : 1;
+  return kr_rank_compare (&a->key, &b->key);
 }
 
 /* The first in rank that fits the room left. */
--- a/src/rank.c
+++ b/src/rank.c
@@ -32,13 +32,13 @@
 }
 
 int
-kr_rank_compare (const KrRankKey *key, const KrRankKey *b)
+kr_rank_compare (const KrRankKey *a, const KrRankKey *b)
 {
-  if (key->klass != b->klass)
-    return key->klass < b->klass ? -1 : 1;
-  if (key->key != b->key)
-    return key->key > b->key ? -1 : 1;
-  return strcmp (key->id, b->id);
+  if (a->klass != b->klass)
+    return a->klass < b->klass ? -1 : 1;
+  if (a->key != b->key)
+    return a->key > b->key ? -1 : 1;
+  return strcmp (a->id, b->id);
 }
 
 double
--- a/src/rank.h
+++ b/src/rank.h
@@ -14,7 +14,7 @@
 
 KrRankKey kr_rank_key (const KrEstimateInput *input, const char *id);
 /* Negative: a goes first. */
-int kr_rank_compare (const KrRankKey *key, const KrRankKey *b);
+int kr_rank_compare (const KrRankKey *a, const KrRankKey *b);
 /* Slots that the min variant wants beyond those running: all unstarted tasks for jobs late or
  * without data, else slots needed, rounded up, floored at zero (at one if nothing runs), at most
  * the unstarted. */
--- a/src/rebalance.c
+++ b/src/rebalance.c
@@ -116,13 +116,13 @@
 /* Whether `a` should go to the part rather than `b`: those near the new owner, then those that are
  * empty soonest. */
 static gboolean
-goes_before (const KrSupply *supply, const KrSupply *b, guint to, const char *zone)
+goes_before (const KrSupply *a, const KrSupply *b, guint to, const char *zone)
 {
-  int preferred = preference (supply, to) - preference (b, to);
-  gboolean a_near = g_strcmp0 (supply->zone, zone) == 0, b_near = g_strcmp0 (b->zone, zone) == 0;
+  int preferred = preference (a, to) - preference (b, to);
+  gboolean a_near = g_strcmp0 (a->zone, zone) == 0, b_near = g_strcmp0 (b->zone, zone) == 0;
   if (preferred != 0)
     return preferred > 0;
-  return a_near != b_near ? a_near : supply->rest_s < b->rest_s;
+  return a_near != b_near ? a_near : a->rest_s < b->rest_s;
 }
 
 /* The index of the machine that should go to the part next, or -1. */
--- a/src/rent.c
+++ b/src/rent.c
@@ -213,11 +213,8 @@
   json_t *w, *id;
   size_t i, k;
 
-  rent->newest_leader =
-      MAX (rent->newest_leader, kr_membership_leader (rent->node->membership)->revision);
-  if (leader && leader < rent->newest_leader)
+  if (superseded (rent, leader))
     return FALSE;
-  rent->newest_leader = MAX (rent->newest_leader, leader);
   json_array_foreach (wishes, i, w)
   {
     guint p = (guint) json_integer_value (json_object_get (w, "Part"));
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -842,11 +842,11 @@
 commit (Call *c)
 {
   json_t *writes = json_object_get (c->body, "Writes");
+  check_size (c, writes);
   if (!within_write_limit (writes)) {
     answer_call (c, 429, NULL);
     return;
   }
-  check_size (c, writes);
   if (!leases_stand (writes)) {
     answer_call (c, 400, json_pack ("{ss}", "error", "no such lease"));
     return;
