--- a/tests/sim.c
+++ b/tests/sim.c
@@ -8,7 +8,8 @@
 #include <string.h>
 
 #define MAX_NODES 8
-#define TXN_BYTES 65536 /* of a transaction, by the protocol */
+#define TXN_BYTES 65536     /* of a transaction, by the protocol */
+#define RECORDS "c/berths/" /* prefix of the parts' records of their machines */
 
 /* --- events ---------------------------------------------------------------------------- */
 typedef struct {
@@ -56,6 +57,9 @@
   gboolean outage, refuse[MAX_NODES];
   double slow;
   guint lose_commits;
+  char *hold_prefix; /* of a key that a commit writes, for hold_commits */
+  guint hold_commits;
+  double hold_commits_s;
   double late_writes, late_commands;
   double write_tokens;
   gint64 write_at;
@@ -450,9 +454,18 @@
   copy_of (c->from, c->method, c->host, c->path, c->body);
 }
 
+/* Sent, it arrives after `late_s` beyond the usual. */
+static gboolean
+call_sent (gpointer data)
+{
+  Call *c = data;
+  deliver (c->from, c->to, call_arrives, c);
+  return FALSE;
+}
+
 static Call *
-call_new (const char *from, const char *method, const char *address, const char *path, json_t *body,
-          double timeout_s, KrReply reply, gpointer data)
+call_new_late (const char *from, const char *method, const char *address, const char *path,
+               json_t *body, double timeout_s, double late_s, KrReply reply, gpointer data)
 {
   Call *c = g_new0 (Call, 1);
   c->from = g_strdup (from);
@@ -466,12 +479,22 @@
   c->reply = reply;
   c->data = data;
   later (timeout_s, call_late, c);
-  deliver (c->from, c->to, call_arrives, c);
+  if (late_s > 0)
+    later (late_s, call_sent, c);
+  else
+    call_sent (c);
   if (!copying && !g_str_has_prefix (from, "host-") && g_rand_double (S.rng) < S.o.repeats)
     copy_later (c);
   return c;
 }
 
+static Call *
+call_new (const char *from, const char *method, const char *address, const char *path, json_t *body,
+          double timeout_s, KrReply reply, gpointer data)
+{
+  return call_new_late (from, method, address, path, body, timeout_s, 0, reply, data);
+}
+
 static gboolean
 call_cancelled_now (gpointer data)
 {
@@ -695,7 +718,7 @@
   guint n = 0;
   g_hash_table_iter_init (&it, S.store);
   while (g_hash_table_iter_next (&it, &key, &value))
-    if (g_str_has_prefix (key, "c/berths/"))
+    if (g_str_has_prefix (key, RECORDS))
       n += (guint) json_object_size (((Entry *) value)->value);
   return n;
 }
@@ -743,6 +766,40 @@
   S.late_writes = share;
 }
 
+void
+sim_hold_commits (const char *prefix, guint n, double seconds)
+{
+  g_free (S.hold_prefix);
+  S.hold_prefix = g_strdup (prefix);
+  S.hold_commits = n;
+  S.hold_commits_s = seconds;
+}
+
+guint
+sim_commits_to_hold (void)
+{
+  return S.hold_commits;
+}
+
+/* Whether sim_hold_commits means it. */
+static gboolean
+held_commit (const Call *c)
+{
+  json_t *o;
+  size_t i;
+  if (!S.hold_commits)
+    return FALSE;
+  json_array_foreach (json_object_get (c->body, "Writes"), i, o)
+  {
+    const char *put = json_string_value (json_object_get (o, "Put"));
+    if (put && g_str_has_prefix (put, S.hold_prefix)) {
+      S.hold_commits--;
+      return TRUE;
+    }
+  }
+  return FALSE;
+}
+
 void
 sim_state_refuse (guint node, gboolean on)
 {
@@ -810,11 +867,33 @@
   return failed;
 }
 
+/* A machine stands in one part's record at most: otherwise two owners start tasks on it. */
+static void
+check_records (void)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter it;
+  gpointer key, value;
+  const char *id;
+  json_t *address;
+  g_hash_table_iter_init (&it, S.store);
+  while (g_hash_table_iter_next (&it, &key, &value)) {
+    if (!g_str_has_prefix (key, RECORDS))
+      continue;
+    json_object_foreach (((Entry *) value)->value, id, address)
+    {
+      if (!g_hash_table_add (seen, (gpointer) id))
+        broken ("in two records: %s", id);
+    }
+  }
+}
+
 static void
 carry_out_writes (json_t *writes)
 {
   json_t *o;
   size_t i;
+  gboolean records = FALSE;
   S.revision++;
   json_array_foreach (writes, i, o)
   {
@@ -823,7 +902,10 @@
       change (put, json_object_get (o, "Value"), lease_of (o));
     else
       change (json_string_value (json_object_get (o, "Remove")), NULL, 0);
+    records |= put && g_str_has_prefix (put, RECORDS);
   }
+  if (records)
+    check_records ();
 }
 
 /* FALSE: more changes than the service takes. */
@@ -932,7 +1014,9 @@
                               "Mark", (json_int_t) e->mark));
     else
       answer_call (c, 404, json_pack ("{sI}", "Ledger", (json_int_t) S.revision));
-  } else if (g_str_equal (c->path, "/commit") && g_rand_double (S.rng) < S.late_writes)
+  } else if (g_str_equal (c->path, "/commit") && held_commit (c))
+    later (S.hold_commits_s, commit_late, c);
+  else if (g_str_equal (c->path, "/commit") && g_rand_double (S.rng) < S.late_writes)
     later (g_rand_double_range (S.rng, 2, 12), commit_late, c);
   else if (g_str_equal (c->path, "/commit"))
     commit (c);
@@ -976,8 +1060,9 @@
   gint64 rented, up_at;
   gint64 began; /* its first task started; 0: not yet */
   gboolean up, dead, sick, hangs, mute;
-  gboolean busy; /* a report is under way */
-  double slow;   /* times as long as a job's run time; 0: as long */
+  gboolean busy;        /* a report is under way */
+  double slow;          /* times as long as a job's run time; 0: as long */
+  double report_late_s; /* of the next report on its way */
   guint64 session, seq, token;
   guint unheard;
   gint64 last_ok, next_beat, last_beat, sent;
@@ -1337,7 +1422,8 @@
     keep_report (m, r);
     if (g_rand_double (S.rng) < S.o.copies)
       copy_of (m->id, "POST", address, "/agent/beat", r);
-    call_new (m->id, "POST", address, "/agent/beat", r, 4, beat_done, b);
+    call_new_late (m->id, "POST", address, "/agent/beat", r, 4, m->report_late_s, beat_done, b);
+    m->report_late_s = 0;
   }
   return FALSE;
 }
@@ -1455,6 +1541,18 @@
   ((Machine *) g_hash_table_lookup (S.machines, id))->mute = on;
 }
 
+void
+sim_delay_report (const char *id, double seconds)
+{
+  ((Machine *) g_hash_table_lookup (S.machines, id))->report_late_s = seconds;
+}
+
+gboolean
+sim_report_under_way (const char *id)
+{
+  return ((Machine *) g_hash_table_lookup (S.machines, id))->busy;
+}
+
 void
 sim_boots_fail (gboolean on)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -46,6 +46,10 @@
 void sim_late_writes (double share);
 /* The next n commits are executed, but their answers are lost. */
 void sim_lose_commit_answers (guint n);
+/* The next n commits that put a key with that prefix get no answer and are carried out that much
+ * later; how many of them are still to come. */
+void sim_hold_commits (const char *prefix, guint n, double seconds);
+guint sim_commits_to_hold (void);
 /* That share of direct commands gets no answer and is carried out once, 2 to 16 s late, where token
  * and session still match. */
 void sim_late_commands (double share);
@@ -59,6 +63,9 @@
 void sim_machine_hang (const char *id, gboolean on);
 /* It opens no connections; direct commands reach it and are answered. */
 void sim_machine_mute (const char *id, gboolean on);
+/* Its next report takes that much longer to arrive; whether one is under way. */
+void sim_delay_report (const char *id, double seconds);
+gboolean sim_report_under_way (const char *id);
 /* A machine that has a task of the job, or NULL. */
 const char *sim_machine_of (const char *job);
 /* The machine that runs most tasks, or NULL. */
--- /dev/null
+++ b/tests/test_double_start.c
@@ -0,0 +1,84 @@
+/* Ways in which one task could come to be on two machines at once, each brought about on purpose:
+ * whole nodes in simulated time, with stand-ins that watch every rule. */
+#include "scenes.h"
+
+/* A report is still on its way when the machine's answer to a direct command, which is newer,
+ * arrives: the report tells nothing new, but its answer renews the machine's lease. The machine
+ * then reaches nobody any more, and its tasks are on it until that lease is over. */
+static void
+overtaken_report (void)
+{
+  SimOptions o = usual;
+  o.report_s = 6;
+  o.lease_s = 20;
+  begin (&o);
+  sim_submit ("wk-000001", "team0", "normal", 1, 2, 150, 600);
+  sim_submit ("wk-000002", "team0", "normal", 1, 1, 150, 600); /* its end is the command */
+  sim_run (25);
+  sim_submit ("wk-000003", "team0", "normal", 7, 5, 150, 600); /* leaves room on other machines */
+  sim_run (30);
+  const char *machine = sim_machine_of ("wk-000002");
+  g_assert_cmpstr (machine, ==, sim_machine_of ("wk-000001"));
+  while (sim_report_under_way (machine))
+    sim_run (0.02);
+  sim_delay_report (machine, 1.5);
+  while (!sim_report_under_way (machine))
+    sim_run (0.02);
+  sim_machine_mute (machine, TRUE);
+  sim_abort ("wk-000002");
+  sim_run (35);
+  sim_machine_mute (machine, FALSE);
+  finish (400);
+}
+
+static void
+test_overtaken_report (void)
+{
+  with_seeds (overtaken_report);
+}
+
+/* The leader's transaction that gives machines to one part gets no answer; what it is needed for
+ * changes, it gives them to another part, and then the first transaction is carried out after all.
+ */
+static void
+late_assignment (void)
+{
+  SimOptions o = usual;
+  o.machine_cpus = 1;
+  o.machines = 110; /* more than one chunk of a part's record */
+  begin (&o);
+  sim_submit ("wk-000002", "team1", "normal", 64, 1, 150, 600);
+  sim_submit ("wk-000004", "team1", "normal", 12, 1, 150, 600);
+  sim_run (30);
+  sim_hold_commits ("c/berths/0/", 1, 25);
+  sim_submit ("wk-000001", "team0", "urgent", 8, 1, 60, 600);
+  while (sim_commits_to_hold ())
+    sim_run (0.1);
+  sim_abort ("wk-000001");
+  sim_submit ("wk-000003", "team1", "urgent", 8, 1, 60, 600);
+  sim_run (22);
+  sim_abort ("wk-000004"); /* room for another copy of what a part takes for gone */
+  sim_run (1.5);
+  for (guint i = 0; i < 6; i++) { /* each changes the second part's record */
+    g_autofree char *id = g_strdup_printf ("wk-00001%u", i);
+    sim_submit (id, "team1", "normal", 12, 1, 30, 600);
+    sim_run (0.7);
+  }
+  sim_run (60);
+  finish (400);
+}
+
+static void
+test_late_assignment (void)
+{
+  with_seeds (late_assignment);
+}
+
+int
+main (int argc, char **argv)
+{
+  scenes_init (&argc, &argv);
+  g_test_add_func ("/double-start/overtaken-report", test_overtaken_report);
+  g_test_add_func ("/double-start/late-assignment", test_late_assignment);
+  return g_test_run ();
+}
