Every 200 to a report counts as a renewal of its worker's lease, also to an overtaken one

Cause: kr_part_beat answered a report that was not newer than what was known with 200 but left `answered` as it was. A copy's answer reaches nobody; but a report that a direct command's answer overtook is the live one, its worker counts its lease from it, and the owner judged that lease by the answer before, up to a report period too early (the margin is 1 s). Class: a right judged by another event than the one that grants it. A second path of the class: a machine that had reported to us, then again to the former owner, and was fenced by a command only then, kept the time of the first report.

Now one function says 200 to a report and notes the time; kr_machine_apply tells overtaken reports from copies (typed result), a copy gets 503; the fence sets the time whenever it newly holds. The line of a lease that is over names token, session and ages.

--- a/src/agent.c
+++ b/src/agent.c
@@ -132,11 +132,11 @@
   machine->token = report->token;
   if (report->token != token)
     return;
-  machine->fenced = TRUE;
-  /* Fenced by a direct command, it may fall silent before its first report to us: whoever renewed
-   * its lease did so before now. */
-  if (!machine->answered)
+  /* Fenced by a direct command, it may fall silent before its next report to us: an earlier owner
+   * may have renewed its lease until now, also after a report that came to us. */
+  if (!machine->fenced)
     machine->answered = now;
+  machine->fenced = TRUE;
 }
 
 static void
@@ -194,15 +194,32 @@
     saw (machine, launch, KR_SAW_EXITED, data);
 }
 
-gboolean
+/* Before it is taken in. */
+static KrNews
+news_of (const KrMachine *machine, const KrReport *report, gboolean beat)
+{
+  if (report->session > machine->session)
+    return KR_NEWS_FRESH;
+  if (report->session < machine->session) /* guards against reports that a cut held back */
+    return KR_NEWS_COPY;
+  if (report->seq > machine->seq)
+    return KR_NEWS_FRESH;
+  return beat && report->seq > machine->beat_seq ? KR_NEWS_OVERTAKEN : KR_NEWS_COPY;
+}
+
+KrNews
 kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
                   gint64 now, KrSawFunc saw, gpointer data)
 {
-  if (report->session < machine->session ||
-      (report->session == machine->session && report->seq <= machine->seq))
-    return FALSE; /* guards against reports that a cut held back */
-  if (report->session > machine->session)
+  KrNews news = news_of (machine, report, beat);
+  if (beat && news != KR_NEWS_COPY)
+    machine->beat_seq = report->seq;
+  if (news != KR_NEWS_FRESH)
+    return news;
+  if (report->session > machine->session) {
     kr_machine_clear (machine, saw, data); /* its lease ran out: the worker killed everything */
+    machine->beat_seq = beat ? report->seq : 0;
+  }
   machine->session = report->session;
   machine->seq = report->seq;
   machine->heard = now;
@@ -212,7 +229,7 @@
   drop_missing (machine, report, beat, saw, data);
   for (guint i = 0; i < report->tasks->len; i++)
     take_task (machine, &g_array_index (report->tasks, KrTaskReport, i), now, saw, data);
-  return TRUE;
+  return KR_NEWS_FRESH;
 }
 
 gboolean
--- a/src/agent.h
+++ b/src/agent.h
@@ -29,6 +29,7 @@
   char *id, *endpoint, *type, *zone;
   gboolean spot, known; /* known: it has reported; type, zone and spot are valid */
   guint64 session, seq, token;
+  guint64 beat_seq; /* of its newest report; `seq` may be that of a command's answer */
   gint64 heard;     /* monotonic us of the newest report that we took */
   gint64 answered;  /* monotonic us after which nobody has renewed its lease; 0: not known */
   gint64 notice_at; /* monotonic us when the cloud takes it; 0: no notice */
@@ -71,11 +72,19 @@
 KrMachine *kr_machine_new (const char *id);
 void kr_machine_free (gpointer data);
 
+/* What a report is to what is known of its machine. */
+typedef enum {
+  KR_NEWS_FRESH,     /* newer than all that was known: taken in */
+  KR_NEWS_OVERTAKEN, /* not seen before, but an answer of /commands or /show was faster: nothing
+                        changed, though its worker may be waiting for the answer */
+  KR_NEWS_COPY       /* seen before, or of an earlier session: nobody waits for its answer */
+} KrNews;
+
 /* Takes a report in. `beat`: it came as a worker's report, not as an answer of /commands or /show:
  * only such a one settles doubt, since the worker sends the next only after it has taken or dropped
- * the response to the last. FALSE: older than what is known, nothing changed. */
-gboolean kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
-                           gint64 now, KrSawFunc saw, gpointer data);
+ * the response to the last. */
+KrNews kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
+                         gint64 now, KrSawFunc saw, gpointer data);
 /* Everything on it is gone (deleted, taken, or its lease surely over). */
 void kr_machine_clear (KrMachine *machine, KrSawFunc saw, gpointer data);
 /* Whether a lease that nobody has renewed since then has surely run out. */
--- a/src/part.c
+++ b/src/part.c
@@ -62,6 +62,12 @@
   return live ? live->job : NULL;
 }
 
+static double
+seconds_since (gint64 then, gint64 now)
+{
+  return (double) (now - then) / G_USEC_PER_SEC;
+}
+
 /* --- what reports show --------------------------------------------------------------- */
 void
 kr_part_count_launch (KrPart *part, KrLaunch *launch)
@@ -553,17 +559,25 @@
 }
 
 /* --- reports ------------------------------------------------------------------------- */
+/* The one place from which a report is answered with 200. Whatever the report told, its worker may
+ * count its lease from it, so no lease that we judge may begin before. */
+static void
+renew_lease (KrMachine *machine, KrRequest *request, json_t *orders, gint64 now)
+{
+  machine->answered = now;
+  kr_request_reply (request, 200, orders, 0);
+}
+
 static void
 answer (KrPart *part, KrMachine *machine, KrRequest *request, gint64 now)
 {
   json_t *orders = kr_wire_orders_new (part->token);
-  machine->answered = now;
   kr_part_drop_planned (part, machine);
   add_kills_and_clears (part, machine, orders);
   kr_part_grant (part, machine, orders, now);
   if (kr_part_usable (part, machine, now))
     kr_part_run_planned (machine, orders);
-  kr_request_reply (request, 200, orders, 0);
+  renew_lease (machine, request, orders, now);
 }
 
 /* Not ours to answer any more, or asked anew. */
@@ -631,8 +645,13 @@
     return;
   }
   part->last_beat = now;
-  if (!kr_machine_apply (machine, report, TRUE, part->token, now, kr_part_saw, part)) {
-    kr_request_reply (request, part->have_jobs ? 200 : 503, kr_wire_orders_new (part->token), 0);
+  KrNews news = kr_machine_apply (machine, report, TRUE, part->token, now, kr_part_saw, part);
+  if (news == KR_NEWS_OVERTAKEN && part->have_jobs) {
+    renew_lease (machine, request, kr_wire_orders_new (part->token), now);
+    return;
+  }
+  if (news != KR_NEWS_FRESH) {
+    kr_request_reply (request, 503, NULL, 0);
     return;
   }
   let_go (part, machine); /* a newer report: the worker has given the one before up */
@@ -733,8 +752,11 @@
       kr_machine_lease_over (machine, kr_membership_proven (part->node->membership),
                              settings->lease_s)) {
     if (kr_machine_busy (machine))
-      kr_info ("machine %s: silent, its lease is over, %u tasks gone", machine->id,
-               kr_machine_busy (machine));
+      kr_info ("machine %s: silent, its lease is over, %u tasks gone (token %" G_GUINT64_FORMAT
+               ", session %" G_GUINT64_FORMAT ", answered %.3f s ago, ours proven %.3f s ago)",
+               machine->id, kr_machine_busy (machine), part->token, machine->session,
+               seconds_since (machine->answered, now),
+               seconds_since (kr_membership_proven (part->node->membership), now));
     kr_machine_clear (machine, kr_part_saw, part);
     machine->idle_since = now;
     if (now - machine->heard > kr_seconds (settings->lease_s + KR_LOST_DELETE_S) &&
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -14,7 +14,7 @@
   exits += what == KR_SAW_EXITED;
 }
 
-static gboolean
+static KrNews
 take (KrMachine *b, guint64 session, guint64 seq, gboolean beat, guint tasks, KrTaskState state)
 {
   KrReport r = { .machine = b->id,
@@ -30,7 +30,7 @@
     KrTaskReport t = { (char *) "wk-1", i, 100 + i, state, KR_WHY_DONE };
     g_array_append_val (r.tasks, t);
   }
-  gboolean taken = kr_machine_apply (b, &r, beat, 7, 1000000, saw, NULL);
+  KrNews taken = kr_machine_apply (b, &r, beat, 7, 1000000, saw, NULL);
   g_array_unref (r.tasks);
   return taken;
 }
@@ -63,17 +63,38 @@
 test_stale (void)
 {
   KrMachine *b = fresh ();
-  g_assert_true (take (b, 1, 5, TRUE, 2, KR_TASK_RUNNING));
-  g_assert_false (take (b, 1, 4, TRUE, 0, 0));
-  g_assert_false (take (b, 1, 5, TRUE, 0, 0));
+  g_assert_cmpint (take (b, 1, 5, TRUE, 2, KR_TASK_RUNNING), ==, KR_NEWS_FRESH);
+  g_assert_cmpint (take (b, 1, 4, TRUE, 0, 0), ==, KR_NEWS_COPY);
+  g_assert_cmpint (take (b, 1, 5, TRUE, 0, 0), ==, KR_NEWS_COPY);
   g_assert_cmpuint (gone, ==, 0);
-  g_assert_true (take (b, 2, 1, TRUE, 0, 0)); /* a new session: its lease ran out */
+  /* A new session: its lease ran out. */
+  g_assert_cmpint (take (b, 2, 1, TRUE, 0, 0), ==, KR_NEWS_FRESH);
   g_assert_cmpuint (gone, ==, 2);
-  g_assert_false (take (b, 1, 9, TRUE, 2, KR_TASK_RUNNING));
+  g_assert_cmpint (take (b, 1, 9, TRUE, 2, KR_TASK_RUNNING), ==, KR_NEWS_COPY);
   g_assert_cmpuint (kr_machine_busy (b), ==, 0);
   kr_machine_free (b);
 }
 
+/* A report that a command's answer overtook is told from a copy: its worker waits for the answer,
+ * and counts its lease from it. */
+static void
+test_overtaken (void)
+{
+  KrMachine *b = fresh ();
+  g_assert_cmpint (take (b, 1, 5, TRUE, 2, KR_TASK_RUNNING), ==, KR_NEWS_FRESH);
+  g_assert_cmpint (take (b, 1, 7, FALSE, 1, KR_TASK_RUNNING), ==, KR_NEWS_FRESH);
+  g_assert_cmpuint (gone, ==, 1);
+  g_assert_cmpint (take (b, 1, 6, FALSE, 0, 0), ==, KR_NEWS_COPY); /* no worker waits for that */
+  g_assert_cmpint (take (b, 1, 6, TRUE, 0, 0), ==, KR_NEWS_OVERTAKEN);
+  g_assert_cmpuint (gone, ==, 1);
+  g_assert_cmpint (take (b, 1, 6, TRUE, 0, 0), ==, KR_NEWS_COPY);
+  g_assert_cmpint (take (b, 1, 5, TRUE, 2, KR_TASK_RUNNING), ==, KR_NEWS_COPY);
+  /* The numbers of an earlier session say nothing about this one's. */
+  g_assert_cmpint (take (b, 2, 4, FALSE, 0, 0), ==, KR_NEWS_FRESH);
+  g_assert_cmpint (take (b, 2, 3, TRUE, 0, 0), ==, KR_NEWS_OVERTAKEN);
+  kr_machine_free (b);
+}
+
 static void
 test_exits_once (void)
 {
@@ -99,6 +120,21 @@
   kr_machine_free (b);
 }
 
+/* It reported to us, then again to an earlier owner, which still could answer it, and only then saw
+ * our token: its lease may be as young as that. */
+static void
+test_lease_at_fence (void)
+{
+  KrMachine *b = fresh ();
+  b->answered = 100;
+  take (b, 1, 1, FALSE, 1, KR_TASK_RUNNING);
+  g_assert_cmpint (b->answered, ==, 1000000);
+  b->answered = 100; /* fenced already: a command's answer renews nothing */
+  take (b, 1, 2, FALSE, 1, KR_TASK_RUNNING);
+  g_assert_cmpint (b->answered, ==, 100);
+  kr_machine_free (b);
+}
+
 static KrSpec *
 spec (guint tasks)
 {
@@ -207,8 +243,10 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/agent/doubt", test_doubt);
   g_test_add_func ("/agent/stale", test_stale);
+  g_test_add_func ("/agent/overtaken", test_overtaken);
   g_test_add_func ("/agent/exits-once", test_exits_once);
   g_test_add_func ("/agent/lease", test_lease);
+  g_test_add_func ("/agent/lease-at-fence", test_lease_at_fence);
   g_test_add_func ("/ledger/done-set", test_done_set);
   g_test_add_func ("/ledger/counts", test_job_counts);
   return g_test_run ();
