A machine whose giving to a part has no answer cannot come into two parts; invariants at run time

Cause: after a transaction without an answer the leader read all records anew and then gave the same machines out again. That shows what was carried out before, not what is still to be: carried out late, with its chunks unchanged, the first transaction puts the machines into a second part's record. Class: an action on knowledge that an own write under way can still change; moves had the guard, this path had not.

Now each further transaction of the leader rewrites one chunk that the unanswered one expects, so that one of them is carried out at most (no write more in ordinary times). Asserted at run time (invariant): a machine stands in one record, does not leave it with tasks (refused: it is deleted), a task starts only where it may and once. Where two chunks hold a machine, all nodes see the same one as valid, and the other part's owner takes it out. What makes a launch surely gone, and why a machine may get none, are typed reasons.

--- a/src/agent.c
+++ b/src/agent.c
@@ -94,8 +94,27 @@
   return NULL;
 }
 
+const char *
+kr_gone_name (KrGone gone)
+{
+  static const char *const names[] = {
+    [KR_GONE_NOT] = "not gone",     [KR_GONE_REPORTED] = "reported", [KR_GONE_SESSION] = "session",
+    [KR_GONE_LEASE] = "lease",      [KR_GONE_DELETED] = "deleted",   [KR_GONE_MOVED] = "moved",
+    [KR_GONE_UNSENT] = "never sent"
+  };
+  return names[gone];
+}
+
+static void
+launch_gone (KrMachine *machine, KrLaunch *launch, KrGone gone, KrSawFunc saw, gpointer data)
+{
+  launch->gone = gone;
+  saw (machine, launch, KR_SAW_GONE, data);
+  kr_launch_free (launch);
+}
+
 void
-kr_machine_clear (KrMachine *machine, KrSawFunc saw, gpointer data)
+kr_machine_clear (KrMachine *machine, KrGone gone, KrSawFunc saw, gpointer data)
 {
   /* Also where the lease ran out between two reports: a deaf machine that goes from node to node
    * comes back to its owner only after that, and would be given work each time. */
@@ -104,8 +123,7 @@
     saw (machine, lost, KR_SAW_UNHEARD, data);
   while (machine->launches->len) {
     KrLaunch *launch = g_ptr_array_steal_index (machine->launches, machine->launches->len - 1);
-    saw (machine, launch, KR_SAW_GONE, data);
-    kr_launch_free (launch);
+    launch_gone (machine, launch, gone, saw, data);
   }
 }
 
@@ -166,8 +184,7 @@
       saw (machine, launch, KR_SAW_UNHEARD, data);
     unheard |= launch->state == KR_TASK_DOUBT;
     launch = g_ptr_array_steal_index (machine->launches, i);
-    saw (machine, launch, KR_SAW_GONE, data);
-    kr_launch_free (launch);
+    launch_gone (machine, launch, KR_GONE_REPORTED, saw, data);
   }
 }
 
@@ -217,7 +234,8 @@
   if (news != KR_NEWS_FRESH)
     return news;
   if (report->session > machine->session) {
-    kr_machine_clear (machine, saw, data); /* its lease ran out: the worker killed everything */
+    kr_machine_clear (machine, KR_GONE_SESSION, saw,
+                      data); /* its lease ran out: the worker killed everything */
     machine->beat_seq = beat ? report->seq : 0;
   }
   machine->session = report->session;
--- a/src/agent.h
+++ b/src/agent.h
@@ -5,6 +5,18 @@
 
 typedef enum { KR_KILL_NO, KR_KILL_SLACK, KR_KILL_NOW } KrKill;
 
+/* What shows that an attempt is surely not on its machine any more. */
+typedef enum {
+  KR_GONE_NOT,
+  KR_GONE_REPORTED, /* a report newer than its start does not show it */
+  KR_GONE_SESSION,  /* the worker began a new session: its lease had run out */
+  KR_GONE_LEASE,    /* the worker's lease is over by our own answers to it */
+  KR_GONE_DELETED,  /* the cloud has deleted the machine */
+  KR_GONE_MOVED,    /* the machine, empty, went to another part */
+  KR_GONE_UNSENT    /* its place was held only, `run` never went out */
+} KrGone;
+const char *kr_gone_name (KrGone gone);
+
 /* One attempt of one task on one machine. */
 typedef struct {
   char *job;
@@ -23,6 +35,7 @@
   gpointer of;
   guint slot;
   struct KrMachine *on; /* its machine */
+  KrGone gone;          /* why it is surely gone, once it is */
 } KrLaunch;
 
 typedef struct KrMachine {
@@ -85,8 +98,8 @@
  * the response to the last. */
 KrNews kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
                          gint64 now, KrSawFunc saw, gpointer data);
-/* Everything on it is gone (deleted, taken, or its lease surely over). */
-void kr_machine_clear (KrMachine *machine, KrSawFunc saw, gpointer data);
+/* Everything on it is gone, for the reason given. */
+void kr_machine_clear (KrMachine *machine, KrGone gone, KrSawFunc saw, gpointer data);
 /* Whether a lease that nobody has renewed since then has surely run out. */
 gboolean kr_lease_over (gint64 since, gint64 now, double lease_s);
 /* Whether the worker's lease has surely run out since we last answered it. Only meaningful for a
--- /dev/null
+++ b/src/invariant.c
@@ -0,0 +1,28 @@
+#include "invariant.h"
+
+static guint counts[KR_N_INVARIANTS];
+
+static const char *const names[] = { [KR_INVARIANT_ONE_RECORD] = "one-record",
+                                     [KR_INVARIANT_RECORD_KEPT] = "record-kept",
+                                     [KR_INVARIANT_ONE_LAUNCH] = "one-launch",
+                                     [KR_INVARIANT_MACHINE_READY] = "machine-ready" };
+
+void
+kr_invariant_broken (KrInvariant which, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  g_autofree char *judged = g_strdup_vprintf (format, args);
+  va_end (args);
+  counts[which]++;
+  g_critical ("invariant %s does not hold (%u): %s", names[which], counts[which], judged);
+}
+
+guint
+kr_invariants_broken (void)
+{
+  guint sum = 0;
+  for (guint i = 0; i < KR_N_INVARIANTS; i++)
+    sum += counts[i];
+  return sum;
+}
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -2,6 +2,7 @@
 #include "part-private.h"
 #include "clock.h"
 #include "constants.h"
+#include "invariant.h"
 #include "log.h"
 #include "place.h"
 #include "rank.h"
@@ -259,13 +260,61 @@
          spread_ok (machine, live);
 }
 
+KrReadiness
+kr_part_readiness (KrPart *part, const KrMachine *machine, gint64 now)
+{
+  if (part->phase != OPEN)
+    return KR_NOT_OPEN;
+  if (!machine->known)
+    return KR_NOT_KNOWN;
+  if (!machine->used)
+    return KR_NOT_RECORDED;
+  if (kr_part_needs_fence (machine))
+    return KR_NOT_FENCED;
+  if (machine->drain || machine->deleting)
+    return KR_DRAINING;
+  if (machine->moving)
+    return KR_MOVING;
+  if (machine->notice_at)
+    return KR_NOTICED;
+  return now < machine->pause_until ? KR_PAUSED : KR_READY;
+}
+
+gboolean
+kr_part_usable (KrPart *part, const KrMachine *machine, gint64 now)
+{
+  return kr_part_readiness (part, machine, now) == KR_READY;
+}
+
+/* Every start of a task goes by here, whatever chose it. */
+static gboolean
+may_start (KrPart *part, const KrMachine *machine, const KrJob *job, gint64 task, gint64 now)
+{
+  KrReadiness readiness = kr_part_readiness (part, machine, now);
+  if (readiness != KR_READY) {
+    kr_invariant_broken (KR_INVARIANT_MACHINE_READY, "task %s/%d would start on %s (reason %d)",
+                         job->spec->id, (int) task, machine->id, readiness);
+    return FALSE;
+  }
+  if (task < 0 || job->cancelled || kr_job_is_done (job, (guint) task) || job->active[task]) {
+    kr_invariant_broken (KR_INVARIANT_ONE_LAUNCH,
+                         "task %s/%d would start on %s (cancelled %d, token %" G_GUINT64_FORMAT ")",
+                         job->spec->id, (int) task, machine->id, job->cancelled, part->token);
+    return FALSE;
+  }
+  return TRUE;
+}
+
+/* The job's next task; NULL: it must not start. */
 static KrLaunch *
-start_launch (KrPart *part, KrMachine *machine, KrLive *live, guint task, gint64 now)
+start_launch (KrPart *part, KrMachine *machine, KrLive *live, gint64 now)
 {
   KrJob *job = live->job;
-  KrLaunch *launch = kr_machine_launch (machine, job->spec->id, task,
+  gint64 task = kr_job_next (job);
+  if (!may_start (part, machine, job, task, now))
+    return NULL;
+  KrLaunch *launch = kr_machine_launch (machine, job->spec->id, (guint) task,
                                         (part->token << KR_LAUNCH_BITS) + ++part->launches);
-
   kr_live_add (live, launch);
   /* A job that fails wherever it runs is tried with one task a pause, until one succeeds. */
   if (kr_job_suspect (job)) {
@@ -278,14 +327,6 @@
   return launch;
 }
 
-gboolean
-kr_part_usable (KrPart *part, const KrMachine *machine, gint64 now)
-{
-  return part->phase == OPEN && machine->known && machine->used && !kr_part_needs_fence (machine) &&
-         !machine->drain && !machine->deleting && !machine->moving && !machine->notice_at &&
-         now >= machine->pause_until;
-}
-
 /* A gang is granted only whole: places are held on as many machines as it takes, and each machine's
  * next report brings its tasks there. A gang with some tasks lost is stopped and starts again. */
 static void
@@ -332,7 +373,9 @@
   kr_info ("job %s: a gang of %u gets its places", job->spec->id, want);
   guint64 attempt = 0; /* one for all: its tasks gather by it (docs/questions.md) */
   for (guint i = 0; i < want; i++) {
-    KrLaunch *launch = start_launch (part, places->pdata[i], live, (guint) kr_job_next (job), now);
+    KrLaunch *launch = start_launch (part, places->pdata[i], live, now);
+    if (!launch) /* its tasks are stopped, as of a gang that has lost some */
+      return;
     launch->planned = TRUE;
     attempt = launch->attempt = attempt ? attempt : launch->attempt;
   }
@@ -407,7 +450,11 @@
 grant_task (KrPart *part, KrMachine *machine, KrLive *live, json_t *orders, gint64 now)
 {
   const KrSpec *spec = live->job->spec;
-  KrLaunch *launch = start_launch (part, machine, live, (guint) kr_job_next (live->job), now);
+  KrLaunch *launch = start_launch (part, machine, live, now);
+  if (!launch) {
+    live->skip = TRUE;
+    return;
+  }
   launch->doubt_seq = machine->seq;
   machine->idle_since = now;
   kr_wire_order_run (orders, spec->id, launch->index, launch->attempt);
@@ -667,6 +714,7 @@
     if (!launch->planned || (!launch->kill && kr_part_usable (part, machine, kr_now ())))
       continue;
     launch = g_ptr_array_steal_index (machine->launches, i);
+    launch->gone = KR_GONE_UNSENT;
     kr_part_saw (machine, launch, KR_SAW_GONE, part);
     kr_launch_free (launch);
   }
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -52,6 +52,7 @@
   guint held_tick;
   guint64 walked;   /* machines, by walks over all of them: no event may cost one */
   guint fencing;    /* calls of it under way */
+  guint overtaken;  /* reports that a command's answer was faster than, so far */
   gint64 listed_at; /* monotonic us of the newest list */
 };
 
@@ -66,8 +67,10 @@
 void kr_part_count_launch (KrPart *part, KrLaunch *launch);
 void kr_part_command_kills (KrPart *part, KrMachine *machine);
 gboolean kr_part_needs_fence (const KrMachine *machine);
-/* Before a machine is taken out of `machines`. */
-void kr_part_forget (KrPart *part, KrMachine *machine);
+/* Before a machine is taken out of `machines`; `gone`: what became of its launches. */
+void kr_part_forget (KrPart *part, KrMachine *machine, KrGone gone);
+/* Has the cloud delete it: what runs there is gone once it says so. Repeated until then. */
+void kr_part_delete_machine (KrPart *part, KrMachine *machine, const char *why);
 /* Answers first reports that need not wait any more. */
 void kr_part_answer_held (KrPart *part);
 void kr_part_check_open (KrPart *part);
@@ -78,6 +81,8 @@
 /* Writes our name and whether every used machine was fenced. */
 KrTxn *kr_part_claim_txn (KrPart *part, gboolean settled);
 void kr_part_write_record (KrPart *part);
+/* Takes out of the part's record machines that belong to another part. */
+void kr_part_remove_strays (KrPart *part);
 /* Tells the leader through the state service what is needed, where it does not reach us. */
 void kr_part_tell_needs (KrPart *part);
 
@@ -93,6 +98,19 @@
 void kr_live_stop (KrLive *live);
 /* The live job as whose task a launch counts, or NULL. */
 KrJob *kr_live_job (const KrLaunch *launch);
+/* Whether a task may be started on a machine now; if not, the first reason against it. */
+typedef enum {
+  KR_READY,
+  KR_NOT_OPEN,     /* a machine of the part may still obey an earlier owner */
+  KR_NOT_KNOWN,    /* it has not reported yet */
+  KR_NOT_RECORDED, /* that it is used is not durable: a successor would not fence it */
+  KR_NOT_FENCED,   /* it may still obey an earlier owner */
+  KR_DRAINING,     /* it is faulty, or is being deleted */
+  KR_MOVING,       /* it may be another part's already */
+  KR_NOTICED,      /* the cloud takes it soon */
+  KR_PAUSED        /* launches do not reach it, or fail there */
+} KrReadiness;
+KrReadiness kr_part_readiness (KrPart *part, const KrMachine *machine, gint64 now);
 gboolean kr_part_usable (KrPart *part, const KrMachine *machine, gint64 now);
 /* Adds `run` orders for the machine's free room. */
 void kr_part_grant (KrPart *part, KrMachine *machine, json_t *orders, gint64 now);
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -1,6 +1,7 @@
 /* The durable record of a part's machines. */
 #include "clock.h"
 #include "constants.h"
+#include "invariant.h"
 #include "log.h"
 #include "part-private.h"
 #include "rent.h"
@@ -169,6 +170,41 @@
                    kr_part_ref (part));
 }
 
+typedef struct {
+  KrPart *part;
+  KrDraft *draft;
+} Strays;
+
+static void
+remove_stray (const char *id, const KrMember *member, gpointer data)
+{
+  const Strays *strays = data;
+  if (kr_draft_ops (strays->draft) + 2 > strays->part->node->settings->state_txn_ops)
+    return; /* in the next turn */
+  kr_invariant_broken (KR_INVARIANT_ONE_RECORD,
+                       "machine %s stands in the records of parts %u and %u (chunk %u)", id,
+                       strays->part->index, member->part, member->chunk);
+  kr_draft_remove_stray (strays->draft, strays->part->index, id);
+}
+
+/* Guards against a machine that passes from part to part with each write of one of its two chunks,
+ * however it came into both. */
+void
+kr_part_remove_strays (KrPart *part)
+{
+  if (part->record_busy || !part->have_record || part->gone)
+    return;
+  Strays strays = { part, kr_draft_new (part->node->records) };
+  kr_records_walk_strays (part->node->records, part->index, remove_stray, &strays);
+  if (kr_draft_ops (strays.draft) == 0) {
+    kr_draft_free (strays.draft);
+    return;
+  }
+  RecordWrite *w = g_new0 (RecordWrite, 1);
+  w->draft = strays.draft;
+  commit (part, kr_part_owner_txn (part), w);
+}
+
 static gboolean
 may_move (const KrMachine *machine)
 {
@@ -239,6 +275,30 @@
   machine->chunk_revision = member->revision;
 }
 
+/* A machine is not in our record any more. TRUE: it is let go. */
+static gboolean
+left_record (KrPart *part, KrMachine *machine)
+{
+  if (!kr_machine_busy (machine)) {
+    kr_part_forget (part, machine, KR_GONE_MOVED);
+    return TRUE;
+  }
+  /* Where its tasks are is not known: they would start a second time elsewhere. Whoever answers it
+   * now may renew its lease, so that only its deletion ends them for sure. */
+  if (!machine->must_fence) {
+    const KrMember *member = kr_records_find (part->node->records, machine->id);
+    kr_invariant_broken (KR_INVARIANT_RECORD_KEPT,
+                         "machine %s left the record of part %u (token %" G_GUINT64_FORMAT
+                         ") with %u tasks, it is now in %s %u",
+                         machine->id, part->index, part->token, kr_machine_busy (machine),
+                         member ? "part" : "none,", member ? member->part : 0);
+  }
+  machine->must_fence = TRUE;
+  machine->fenced = FALSE;
+  kr_part_delete_machine (part, machine, "it left the record with tasks");
+  return FALSE;
+}
+
 void
 kr_part_record_changed (KrPart *part)
 {
@@ -252,10 +312,8 @@
   while (kr_part_next (part, &it, &value)) {
     KrMachine *machine = value;
     const KrMember *member = kr_records_find (part->node->records, machine->id);
-    if (!member || member->part != part->index) {
-      kr_part_forget (part, machine);
+    if ((!member || member->part != part->index) && left_record (part, machine))
       g_hash_table_iter_remove (&it);
-    }
   }
   kr_part_answer_held (part);
   kr_part_write_record (part);
--- a/src/part.c
+++ b/src/part.c
@@ -1,13 +1,12 @@
 #include "part-private.h"
 #include "clock.h"
 #include "constants.h"
+#include "invariant.h"
 #include "log.h"
 #include "rent.h"
 #include "worker.h"
 #include <string.h>
 
-static void delete_machine (KrPart *part, KrMachine *machine, const char *why);
-
 KrPart *
 kr_part_ref (KrPart *part)
 {
@@ -214,7 +213,8 @@
     break;
   case KR_SAW_GONE:
     if (launch->state != KR_TASK_EXITED)
-      kr_debug ("task %s/%u: gone from %s", launch->job, launch->index, machine->id);
+      kr_debug ("task %s/%u: gone from %s (%s)", launch->job, launch->index, machine->id,
+                kr_gone_name (launch->gone));
     kr_live_drop (launch);
     if (job && job->cancelled)
       kr_part_flush (part);
@@ -423,12 +423,12 @@
         kr_lease_over (MAX (part->taken_at, machine->answered),
                        kr_membership_proven (part->node->membership), settings->lease_s)) {
       kr_info ("machine %s: not reached, its lease is over", machine->id);
-      kr_machine_clear (machine, kr_part_saw, part);
+      kr_machine_clear (machine, KR_GONE_LEASE, kr_part_saw, part);
       machine->must_fence = FALSE;
       continue;
     }
     if ((why = give_up (part, machine, unreached, used, now))) {
-      delete_machine (part, machine, why);
+      kr_part_delete_machine (part, machine, why);
       continue;
     }
     /* One that we answer will show our token by itself. */
@@ -469,7 +469,7 @@
   KrMachine *machine = part->gone ? NULL : kr_part_machine (part, contact->id);
 
   if (machine && status == 200) {
-    kr_part_forget (part, machine);
+    kr_part_forget (part, machine, KR_GONE_DELETED);
     g_hash_table_add (part->leaving, g_strdup (machine->id));
     g_hash_table_remove (part->machines, machine->id);
     kr_part_write_record (part);
@@ -478,8 +478,8 @@
   contact_free (contact);
 }
 
-static void
-delete_machine (KrPart *part, KrMachine *machine, const char *why)
+void
+kr_part_delete_machine (KrPart *part, KrMachine *machine, const char *why)
 {
   if (machine->deleting)
     return;
@@ -494,7 +494,7 @@
 {
   KrMachine *machine = kr_part_machine (part, id);
   if (machine && part->phase == OPEN && machine->launches->len == 0 && machine->leaving_to < 0)
-    delete_machine (part, machine, "no longer needed");
+    kr_part_delete_machine (part, machine, "no longer needed");
 }
 
 void
@@ -540,21 +540,21 @@
       const KrType *type = kr_node_type (part->node, listed->type);
       double boot = MAX (KR_BOOT_MIN_S, type ? type->boot_s * KR_BOOT_FACTOR : KR_BOOT_MIN_S);
       if (listed->state == KR_MACHINE_FAILED)
-        delete_machine (part, machine, "it has failed");
+        kr_part_delete_machine (part, machine, "it has failed");
       else if (listed->state == KR_MACHINE_STARTING && !machine->heard && listed->held_s > boot)
-        delete_machine (part, machine, "it never came up");
+        kr_part_delete_machine (part, machine, "it never came up");
     } else if ((machine->listed || (machine->used && !machine->heard) ||
                 unlisted_and_silent (machine, now, lag)) &&
                !machine->missing_since)
       machine->missing_since = now; /* what is used was up once, and so listed */
     else if (!machine->listed && !machine->heard &&
              now - machine->joined > kr_seconds (KR_NEVER_LISTED_S + 4 * lag))
-      delete_machine (part, machine, "never listed"); /* adopted from a stale list */
+      kr_part_delete_machine (part, machine, "never listed"); /* adopted from a stale list */
     /* A list may be older than the one before: wait for the worst lag, then have the cloud say so
      * (200 to a deletion is proof; missing from a list is not). */
     if (machine->missing_since &&
         now - machine->missing_since > kr_seconds (2 * lag + KR_MISSING_MARGIN_S))
-      delete_machine (part, machine, "no longer listed");
+      kr_part_delete_machine (part, machine, "no longer listed");
   }
 }
 
@@ -618,10 +618,10 @@
 }
 
 void
-kr_part_forget (KrPart *part, KrMachine *machine)
+kr_part_forget (KrPart *part, KrMachine *machine, KrGone gone)
 {
   let_go (part, machine);
-  kr_machine_clear (machine, kr_part_saw, part);
+  kr_machine_clear (machine, gone, kr_part_saw, part);
 }
 
 void
@@ -646,6 +646,7 @@
   }
   part->last_beat = now;
   KrNews news = kr_machine_apply (machine, report, TRUE, part->token, now, kr_part_saw, part);
+  part->overtaken += news == KR_NEWS_OVERTAKEN;
   if (news == KR_NEWS_OVERTAKEN && part->have_jobs) {
     renew_lease (machine, request, kr_wire_orders_new (part->token), now);
     return;
@@ -734,9 +735,11 @@
     waiting += kr_job_unstarted (((KrLive *) part->lives->pdata[i])->job);
   kr_debug (
       "part %u: %u jobs, %u tasks wait; %u machines up, %u starting; CPUs: %.0f running, %.0f "
-      "fetching, %.0f in doubt; free: %.0f held, %.0f leaving, %.0f not usable, %.0f open",
+      "fetching, %.0f in doubt; free: %.0f held, %.0f leaving, %.0f not usable, %.0f open; "
+      "%u overtaken reports, %u invariants broken",
       part->index, part->lives->len, waiting, status.up, status.starting, status.running,
-      status.fetching, status.doubt, status.held, status.leaving, status.unusable, status.open);
+      status.fetching, status.doubt, status.held, status.leaving, status.unusable, status.open,
+      part->overtaken, kr_invariants_broken ());
 }
 
 static void
@@ -746,6 +749,10 @@
 
   if (machine->deleting)
     return;
+  if (part->phase == OPEN && kr_part_needs_fence (machine)) {
+    kr_part_delete_machine (part, machine, "it left the record with tasks");
+    return;
+  }
   /* Judged at the last moment at which the part was surely ours: a node cut off from the state
    * service must not take a machine that its successor has fenced, and now answers, for silent. */
   if (machine->answered && !kr_part_needs_fence (machine) &&
@@ -757,12 +764,12 @@
                machine->id, kr_machine_busy (machine), part->token, machine->session,
                seconds_since (machine->answered, now),
                seconds_since (kr_membership_proven (part->node->membership), now));
-    kr_machine_clear (machine, kr_part_saw, part);
+    kr_machine_clear (machine, KR_GONE_LEASE, kr_part_saw, part);
     machine->idle_since = now;
     if (now - machine->heard > kr_seconds (settings->lease_s + KR_LOST_DELETE_S) &&
         (now - part->last_beat < kr_seconds (2 * settings->report_s) ||
          g_hash_table_size (part->machines) == 1)) {
-      delete_machine (part, machine, "silent for long");
+      kr_part_delete_machine (part, machine, "silent for long");
       return;
     }
   }
@@ -786,11 +793,11 @@
    * response of ours on its way, so the machine goes before the users' limit. */
   if (cancelled &&
       now - machine->heard > kr_seconds (settings->cancel_s * KR_CANCEL_DELETE_SHARE)) {
-    delete_machine (part, machine, "holds a cancelled task and cannot be reached");
+    kr_part_delete_machine (part, machine, "holds a cancelled task and cannot be reached");
     return;
   }
   if (machine->drain && machine->launches->len == 0)
-    delete_machine (part, machine, "drained");
+    kr_part_delete_machine (part, machine, "drained");
   if (machine->reserved_for && now >= machine->reserved_until)
     g_clear_pointer (&machine->reserved_for, g_free);
 }
@@ -813,6 +820,7 @@
   if (kr_log_debug_enabled () && part->have_jobs && part->ticks++ % KR_STATUS_TICKS == 0)
     log_status (part, now);
   kr_part_write_record (part);
+  kr_part_remove_strays (part);
   kr_part_moves (part);
   kr_part_tell_needs (part);
   kr_part_preempt (part, now);
--- a/src/record.c
+++ b/src/record.c
@@ -64,9 +64,85 @@
   g_free (records);
 }
 
+/* A chunk as it is known; NULL: there is none yet. */
+static const Chunk *
+known_chunk (const KrRecords *records, guint part, guint chunk)
+{
+  const GArray *all = records->parts[part];
+  return chunk < all->len ? &g_array_index (all, Chunk, chunk) : NULL;
+}
+
+/* A machine's entry there: its address, "" or NULL (it is not there). */
+static const char *
+entry (const KrRecords *records, guint part, guint chunk, const char *id)
+{
+  const Chunk *known = known_chunk (records, part, chunk);
+  json_t *o = known ? json_object_get (known->machines, id) : NULL;
+  const char *address = json_string_value (o);
+  return o && !address ? "" : address;
+}
+
+/* Of two chunks that hold a machine, the one to which it belongs. */
+static gboolean
+goes_before (const KrMember *a, const KrMember *b)
+{
+  gboolean a_used = *a->address != 0, b_used = *b->address != 0;
+  if (a_used != b_used)
+    return a_used;
+  return a->part != b->part ? a->part < b->part : a->chunk < b->chunk;
+}
+
+/* The chunk to which the machine belongs, of all that are known. */
+static gboolean
+find_entry (const KrRecords *records, const char *id, KrMember *best)
+{
+  gboolean any = FALSE;
+  for (guint p = 0; p < records->settings->size; p++)
+    for (guint k = 0; k < records->parts[p]->len; k++) {
+      const char *address = entry (records, p, k, id);
+      if (!address)
+        continue;
+      KrMember found = { p, k, address, known_chunk (records, p, k)->revision };
+      if (!any || goes_before (&found, best))
+        *best = found;
+      any = TRUE;
+    }
+  return any;
+}
+
+/* The machine stands in a chunk, which is known as that already. */
+static void
+note_entry (KrRecords *records, const char *id, const KrMember *found)
+{
+  KrMember *member = g_hash_table_lookup (records->index, id);
+  if (!member) {
+    g_hash_table_insert (records->index, g_strdup (id), g_memdup2 (found, sizeof *found));
+    return;
+  }
+  gboolean same = member->part == found->part && member->chunk == found->chunk;
+  if (same && *member->address && !*found->address) /* it may have been the one for that only */
+    find_entry (records, id, member);
+  else if (same || goes_before (found, member))
+    *member = *found;
+}
+
+/* The machine stands no more in the chunk to which it belonged. TRUE: but in another one. */
+static gboolean
+note_gone (KrRecords *records, const char *id, KrMember *now_in)
+{
+  if (find_entry (records, id, now_in)) {
+    *(KrMember *) g_hash_table_lookup (records->index, id) = *now_in;
+    return TRUE;
+  }
+  records->events.left (id, records->data);
+  g_hash_table_remove (records->index, id);
+  return FALSE;
+}
+
 static void
 note (KrRecords *records, guint part, guint chunk, json_t *machines, guint64 revision)
 {
+  g_autofree gboolean *joined = g_new0 (gboolean, records->settings->size);
   const char *id;
   json_t *o;
 
@@ -80,23 +156,30 @@
   c->revision = revision;
   json_object_foreach (machines, id, o)
   {
-    KrMember *member = g_hash_table_lookup (records->index, id);
-    if (!member)
-      g_hash_table_insert (records->index, g_strdup (id), member = g_new (KrMember, 1));
-    *member =
-        (KrMember){ part, chunk, json_string_value (o) ? json_string_value (o) : "", revision };
+    const KrMember found = { part, chunk, json_string_value (o) ? json_string_value (o) : "",
+                             revision };
+    note_entry (records, id, &found);
   }
   /* After the additions: a machine that moved was noted at its new place, or will be. */
   json_object_foreach (before, id, o)
   {
     const KrMember *member = json_object_get (machines, id) ? NULL : kr_records_find (records, id);
-    if (member && member->part == part && member->chunk == chunk) {
-      records->events.left (id, records->data);
-      g_hash_table_remove (records->index, id);
-    }
+    KrMember now_in;
+    if (member && member->part == part && member->chunk == chunk &&
+        note_gone (records, id, &now_in))
+      joined[now_in.part] = TRUE;
   }
   json_decref (before);
-  records->events.changed (part, records->data);
+  for (guint p = 0; p < records->settings->size; p++)
+    if (p == part || joined[p])
+      records->events.changed (p, records->data);
+}
+
+gboolean
+kr_records_changed_since (KrRecords *records, const KrChunkMark *mark)
+{
+  const Chunk *known = known_chunk (records, mark->part, mark->chunk);
+  return known && known->revision > mark->revision;
 }
 
 void
@@ -152,6 +235,21 @@
   }
 }
 
+void
+kr_records_walk_strays (KrRecords *records, guint part, KrRecordWalk walk, gpointer data)
+{
+  for (guint k = 0; k < records->parts[part]->len; k++) {
+    const char *id;
+    json_t *o;
+    json_object_foreach (g_array_index (records->parts[part], Chunk, k).machines, id, o)
+    {
+      const KrMember *member = kr_records_find (records, id);
+      if (member && (member->part != part || member->chunk != k))
+        walk (id, member, data);
+    }
+  }
+}
+
 /* --- drafts -------------------------------------------------------------------------- */
 static void
 change_clear (gpointer p)
@@ -187,21 +285,13 @@
   return NULL;
 }
 
-/* A chunk as it is known; NULL: there is none yet. */
-static const Chunk *
-known (const KrDraft *draft, guint part, guint chunk)
-{
-  const GArray *all = draft->records->parts[part];
-  return chunk < all->len ? &g_array_index (all, Chunk, chunk) : NULL;
-}
-
 static json_t *
 changed (KrDraft *draft, guint part, guint chunk)
 {
   json_t *machines = drafted (draft, part, chunk);
   if (machines)
     return machines;
-  const Chunk *old = known (draft, part, chunk);
+  const Chunk *old = known_chunk (draft->records, part, chunk);
   /* Shallow: entries are never changed in place. */
   Change c = { part, chunk, old && old->machines ? json_copy (old->machines) : json_object (),
                old ? old->revision : 0 };
@@ -214,7 +304,7 @@
 filled (const KrDraft *draft, guint part, guint chunk)
 {
   const json_t *machines = drafted (draft, part, chunk);
-  const Chunk *old = known (draft, part, chunk);
+  const Chunk *old = known_chunk (draft->records, part, chunk);
   return (guint) json_object_size (machines ? machines : old ? old->machines : NULL);
 }
 
@@ -252,6 +342,32 @@
     changed (draft, member->part, member->chunk);
 }
 
+void
+kr_draft_touch_chunk (KrDraft *draft, const KrChunkMark *mark)
+{
+  changed (draft, mark->part, mark->chunk);
+}
+
+void
+kr_draft_remove_stray (KrDraft *draft, guint part, const char *machine)
+{
+  const KrMember *member = kr_records_find (draft->records, machine);
+  for (guint k = 0; member && k < draft->records->parts[part]->len; k++)
+    if (entry (draft->records, part, k, machine) && (member->part != part || member->chunk != k))
+      json_object_del (changed (draft, part, k), machine);
+  kr_draft_touch (draft, machine);
+}
+
+gboolean
+kr_draft_mark (const KrDraft *draft, KrChunkMark *mark)
+{
+  if (!draft->changes->len)
+    return FALSE;
+  const Change *first = &g_array_index (draft->changes, Change, 0);
+  *mark = (KrChunkMark){ first->part, first->chunk, first->revision };
+  return TRUE;
+}
+
 guint
 kr_draft_ops (const KrDraft *draft)
 {
--- a/src/record.h
+++ b/src/record.h
@@ -12,6 +12,13 @@
 } KrMember;
 
 typedef struct KrRecords KrRecords;
+
+/* A chunk as a transaction expects it. */
+typedef struct {
+  guint part, chunk;
+  guint64 revision; /* 0: it does not exist */
+} KrChunkMark;
+
 typedef struct {
   void (*changed) (guint part, gpointer data);
   void (*left) (const char *machine, gpointer data); /* in no part any more */
@@ -19,13 +26,20 @@
 
 KrRecords *kr_records_new (const KrSettings *settings, const KrRecordEvents *events, gpointer data);
 void kr_records_free (KrRecords *records);
-/* Takes in what a key below c/berths/ shows, if it is newer than what is known. */
+/* Takes in what a key below c/berths/ shows, if it is newer than what is known. Where chunks of two
+ * parts hold a machine, it belongs to the one that has used it, else to the lower part: every node
+ * sees the same, whichever chunk it read first. */
 void kr_records_note (KrRecords *records, const KrItem *item);
+/* Whether the chunk is known at a newer revision: what expected the mark's has been carried out, or
+ * never will be. */
+gboolean kr_records_changed_since (KrRecords *records, const KrChunkMark *mark);
 /* NULL: in no part. */
 const KrMember *kr_records_find (KrRecords *records, const char *machine);
 /* Walks a part's machines. */
 typedef void (*KrRecordWalk) (const char *machine, const KrMember *member, gpointer data);
 void kr_records_walk (KrRecords *records, guint part, KrRecordWalk walk, gpointer data);
+/* Walks the machines that a part's chunks hold though they belong elsewhere, as `member` says. */
+void kr_records_walk_strays (KrRecords *records, guint part, KrRecordWalk walk, gpointer data);
 /* Calls walk for all parts' machines. */
 void kr_records_walk_all (KrRecords *records, KrRecordWalk walk, gpointer data);
 
@@ -40,6 +54,13 @@
 /* The machine's chunk is written as it is: whatever else names its revision can no longer succeed.
  */
 void kr_draft_touch (KrDraft *draft, const char *machine);
+/* The same for a chunk that is still as the mark says. */
+void kr_draft_touch_chunk (KrDraft *draft, const KrChunkMark *mark);
+/* Takes a machine out of the part's chunks to which it does not belong, as long as the chunk to
+ * which it does stays as it is. */
+void kr_draft_remove_stray (KrDraft *draft, guint part, const char *machine);
+/* One of the chunks that it writes, as it expects it. FALSE: it writes none. */
+gboolean kr_draft_mark (const KrDraft *draft, KrChunkMark *mark);
 guint kr_draft_ops (const KrDraft *draft);
 void kr_draft_write (const KrDraft *draft, KrTxn *txn);
 /* The transaction was executed at this revision. */
--- a/src/rent.c
+++ b/src/rent.c
@@ -38,6 +38,10 @@
   guint requests;
   gboolean listing, types_busy, assigning, had_list;
   gboolean records_read; /* since we lead, and since a write of ours with unknown outcome */
+  /* A chunk as the first write of ours with unknown outcome expects it: each further write changes
+   * it, so that one of them is carried out at most. */
+  KrChunkMark doubt;
+  gboolean in_doubt;
   gint64 next_types, next_list, next_move, next_round;
   gint64 leading_since;
   gint64 rent_at;   /* monotonic us: renting goes on then, between rounds; 0: nothing to do */
@@ -386,8 +390,15 @@
   rent->assigning = FALSE;
   if (status == 200)
     kr_draft_done (a->draft, kr_wire_revision (body));
-  else if (status == 0)
-    read_records (rent); /* it may have been executed: a machine must not come into two parts */
+  else if (status == 0) {
+    /* It may have been executed, or still be: a machine must not come into two parts. */
+    if (!rent->in_doubt)
+      rent->in_doubt = kr_draft_mark (a->draft, &rent->doubt);
+    kr_info ("rent: the outcome of giving machines to parts is unknown (chunk %u/%u, revision "
+             "%" G_GUINT64_FORMAT ")",
+             rent->doubt.part, rent->doubt.chunk, rent->doubt.revision);
+    read_records (rent);
+  }
   kr_draft_free (a->draft);
   g_free (a);
 }
@@ -459,6 +470,12 @@
     return;
   Assign *a = g_new (Assign, 1);
   *a = (Assign){ rent, kr_draft_new (rent->node->records) };
+  /* Guards against a write that is carried out late, when its machines have been given to others:
+   * reading the records anew shows only what was carried out before. */
+  if (rent->in_doubt && kr_records_changed_since (rent->node->records, &rent->doubt))
+    rent->in_doubt = FALSE;
+  if (rent->in_doubt)
+    kr_draft_touch_chunk (a->draft, &rent->doubt);
   for (guint i = 0; i < machines->len && kr_draft_ops (a->draft) < settings->state_txn_ops; i++) {
     const KrListedMachine *listed = machines->pdata[i];
     const KrType *type = kr_node_type (rent->node, listed->type);
