--- a/src/http.c
+++ b/src/http.c
@@ -296,6 +296,12 @@
   return request->path;
 }
 
+const char *
+kr_request_query (KrRequest *request)
+{
+  return g_uri_get_query (soup_server_message_get_uri (request->message));
+}
+
 json_t *
 kr_request_json (KrRequest *request)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -29,7 +29,8 @@
 void kr_server_free (KrServer *server);
 
 const char *kr_request_method (KrRequest *request);
-const char *kr_request_path (KrRequest *request);
+const char *kr_request_path (KrRequest *request);  /* without the query */
+const char *kr_request_query (KrRequest *request); /* what follows "?", or NULL */
 /* NULL if the body is no JSON value. Borrowed. */
 json_t *kr_request_json (KrRequest *request);
 gboolean kr_request_gone (KrRequest *request);
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -327,6 +327,21 @@
   return launch;
 }
 
+/* A task at each place; `run` goes out with the machines' next reports. */
+static void
+start_gang (KrPart *part, KrLive *live, const GPtrArray *places, gint64 now)
+{
+  guint64 attempt = 0; /* one for all: its tasks gather by it (docs/questions.md) */
+  kr_info ("job %s: a gang of %u gets its places", live->job->spec->id, places->len);
+  for (guint i = 0; i < places->len; i++) {
+    KrLaunch *launch = start_launch (part, places->pdata[i], live, now);
+    if (!launch) /* its tasks are stopped, as of a gang that has lost some */
+      return;
+    launch->planned = TRUE;
+    attempt = launch->attempt = attempt ? attempt : launch->attempt;
+  }
+}
+
 /* A gang is granted only whole: places are held on as many machines as it takes, and each machine's
  * next report brings its tasks there. A gang with some tasks lost is stopped and starts again. */
 static void
@@ -370,15 +385,7 @@
   }
   if (places->len < want)
     return;
-  kr_info ("job %s: a gang of %u gets its places", job->spec->id, want);
-  guint64 attempt = 0; /* one for all: its tasks gather by it (docs/questions.md) */
-  for (guint i = 0; i < want; i++) {
-    KrLaunch *launch = start_launch (part, places->pdata[i], live, now);
-    if (!launch) /* its tasks are stopped, as of a gang that has lost some */
-      return;
-    launch->planned = TRUE;
-    attempt = launch->attempt = attempt ? attempt : launch->attempt;
-  }
+  start_gang (part, live, places, now);
 }
 
 void
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -69,6 +69,7 @@
 gboolean kr_part_needs_fence (const KrMachine *machine);
 /* Before a machine is taken out of `machines`; `gone`: what became of its launches. */
 void kr_part_forget (KrPart *part, KrMachine *machine, KrGone gone);
+#define KR_LEFT_RECORD "it left the record with tasks" /* why a machine is deleted */
 /* Has the cloud delete it: what runs there is gone once it says so. Repeated until then. */
 void kr_part_delete_machine (KrPart *part, KrMachine *machine, const char *why);
 /* Answers first reports that need not wait any more. */
--- a/src/part-record.c
+++ b/src/part-record.c
@@ -295,7 +295,7 @@
   }
   machine->must_fence = TRUE;
   machine->fenced = FALSE;
-  kr_part_delete_machine (part, machine, "it left the record with tasks");
+  kr_part_delete_machine (part, machine, KR_LEFT_RECORD);
   return FALSE;
 }
 
--- a/src/part.c
+++ b/src/part.c
@@ -742,6 +742,30 @@
       part->overtaken, kr_invariants_broken ());
 }
 
+/* What is on a machine whose lease is over is gone; one that stays silent goes as well. */
+static void
+judge_lease (KrPart *part, KrMachine *machine, gint64 now)
+{
+  const KrSettings *settings = part->node->settings;
+  /* Judged at the last moment at which the part was surely ours: a node cut off from the state
+   * service must not take a machine that its successor has fenced, and now answers, for silent. */
+  gint64 proven = kr_membership_proven (part->node->membership);
+
+  if (!machine->answered || !kr_machine_lease_over (machine, proven, settings->lease_s))
+    return;
+  if (kr_machine_busy (machine))
+    kr_info ("machine %s: silent, its lease is over, %u tasks gone (token %" G_GUINT64_FORMAT
+             ", session %" G_GUINT64_FORMAT ", answered %.3f s ago, ours proven %.3f s ago)",
+             machine->id, kr_machine_busy (machine), part->token, machine->session,
+             seconds_since (machine->answered, now), seconds_since (proven, now));
+  kr_machine_clear (machine, KR_GONE_LEASE, kr_part_saw, part);
+  machine->idle_since = now;
+  if (now - machine->heard > kr_seconds (settings->lease_s + KR_LOST_DELETE_S) &&
+      (now - part->last_beat < kr_seconds (2 * settings->report_s) ||
+       g_hash_table_size (part->machines) == 1))
+    kr_part_delete_machine (part, machine, "silent for long");
+}
+
 static void
 watch_machine (KrPart *part, KrMachine *machine, gint64 now)
 {
@@ -749,30 +773,12 @@
 
   if (machine->deleting)
     return;
-  if (part->phase == OPEN && kr_part_needs_fence (machine)) {
-    kr_part_delete_machine (part, machine, "it left the record with tasks");
+  if (!kr_part_needs_fence (machine))
+    judge_lease (part, machine, now);
+  else if (part->phase == OPEN) /* the cloud has refused */
+    kr_part_delete_machine (part, machine, KR_LEFT_RECORD);
+  if (machine->deleting)
     return;
-  }
-  /* Judged at the last moment at which the part was surely ours: a node cut off from the state
-   * service must not take a machine that its successor has fenced, and now answers, for silent. */
-  if (machine->answered && !kr_part_needs_fence (machine) &&
-      kr_machine_lease_over (machine, kr_membership_proven (part->node->membership),
-                             settings->lease_s)) {
-    if (kr_machine_busy (machine))
-      kr_info ("machine %s: silent, its lease is over, %u tasks gone (token %" G_GUINT64_FORMAT
-               ", session %" G_GUINT64_FORMAT ", answered %.3f s ago, ours proven %.3f s ago)",
-               machine->id, kr_machine_busy (machine), part->token, machine->session,
-               seconds_since (machine->answered, now),
-               seconds_since (kr_membership_proven (part->node->membership), now));
-    kr_machine_clear (machine, KR_GONE_LEASE, kr_part_saw, part);
-    machine->idle_since = now;
-    if (now - machine->heard > kr_seconds (settings->lease_s + KR_LOST_DELETE_S) &&
-        (now - part->last_beat < kr_seconds (2 * settings->report_s) ||
-         g_hash_table_size (part->machines) == 1)) {
-      kr_part_delete_machine (part, machine, "silent for long");
-      return;
-    }
-  }
   gboolean cancelled = FALSE, kills = FALSE;
   for (guint i = 0; i < machine->launches->len; i++) {
     KrLaunch *launch = machine->launches->pdata[i];
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,4 +1,5 @@
-#include "sim.h"
+/* Simulated time, network and nodes: the world (world.c) around real nodes, one event at a time. */
+#include "world.h"
 #include "clock.h"
 #include "constants.h"
 #include "http.h"
@@ -7,9 +8,10 @@
 #include <math.h>
 #include <string.h>
 
-#define MAX_NODES 8
-#define TXN_BYTES 65536     /* of a transaction, by the protocol */
-#define RECORDS "c/berths/" /* prefix of the parts' records of their machines */
+#define TXN_BYTES 65536 /* of a transaction, by the protocol */
+
+#define STATE_ADDRESS "10.2.0.1:2379"
+#define CLOUD_ADDRESS "10.2.0.2:8443"
 
 /* --- events ---------------------------------------------------------------------------- */
 typedef struct {
@@ -36,50 +38,16 @@
 } Node;
 
 static struct {
-  SimOptions o;
-  GRand *rng;
   GSequence *queue;
   GHashTable *timers; /* id -> GSequenceIter of its event */
-  gint64 now;
   guint64 order;
   guint next_id;
   gint current; /* node whose code runs */
-  Node nodes[MAX_NODES];
+  Node nodes[WORLD_MAX_NODES];
   GHashTable *servers; /* address -> KrServer */
-  GHashTable *cuts;    /* "a>b" -> SimCut */
-  GPtrArray *held;     /* Message */
-  /* state */
-  GHashTable *store;  /* key -> Entry */
-  GHashTable *leases; /* id -> Lease */
-  GPtrArray *follows; /* Follow */
-  GArray *changes;    /* Change */
-  guint64 revision, next_lease;
-  gboolean outage, refuse[MAX_NODES];
-  double slow;
-  guint lose_commits;
-  char *hold_prefix; /* of a key that a commit writes, for hold_commits */
-  guint hold_commits;
-  double hold_commits_s;
-  double late_writes, late_commands;
-  double write_tokens;
-  gint64 write_at;
-  /* cloud */
-  GHashTable *machines; /* id -> Machine */
-  GHashTable *running;  /* "job/index" -> Task that is on a machine */
-  guint alive;          /* machines */
-  GHashTable *charters;
-  guint next_machine;
-  gboolean boots_fail;
-  /* users */
-  GHashTable *jobs; /* id -> User */
-  GString *broken;
-  gint64 calm_at; /* 0: not yet */
-  guint beats;    /* reports handled */
+  guint beats;         /* reports handled */
   guint64 beat_steps;
-  guint started;
-  guint answered[600]; /* to sim_ask, by status */
-  guint state_requests;
-} S;
+} sim;
 
 static int
 event_order (gconstpointer a, gconstpointer b, gpointer data)
@@ -95,50 +63,50 @@
 {
   Event *e = g_new0 (Event, 1);
   e->at = at;
-  e->order = ++S.order;
+  e->order = ++sim.order;
   e->owner = owner;
-  e->life = owner >= 0 ? S.nodes[owner].life : 0;
+  e->life = owner >= 0 ? sim.nodes[owner].life : 0;
   e->func = func;
   e->data = data;
-  return g_sequence_insert_sorted (S.queue, e, event_order, NULL);
+  return g_sequence_insert_sorted (sim.queue, e, event_order, NULL);
 }
 
-static void
-later (double s, GSourceFunc func, gpointer data)
+void
+world_later (double s, GSourceFunc func, gpointer data)
 {
-  push (S.now + (gint64) (s * 1e6), -1, func, data);
+  push (world.now + (gint64) (s * 1e6), -1, func, data);
 }
 
 gint64
 kr_now (void)
 {
-  return S.now + 1000000;
+  return world.now + 1000000;
 }
 
 double
 kr_time_of_day (void)
 {
-  return 1790000000.0 + S.now / 1e6;
+  return 1790000000.0 + world.now / 1e6;
 }
 
 guint
 kr_timer_add (guint ms, GSourceFunc func, gpointer data)
 {
-  GSequenceIter *i = push (S.now + (gint64) ms * 1000, S.current, func, data);
+  GSequenceIter *i = push (world.now + (gint64) ms * 1000, sim.current, func, data);
   Event *e = g_sequence_get (i);
-  e->id = ++S.next_id;
+  e->id = ++sim.next_id;
   e->every_ms = MAX (1, ms);
-  g_hash_table_insert (S.timers, GUINT_TO_POINTER (e->id), i);
+  g_hash_table_insert (sim.timers, GUINT_TO_POINTER (e->id), i);
   return e->id;
 }
 
 void
 kr_timer_remove (guint id)
 {
-  GSequenceIter *i = g_hash_table_lookup (S.timers, GUINT_TO_POINTER (id));
+  GSequenceIter *i = g_hash_table_lookup (sim.timers, GUINT_TO_POINTER (id));
   if (!i)
     return;
-  g_hash_table_remove (S.timers, GUINT_TO_POINTER (id));
+  g_hash_table_remove (sim.timers, GUINT_TO_POINTER (id));
   g_sequence_remove (i);
 }
 
@@ -153,7 +121,7 @@
 void
 kr_stall_watch (guint ms, GSourceFunc func, gpointer data)
 {
-  Node *n = &S.nodes[S.current];
+  Node *n = &sim.nodes[sim.current];
   n->stall_us = (gint64) ms * 1000;
   n->stalled = func;
   n->stalled_data = data;
@@ -162,7 +130,7 @@
 static gboolean
 alive (gint owner, guint life)
 {
-  return owner < 0 || (S.nodes[owner].alive && S.nodes[owner].life == life);
+  return owner < 0 || (sim.nodes[owner].alive && sim.nodes[owner].life == life);
 }
 
 /* What happens to a node that stands still is looked at again after this long. */
@@ -171,21 +139,21 @@
 static gboolean
 hung (gint owner)
 {
-  return owner >= 0 && S.nodes[owner].hung;
+  return owner >= 0 && sim.nodes[owner].hung;
 }
 
 void
 sim_run (double seconds)
 {
-  gint64 end = S.now + (gint64) (seconds * 1e6);
+  gint64 end = world.now + (gint64) (seconds * 1e6);
   for (;;) {
-    GSequenceIter *i = g_sequence_get_begin_iter (S.queue);
+    GSequenceIter *i = g_sequence_get_begin_iter (sim.queue);
     Event *e = g_sequence_iter_is_end (i) ? NULL : g_sequence_get (i);
     if (!e || e->at > end)
       break;
     /* Out of the queue first, so that func may remove its own timer. */
     Event copy = *e;
-    S.now = MAX (S.now, e->at);
+    world.now = MAX (world.now, e->at);
     e->at = e->at + MAX (1, (gint64) copy.every_ms * 1000);
     if (!copy.every_ms)
       g_sequence_remove (i);
@@ -197,88 +165,23 @@
       continue;
     }
     if (hung (copy.owner)) { /* it finds the timer over when it goes on */
-      e->at = S.now + HANG_STEP_US;
+      e->at = world.now + HANG_STEP_US;
       g_sequence_sort_changed (i, event_order, NULL);
       continue;
     }
-    S.current = copy.owner;
+    sim.current = copy.owner;
     gboolean again = copy.func (copy.data);
-    S.current = -1;
+    sim.current = -1;
     if (copy.every_ms && !again)
       kr_timer_remove (copy.id);
   }
-  S.now = end;
+  world.now = end;
 }
 
 double
 sim_now (void)
 {
-  return S.now / 1e6;
-}
-
-static void
-broken (const char *format, ...)
-{
-  va_list args;
-  va_start (args, format);
-  g_string_append_printf (S.broken, "%.3f ", sim_now ());
-  g_string_append_vprintf (S.broken, format, args);
-  g_string_append_c (S.broken, '\n');
-  va_end (args);
-}
-
-/* --- network ---------------------------------------------------------------------------- */
-typedef struct {
-  char *from, *to;
-  GSourceFunc func;
-  gpointer data;
-} Message;
-
-static SimCut
-cut_between (const char *from, const char *to)
-{
-  g_autofree char *key = g_strdup_printf ("%s>%s", from, to);
-  return GPOINTER_TO_INT (g_hash_table_lookup (S.cuts, key));
-}
-
-static void
-deliver (const char *from, const char *to, GSourceFunc func, gpointer data)
-{
-  SimCut c = cut_between (from, to);
-  if (c == SIM_DROP)
-    return;
-  if (c == SIM_HOLD) {
-    Message *m = g_new (Message, 1);
-    *m = (Message){ g_strdup (from), g_strdup (to), func, data };
-    g_ptr_array_add (S.held, m);
-    return;
-  }
-  double late = g_str_equal (from, "state") ? g_rand_double (S.rng) * S.slow : 0;
-  later (late + g_rand_double_range (S.rng, 0.0003, 0.004), func, data);
-}
-
-void
-sim_cut (const char *from, const char *to, SimCut how)
-{
-  g_hash_table_replace (S.cuts, g_strdup_printf ("%s>%s", from, to), GINT_TO_POINTER (how));
-  if (how != SIM_OPEN)
-    return;
-  g_autoptr (GPtrArray) old = g_steal_pointer (&S.held);
-  S.held = g_ptr_array_new ();
-  for (guint i = 0; i < old->len; i++) {
-    Message *m = old->pdata[i];
-    deliver (m->from, m->to, m->func, m->data);
-    g_free (m->from);
-    g_free (m->to);
-    g_free (m);
-  }
-}
-
-void
-sim_cut_both (const char *a, const char *b, SimCut how)
-{
-  sim_cut (a, b, how);
-  sim_cut (b, a, how);
+  return world.now / 1e6;
 }
 
 /* --- http: calls -------------------------------------------------------------------------- */
@@ -293,27 +196,12 @@
   guint life;
 };
 
-typedef struct {
-  char *from, *to, *host, *method, *path;
-  json_t *body;
-  gint owner;
-  guint life;
-  gboolean over;
-  GCancellable *cancel;
-  KrReply reply;
-  gpointer data;
-  guint status;
-  json_t *answer;
-} Call;
-
 struct KrRequest {
   Call *call;
   gint owner;
   guint life;
 };
 
-static void world_answer (Call *c);
-
 static gboolean answer_arrives (gpointer data);
 
 static void
@@ -328,13 +216,13 @@
     c->over = FALSE;
     c->status = status;
     c->answer = body;
-    later (HANG_STEP_US / 1e6, answer_arrives, c);
+    world_later (HANG_STEP_US / 1e6, answer_arrives, c);
     return;
   }
-  gint before = S.current;
-  S.current = c->owner;
+  gint before = sim.current;
+  sim.current = c->owner;
   c->reply (status, body, c->data);
-  S.current = before;
+  sim.current = before;
 }
 
 static gboolean
@@ -352,30 +240,28 @@
   return FALSE;
 }
 
-static void count_unheard (const char *machine);
-
-static void
-answer_call (Call *c, guint status, json_t *body)
+void
+world_answer_call (Call *c, guint status, json_t *body)
 {
   c->status = status;
   c->answer = body;
-  if (cut_between (c->to, c->from) == SIM_DROP) {
+  if (world_cut (c->to, c->from) == SIM_DROP) {
     json_t *orders = json_object_get (body, "Orders"), *o;
     size_t i;
     json_array_foreach (
         orders, i, o) if (g_strcmp0 (json_string_value (json_object_get (o, "Order")), "run") == 0)
-        count_unheard (c->from);
+        world_count_unheard (c->from);
   }
-  deliver (c->to, c->from, answer_arrives, c);
+  world_deliver (c->to, c->from, answer_arrives, c);
 }
 
 /* Steps of walks over all machines of a part, in a node so far. */
 static guint64
 walked (gint i)
 {
-  const Node *n = &S.nodes[i];
+  const Node *n = &sim.nodes[i];
   guint64 sum = 0;
-  for (guint p = 0; n->node && p < S.o.nodes; p++)
+  for (guint p = 0; n->node && p < world.o.nodes; p++)
     sum += n->node->parts[p] ? kr_part_walked (n->node->parts[p]) : 0;
   return sum;
 }
@@ -383,15 +269,15 @@
 guint
 sim_beats (guint64 *steps)
 {
-  *steps = S.beat_steps;
-  return S.beats;
+  *steps = sim.beat_steps;
+  return sim.beats;
 }
 
 static gboolean
 call_arrives (gpointer data)
 {
   Call *c = data;
-  KrServer *s = g_hash_table_lookup (S.servers, c->host);
+  KrServer *s = g_hash_table_lookup (sim.servers, c->host);
   if (!s) {
     world_answer (c);
     return FALSE;
@@ -399,7 +285,7 @@
   if (!alive (s->owner, s->life))
     return FALSE;
   if (hung (s->owner)) {
-    later (HANG_STEP_US / 1e6, call_arrives, c);
+    world_later (HANG_STEP_US / 1e6, call_arrives, c);
     return FALSE;
   }
   KrRequest *r = g_new0 (KrRequest, 1);
@@ -408,12 +294,12 @@
   r->life = s->life;
   guint64 before = walked (s->owner);
   gboolean beat = g_str_equal (c->path, "/agent/beat");
-  S.current = s->owner;
+  sim.current = s->owner;
   s->handler (r, s->data);
-  S.current = -1;
+  sim.current = -1;
   if (beat) {
-    S.beats++;
-    S.beat_steps += walked (s->owner) - before;
+    sim.beats++;
+    sim.beat_steps += walked (s->owner) - before;
   }
   return FALSE;
 }
@@ -421,37 +307,19 @@
 static char *
 host_name (const char *address)
 {
-  if (g_str_equal (address, "10.2.0.1:2379"))
+  if (g_str_equal (address, STATE_ADDRESS))
     return g_strdup ("state");
-  if (g_str_equal (address, "10.2.0.2:8443"))
+  if (g_str_equal (address, CLOUD_ADDRESS))
     return g_strdup ("cloud");
   if (g_str_has_prefix (address, "10.0.0."))
     return g_strdup_printf ("n%d", atoi (address + 7) - 1);
   return g_strdup_printf ("host-%06d", atoi (address + strlen ("10.1.0.")));
 }
 
-/* A late copy of a request: nobody reads its answer. */
-typedef struct {
-  char *from, *method, *to, *path;
-  json_t *body;
-} Copy;
-
-static gboolean copying; /* copies have no copies */
-static gboolean copy_arrives (gpointer data);
-
-static void
-copy_of (const char *from, const char *method, const char *to, const char *path, json_t *body)
-{
-  Copy *c = g_new (Copy, 1);
-  *c = (Copy){ g_strdup (from), g_strdup (method), g_strdup (to), g_strdup (path),
-               json_deep_copy (body) };
-  later (exp (g_rand_double_range (S.rng, 0, log (60))), copy_arrives, c);
-}
-
 static void
 copy_later (const Call *c)
 {
-  copy_of (c->from, c->method, c->host, c->path, c->body);
+  world_copy (c->from, c->method, c->host, c->path, c->body);
 }
 
 /* Sent, it arrives after `late_s` beyond the usual. */
@@ -459,13 +327,13 @@
 call_sent (gpointer data)
 {
   Call *c = data;
-  deliver (c->from, c->to, call_arrives, c);
+  world_deliver (c->from, c->to, call_arrives, c);
   return FALSE;
 }
 
-static Call *
-call_new_late (const char *from, const char *method, const char *address, const char *path,
-               json_t *body, double timeout_s, double late_s, KrReply reply, gpointer data)
+Call *
+world_call_late (const char *from, const char *method, const char *address, const char *path,
+                 json_t *body, double timeout_s, double late_s, KrReply reply, gpointer data)
 {
   Call *c = g_new0 (Call, 1);
   c->from = g_strdup (from);
@@ -474,25 +342,26 @@
   c->method = g_strdup (method);
   c->path = g_strdup (path);
   c->body = body;
-  c->owner = S.current;
-  c->life = c->owner >= 0 ? S.nodes[c->owner].life : 0;
+  c->owner = sim.current;
+  c->life = c->owner >= 0 ? sim.nodes[c->owner].life : 0;
   c->reply = reply;
   c->data = data;
-  later (timeout_s, call_late, c);
+  world_later (timeout_s, call_late, c);
   if (late_s > 0)
-    later (late_s, call_sent, c);
+    world_later (late_s, call_sent, c);
   else
     call_sent (c);
-  if (!copying && !g_str_has_prefix (from, "host-") && g_rand_double (S.rng) < S.o.repeats)
+  if (!world_copying && !g_str_has_prefix (from, "host-") &&
+      g_rand_double (world.rng) < world.o.repeats)
     copy_later (c);
   return c;
 }
 
-static Call *
-call_new (const char *from, const char *method, const char *address, const char *path, json_t *body,
-          double timeout_s, KrReply reply, gpointer data)
+Call *
+world_call (const char *from, const char *method, const char *address, const char *path,
+            json_t *body, double timeout_s, KrReply reply, gpointer data)
 {
-  return call_new_late (from, method, address, path, body, timeout_s, 0, reply, data);
+  return world_call_late (from, method, address, path, body, timeout_s, 0, reply, data);
 }
 
 static gboolean
@@ -505,14 +374,14 @@
 static void
 call_cancelled (GCancellable *cancel, gpointer data)
 {
-  later (0, call_cancelled_now, data);
+  world_later (0, call_cancelled_now, data);
 }
 
 KrClient *
 kr_client_new (guint conns, guint conns_per_host, guint idle_s)
 {
   KrClient *c = g_new0 (KrClient, 1);
-  c->owner = S.current;
+  c->owner = sim.current;
   return c;
 }
 
@@ -526,10 +395,10 @@
 kr_client_call (KrClient *client, const char *method, const char *host, const char *path,
                 json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
 {
-  g_autofree char *from = g_strdup_printf ("n%d", S.current);
-  Call *c = call_new (from, method, host, path, body, timeout_ms / 1000.0, reply, data);
+  g_autofree char *from = g_strdup_printf ("n%d", sim.current);
+  Call *c = world_call (from, method, host, path, body, timeout_ms / 1000.0, reply, data);
   if (cancel && g_cancellable_is_cancelled (cancel))
-    later (0, call_cancelled_now, c);
+    world_later (0, call_cancelled_now, c);
   else if (cancel)
     g_signal_connect (cancel, "cancelled", G_CALLBACK (call_cancelled), c);
 }
@@ -539,8 +408,8 @@
                KrHandler handler, gpointer data, GError **error)
 {
   KrServer *s = g_new0 (KrServer, 1);
-  *s = (KrServer){ handler, data, S.current, S.nodes[S.current].life };
-  g_hash_table_replace (S.servers, g_strdup (address), s);
+  *s = (KrServer){ handler, data, sim.current, sim.nodes[sim.current].life };
+  g_hash_table_replace (sim.servers, g_strdup (address), s);
   return s;
 }
 
@@ -576,1748 +445,107 @@
 void
 kr_request_reply (KrRequest *r, guint status, json_t *body, guint retry_after_s)
 {
-  answer_call (r->call, status, body ? body : json_object ());
+  world_answer_call (r->call, status, body ? body : json_object ());
   g_free (r);
 }
-
-/* --- the state service ---------------------------------------------------------------------- */
-typedef struct {
-  json_t *value;
-  guint64 mark, lease;
-} Entry;
-
-typedef struct {
-  gint64 until;
-  guint life_ms;
-} Lease;
-
-typedef struct {
-  char *key;
-  json_t *value; /* NULL: removed */
-  guint64 mark;
-} Change;
-
-typedef struct {
-  Call *call;
-  char *prefix;
-  guint64 from;
-  gint64 until;
-} Follow;
-
-static void
-entry_free (gpointer p)
-{
-  json_decref (((Entry *) p)->value);
-  g_free (p);
-}
-
-static json_t *
-changes_after (const char *prefix, guint64 from)
-{
-  json_t *a = json_array ();
-  guint first = S.changes->len;
-  while (first && g_array_index (S.changes, Change, first - 1).mark > from)
-    first--;
-  for (guint i = first; i < S.changes->len; i++) {
-    Change *c = &g_array_index (S.changes, Change, i);
-    if (!g_str_has_prefix (c->key, prefix))
-      continue;
-    json_array_append_new (
-        a, c->value ? json_pack ("{ss sO sI}", "Put", c->key, "Value", c->value, "Mark",
-                                 (json_int_t) c->mark)
-                    : json_pack ("{ss sI}", "Remove", c->key, "Mark", (json_int_t) c->mark));
-  }
-  return a;
-}
-
-static gboolean
-refused (const char *from)
-{
-  return S.outage || (from[0] == 'n' && S.refuse[atoi (from + 1)]);
-}
-
-static void
-wake_follows (void)
-{
-  for (guint i = S.follows->len; i-- > 0;) {
-    Follow *f = S.follows->pdata[i];
-    if (refused (f->call->from))
-      continue;
-    json_t *a = changes_after (f->prefix, f->from);
-    if (json_array_size (a) == 0 && S.now < f->until) {
-      json_decref (a);
-      continue;
-    }
-    answer_call (f->call, 200,
-                 json_pack ("{sI so}", "Ledger", (json_int_t) S.revision, "Events", a));
-    g_ptr_array_remove_index (S.follows, i);
-  }
-}
-
-static gboolean
-wake_later (gpointer data)
-{
-  wake_follows ();
-  return FALSE;
-}
-
-static void
-change (const char *key, json_t *value, guint64 lease)
-{
-  Change c = { g_strdup (key), json_incref (value), S.revision };
-  g_array_append_val (S.changes, c);
-  if (value) {
-    Entry *e = g_new (Entry, 1);
-    *e = (Entry){ json_incref (value), S.revision, lease };
-    g_hash_table_replace (S.store, g_strdup (key), e);
-  } else
-    g_hash_table_remove (S.store, key);
-}
-
-static gboolean
-expire_leases (gpointer data)
-{
-  GHashTableIter it;
-  gpointer id, value;
-  g_hash_table_iter_init (&it, S.leases);
-  while (!S.outage && g_hash_table_iter_next (&it, &id, &value)) {
-    if (((Lease *) value)->until > S.now)
-      continue;
-    g_autoptr (GList) keys = g_hash_table_get_keys (S.store);
-    S.revision++;
-    for (GList *l = keys; l; l = l->next) {
-      Entry *e = g_hash_table_lookup (S.store, l->data);
-      if (e->lease == *(guint64 *) id) {
-        g_autofree char *key = g_strdup (l->data);
-        change (key, NULL, 0);
-      }
-    }
-    g_hash_table_iter_remove (&it);
-  }
-  wake_follows ();
-  later (0.05, expire_leases, NULL);
-  return FALSE;
-}
-
-void
-sim_state_outage (gboolean on)
-{
-  GHashTableIter it;
-  gpointer value;
-  S.outage = on;
-  g_hash_table_iter_init (&it, S.leases);
-  while (!on && g_hash_table_iter_next (&it, NULL, &value))
-    ((Lease *) value)->until = S.now + (gint64) ((Lease *) value)->life_ms * 1000;
-}
-
-guint
-sim_recorded (void)
-{
-  GHashTableIter it;
-  gpointer key, value;
-  guint n = 0;
-  g_hash_table_iter_init (&it, S.store);
-  while (g_hash_table_iter_next (&it, &key, &value))
-    if (g_str_has_prefix (key, RECORDS))
-      n += (guint) json_object_size (((Entry *) value)->value);
-  return n;
-}
-
-void
-sim_state_put (const char *key, const char *value)
-{
-  json_t *v = json_loads (value, JSON_DECODE_ANY, NULL);
-  S.revision++;
-  change (key, v, 0);
-  json_decref (v);
-  wake_follows ();
-}
-
-void
-sim_state_remove (const char *key)
-{
-  S.revision++;
-  change (key, NULL, 0);
-  wake_follows ();
-}
-
-gboolean
-sim_state_has (const char *key)
-{
-  return g_hash_table_contains (S.store, key);
-}
-
-guint64
-sim_state_mark (const char *key)
+/* --- nodes and life
+ * -------------------------------------------------------------------------------- */
+static KrSettings *
+settings (guint node)
 {
-  const Entry *e = g_hash_table_lookup (S.store, key);
-  return e ? e->mark : 0;
+  g_autoptr (GError) error = NULL;
+  json_t *root = world_settings (node);
+  KrSettings *s = kr_settings_from_json (root, &error);
+  g_assert_no_error (error);
+  json_decref (root);
+  return s;
 }
 
 void
-sim_state_slow (double seconds)
+sim_node_start (guint i)
 {
-  S.slow = seconds;
+  Node *n = &sim.nodes[i];
+  n->alive = TRUE;
+  n->life++;
+  n->settings = settings (i);
+  sim.current = (gint) i;
+  n->node = kr_node_new (n->settings, NULL);
+  sim.current = -1;
 }
 
+/* As the platform does it: no signal, nothing is told to anyone. */
 void
-sim_late_writes (double share)
+sim_node_kill (guint i)
 {
-  S.late_writes = share;
+  sim.nodes[i].alive = sim.nodes[i].hung = FALSE;
 }
 
 void
-sim_hold_commits (const char *prefix, guint n, double seconds)
-{
-  g_free (S.hold_prefix);
-  S.hold_prefix = g_strdup (prefix);
-  S.hold_commits = n;
-  S.hold_commits_s = seconds;
-}
-
-guint
-sim_commits_to_hold (void)
-{
-  return S.hold_commits;
-}
-
-/* Whether sim_hold_commits means it. */
-static gboolean
-held_commit (const Call *c)
+sim_node_hang (guint i, gboolean on)
 {
-  json_t *o;
-  size_t i;
-  if (!S.hold_commits)
-    return FALSE;
-  json_array_foreach (json_object_get (c->body, "Writes"), i, o)
-  {
-    const char *put = json_string_value (json_object_get (o, "Put"));
-    if (put && g_str_has_prefix (put, S.hold_prefix)) {
-      S.hold_commits--;
-      return TRUE;
-    }
+  Node *n = &sim.nodes[i];
+  if (n->hung && !on && world.now - n->hung_at > n->stall_us) {
+    sim.current = (gint) i;
+    n->stalled (n->stalled_data);
+    sim.current = -1;
   }
-  return FALSE;
+  n->hung = on;
+  n->hung_at = world.now;
 }
 
 void
-sim_state_refuse (guint node, gboolean on)
+sim_start (guint32 seed, const SimOptions *options)
 {
-  S.refuse[node] = on;
+  memset (&sim, 0, sizeof sim);
+  sim.queue = g_sequence_new (g_free);
+  sim.timers = g_hash_table_new (g_direct_hash, g_direct_equal);
+  sim.current = -1;
+  sim.servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  world_start (seed, options);
+  for (guint i = 0; i < world.o.nodes; i++)
+    sim_node_start (i);
 }
 
 void
-sim_lose_commit_answers (guint n)
-{
-  S.lose_commits = n;
-}
-
-/* The limits that the settings and the protocol tell. */
-static void
-check_size (const Call *c, json_t *writes)
-{
-  json_t *o;
-  size_t i;
-  g_assert_cmpuint (json_array_size (writes), <=, 12);
-  g_assert_cmpuint (json_array_size (json_object_get (c->body, "When")), <=, 48);
-  if (json_dumpb (c->body, NULL, 0, JSON_COMPACT) > TXN_BYTES)
-    broken ("a transaction of more than %d bytes", TXN_BYTES);
-  json_array_foreach (writes, i, o)
-  {
-    json_t *v = json_object_get (o, "Value");
-    if (v && json_dumpb (v, NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY) > S.o.value_kb * 1024)
-      broken ("a value of more than %g KiB: %s", S.o.value_kb,
-              json_string_value (json_object_get (o, "Put")));
-  }
-}
-
-static guint64
-lease_of (json_t *write)
-{
-  return (guint64) json_integer_value (json_object_get (write, "Permit"));
-}
-
-static gboolean
-leases_stand (json_t *writes)
-{
-  json_t *o;
-  size_t i;
-  json_array_foreach (writes, i, o)
-  {
-    guint64 lease = lease_of (o);
-    if (lease && !g_hash_table_contains (S.leases, &lease))
-      return FALSE;
-  }
-  return TRUE;
-}
-
-/* Keys that are not at the revision which the transaction names. */
-static json_t *
-conflicts (const Call *c)
-{
-  json_t *failed = json_array (), *o;
-  size_t i;
-  json_array_foreach (json_object_get (c->body, "When"), i, o)
-  {
-    const char *key = json_string_value (json_object_get (o, "Key"));
-    Entry *e = g_hash_table_lookup (S.store, key);
-    if ((guint64) json_integer_value (json_object_get (o, "Mark")) != (e ? e->mark : 0))
-      json_array_append_new (failed, json_string (key));
-  }
-  return failed;
-}
-
-/* A machine stands in one part's record at most: otherwise two owners start tasks on it. */
-static void
-check_records (void)
-{
-  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
-  GHashTableIter it;
-  gpointer key, value;
-  const char *id;
-  json_t *address;
-  g_hash_table_iter_init (&it, S.store);
-  while (g_hash_table_iter_next (&it, &key, &value)) {
-    if (!g_str_has_prefix (key, RECORDS))
-      continue;
-    json_object_foreach (((Entry *) value)->value, id, address)
-    {
-      if (!g_hash_table_add (seen, (gpointer) id))
-        broken ("in two records: %s", id);
-    }
-  }
-}
-
-static void
-carry_out_writes (json_t *writes)
-{
-  json_t *o;
-  size_t i;
-  gboolean records = FALSE;
-  S.revision++;
-  json_array_foreach (writes, i, o)
-  {
-    const char *put = json_string_value (json_object_get (o, "Put"));
-    if (put)
-      change (put, json_object_get (o, "Value"), lease_of (o));
-    else
-      change (json_string_value (json_object_get (o, "Remove")), NULL, 0);
-    records |= put && g_str_has_prefix (put, RECORDS);
-  }
-  if (records)
-    check_records ();
-}
-
-/* FALSE: more changes than the service takes. */
-static gboolean
-within_write_limit (json_t *writes)
-{
-  S.write_tokens = MIN (S.o.write_rps, S.write_tokens + (S.now - S.write_at) / 1e6 * S.o.write_rps);
-  S.write_at = S.now;
-  if (S.write_tokens < 0)
-    return FALSE;
-  S.write_tokens -= (double) json_array_size (writes);
-  return TRUE;
-}
-
-static void
-commit (Call *c)
-{
-  json_t *writes = json_object_get (c->body, "Writes");
-  check_size (c, writes);
-  if (!within_write_limit (writes)) {
-    answer_call (c, 429, NULL);
-    return;
-  }
-  if (!leases_stand (writes)) {
-    answer_call (c, 400, json_pack ("{ss}", "error", "no such lease"));
-    return;
-  }
-  json_t *failed = conflicts (c);
-  if (json_array_size (failed)) {
-    answer_call (c, 409,
-                 json_pack ("{so sI}", "failed", failed, "Ledger", (json_int_t) S.revision));
-    return;
-  }
-  json_decref (failed);
-  carry_out_writes (writes);
-  if (S.lose_commits)
-    S.lose_commits--;
-  else
-    answer_call (c, 200, json_pack ("{sI}", "Ledger", (json_int_t) S.revision));
-  later (0, wake_later, NULL);
-}
-
-static gboolean
-commit_late (gpointer data)
-{
-  Call *c = data;
-  if (!S.outage)
-    commit (c);
-  return FALSE;
-}
-
-static char *
-query (const char *path, const char *name)
-{
-  g_autofree char *want = g_strconcat (name, "=", NULL);
-  const char *q = strchr (path, '?');
-  g_auto (GStrv) parts = g_strsplit (q ? q + 1 : "", "&", -1);
-  for (char **p = parts; *p; p++)
-    if (g_str_has_prefix (*p, want))
-      return g_strdup (*p + strlen (want));
-  return NULL;
-}
-
-static int
-by_text (gconstpointer a, gconstpointer b)
-{
-  return strcmp (a, b);
-}
-
-static void
-scan (Call *c)
-{
-  g_autofree char *prefix = query (c->path, "Prefix"), *after = query (c->path, "From");
-  g_autoptr (GList) keys = g_list_sort (g_hash_table_get_keys (S.store), by_text);
-  json_t *items = json_array ();
-  for (GList *l = keys; l; l = l->next) {
-    Entry *e = g_hash_table_lookup (S.store, l->data);
-    if (g_str_has_prefix (l->data, prefix) && (!after || strcmp (l->data, after) > 0))
-      json_array_append_new (items, json_pack ("{ss sO sI}", "Key", l->data, "Value", e->value,
-                                               "Mark", (json_int_t) e->mark));
-  }
-  answer_call (
-      c, 200,
-      json_pack ("{so sb sI}", "Items", items, "More", 0, "Ledger", (json_int_t) S.revision));
-}
-
-guint
-sim_state_requests (void)
-{
-  return S.state_requests;
-}
-
-static void
-state_answer (Call *c)
-{
-  S.state_requests++;
-  if (refused (c->from) && !g_str_has_prefix (c->path, "/follow")) {
-    answer_call (c, 503, NULL);
-  } else if (g_str_has_prefix (c->path, "/store?"))
-    scan (c);
-  else if (g_str_has_prefix (c->path, "/store/")) {
-    Entry *e = g_hash_table_lookup (S.store, c->path + strlen ("/store/"));
-    if (e)
-      answer_call (c, 200,
-                   json_pack ("{ss sO sI}", "Key", c->path + strlen ("/store/"), "Value", e->value,
-                              "Mark", (json_int_t) e->mark));
-    else
-      answer_call (c, 404, json_pack ("{sI}", "Ledger", (json_int_t) S.revision));
-  } else if (g_str_equal (c->path, "/commit") && held_commit (c))
-    later (S.hold_commits_s, commit_late, c);
-  else if (g_str_equal (c->path, "/commit") && g_rand_double (S.rng) < S.late_writes)
-    later (g_rand_double_range (S.rng, 2, 12), commit_late, c);
-  else if (g_str_equal (c->path, "/commit"))
-    commit (c);
-  else if (g_str_has_prefix (c->path, "/follow")) {
-    Follow *f = g_new (Follow, 1);
-    g_autofree char *from = query (c->path, "From"), *hold = query (c->path, "HoldMs");
-    *f = (Follow){ c, query (c->path, "Prefix"), g_ascii_strtoull (from, NULL, 10),
-                   S.now + (gint64) atoi (hold) * 1000 };
-    g_ptr_array_add (S.follows, f);
-    wake_follows ();
-  } else if (g_str_has_prefix (c->path, "/leases")) {
-    guint64 id = g_ascii_strtoull (c->path + strlen ("/leases") + (c->path[7] == '/'), NULL, 10);
-    guint ms = (guint) json_integer_value (json_object_get (c->body, "LifeMs"));
-    if (id && !g_hash_table_contains (S.leases, &id)) {
-      answer_call (c, 404, NULL);
-      return;
-    }
-    if (!id)
-      id = ++S.next_lease;
-    Lease *l = g_new (Lease, 1);
-    *l = (Lease){ S.now + (gint64) ms * 1000, ms };
-    g_hash_table_replace (S.leases, g_memdup2 (&id, sizeof id), l);
-    answer_call (c, 200, json_pack ("{sI}", "Permit", (json_int_t) id));
-  } else
-    answer_call (c, 400, NULL);
-}
-
-/* --- machines --------------------------------------------------------------------------------- */
-typedef struct {
-  char *job;
-  guint index;
-  guint64 attempt;
-  const char *state, *why; /* pulling, running, exited */
-  gint64 starts, ends;
-  gboolean fails;
-  gpointer on; /* its machine */
-} Task;
-
-typedef struct {
-  char *id, *address, *zone;
-  gint64 rented, up_at;
-  gint64 began; /* its first task started; 0: not yet */
-  gboolean up, dead, sick, hangs, mute;
-  gboolean busy;        /* a report is under way */
-  double slow;          /* times as long as a job's run time; 0: as long */
-  double report_late_s; /* of the next report on its way */
-  guint64 session, seq, token;
-  guint unheard;
-  gint64 last_ok, next_beat, last_beat, sent;
-  guint node; /* reports to */
-  GPtrArray *tasks;
-  json_t *kept, *kept_before; /* reports: of at most ten seconds ago, and one before */
-  gint64 kept_at;
-} Machine;
-
-/* A user's job and what the checker knows of it. */
-typedef struct {
-  char *id, *team;
-  SimPlacing placing;
-  guint tasks;
-  double cpus, run_s;
-  json_t *body;
-  gboolean accepted, aborting, mistaken;
-  gboolean late; /* it has not begun in time */
-  char *told;
-  gint64 cancelled_at;
-  guint8 *completed;
-  guint n_completed;
-  gint64 complete_at;
-  gint64 accepted_at; /* its user was told so first */
-  gint64 answered_at; /* a question about it was answered last */
-  gint64 began_at;    /* its first task started; 0: not yet */
-  gint64 submitted_at;
-  gint64 asked_at; /* when what user_step asked last was sent */
-  gint64 over_at;  /* when it was told that it is over */
-  gint64 room_at;  /* since when it has waited beside room; 0: it does not */
-} User;
-
-/* It is not on its machine any more. */
-static void
-task_off (Task *t)
-{
-  g_autofree char *key = g_strdup_printf ("%s/%u", t->job, t->index);
-  if (g_hash_table_lookup (S.running, key) == t)
-    g_hash_table_remove (S.running, key);
-}
-
-static void
-task_free (gpointer p)
-{
-  task_off (p);
-  g_free (((Task *) p)->job);
-  g_free (p);
-}
-
-static Task *
-task_find (Machine *m, const char *job, guint index, guint64 attempt)
+sim_stop (void)
 {
-  for (guint i = 0; i < m->tasks->len; i++) {
-    Task *t = m->tasks->pdata[i];
-    if (t->index == index && t->attempt == attempt && g_str_equal (t->job, job))
-      return t;
-  }
-  return NULL;
+  g_sequence_free (sim.queue);
+  g_hash_table_unref (sim.timers);
+  world_stop ();
 }
 
-/* Given where the job's other tasks are; this one counts already. */
-static void
-check_place (const Machine *m, const User *u)
+char *
+world_node_address (guint node, guint port)
 {
-  GHashTableIter it;
-  gpointer value;
-  guint here = 0, all = 0;
-  if (!u || u->placing == SIM_ANYWHERE)
-    return;
-  g_hash_table_iter_init (&it, S.running);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const Task *t = value;
-    if (!g_str_equal (t->job, u->id))
-      continue;
-    all++;
-    here += g_str_equal (((Machine *) t->on)->zone, m->zone);
-  }
-  if (u->placing == SIM_ONE_ZONE ? here != all : here > (u->tasks + 1) / 2)
-    broken ("wrong_place: %s has %u of %u in %s", u->id, here, all, m->zone);
+  return g_strdup_printf ("10.0.0.%u:%u", node + 1, port);
 }
 
-/* What the rules forbid at a start: a second copy, a limit passed, a cancelled job. */
-static void
-check_start (Machine *m, Task *t)
+char *
+world_machine_address (guint number)
 {
-  User *u = g_hash_table_lookup (S.jobs, t->job);
-  GHashTableIter it;
-  gpointer value;
-  double used = 0;
-
-  char *key = g_strdup_printf ("%s/%u", t->job, t->index);
-  const Task *twin = g_hash_table_lookup (S.running, key);
-
-  S.started++;
-  if (u && !u->began_at)
-    u->began_at = S.now;
-  if (twin)
-    broken ("ran_twice: %s on %s and %s", key, ((Machine *) twin->on)->id, m->id);
-  t->on = m;
-  if (!m->began)
-    m->began = S.now;
-  g_hash_table_replace (S.running, key, t);
-  g_hash_table_iter_init (&it, S.running);
-  while (S.o.team_limit > 0 && g_hash_table_iter_next (&it, NULL, &value)) {
-    User *v = g_hash_table_lookup (S.jobs, ((Task *) value)->job);
-    if (v && u && g_str_equal (v->team, u->team))
-      used += v->cpus;
-  }
-  if (u && S.o.team_limit > 0 && used > S.o.team_limit + 1e-6)
-    broken ("quota: %s uses %g", u->team, used);
-  check_place (m, u);
-  /* Stricter than the rule: none may start once its user was told. */
-  if (u && u->cancelled_at)
-    broken ("started_cancelled: %s/%u starts on %s", t->job, t->index, m->id);
+  return g_strdup_printf ("10.1.0.%u:9000", number);
 }
 
-static json_t *
-report (Machine *m)
+gboolean
+world_node_alive (guint node)
 {
-  json_t *a = json_array ();
-  for (guint i = 0; i < m->tasks->len; i++) {
-    Task *t = m->tasks->pdata[i];
-    json_t *o = json_pack ("{so sI ss}", "Shift", json_sprintf ("%s/%u", t->job, t->index),
-                           "Launch", (json_int_t) t->attempt, "Bearing", t->state);
-    if (t->why)
-      json_object_set_new (o, "Wreck", json_string (t->why));
-    json_array_append_new (a, o);
-  }
-  return json_pack ("{ss ss ss ss sb sI sI sI sn so}", "Berth", m->id, "Endpoint", m->address,
-                    "Hull", "t8", "Harbor", m->zone, "Driftwood", 1, "Watch",
-                    (json_int_t) m->session, "Log", (json_int_t) ++m->seq, "Helm",
-                    (json_int_t) m->token, "RecallS", "Shifts", a);
+  return sim.nodes[node].alive;
 }
 
-static void
-beat_soon (Machine *m)
+char *
+world_state_address (guint node)
 {
-  m->next_beat = MIN (m->next_beat, MAX (S.now, m->last_beat + 500000));
+  return g_strdup (STATE_ADDRESS);
 }
 
-static void
-start_if_due (Machine *m, Task *t)
+char *
+world_cloud_address (guint node)
 {
-  const User *u = g_hash_table_lookup (S.jobs, t->job);
-  if (!g_str_equal (t->state, "pulling") || S.now < t->starts)
-    return;
-  t->state = "running";
-  double run_s = u->run_s * g_rand_double_range (S.rng, 1 - S.o.vary, 1 + S.o.vary + 1e-9);
-  t->fails = m->sick || u->mistaken;
-  t->ends = S.now + (gint64) ((t->fails ? 0.2 : run_s * (m->slow > 0 ? m->slow : 1)) * 1e6);
-  check_start (m, t);
-  beat_soon (m);
+  return g_strdup (CLOUD_ADDRESS);
 }
 
-static void
-execute (Machine *m, json_t *orders)
-{
-  json_t *o;
-  size_t i;
-  json_array_foreach (orders, i, o)
-  {
-    const char *word = json_string_value (json_object_get (o, "Order"));
-    const char *shift = json_string_value (json_object_get (o, "Shift"));
-    const char *slash = strrchr (shift, '/');
-    g_autofree char *job = g_strndup (shift, slash - shift);
-    guint index = (guint) atoi (slash + 1);
-    guint64 attempt = (guint64) json_integer_value (json_object_get (o, "Launch"));
-    Task *t = task_find (m, job, index, attempt);
-    User *u = g_hash_table_lookup (S.jobs, job);
-    if (g_str_equal (word, "run") && !t) {
-      double used = 0;
-      gboolean here = FALSE;
-      for (guint k = 0; k < m->tasks->len; k++) {
-        Task *x = m->tasks->pdata[k];
-        User *v = g_hash_table_lookup (S.jobs, x->job);
-        if (g_str_equal (x->state, "exited"))
-          continue;
-        used += v ? v->cpus : 0;
-        here |= x->index == index && g_str_equal (x->job, job);
-      }
-      t = g_new0 (Task, 1);
-      *t = (Task){ g_strdup (job), index, attempt, "pulling", NULL, 0, 0, FALSE, NULL };
-      g_ptr_array_add (m->tasks, t);
-      if (!u || here || used + u->cpus > S.o.machine_cpus + 1e-6) {
-        t->state = "exited";
-        t->why = !u ? "unknown" : here ? "in_use" : "no_room";
-      } else {
-        t->starts = S.now + (gint64) (S.o.fetch_s * 1e6);
-        start_if_due (m, t);
-      }
-    } else if (g_str_equal (word, "kill") && t && !g_str_equal (t->state, "exited")) {
-      t->state = "exited";
-      t->why = "stopped";
-      task_off (t);
-    } else if (g_str_equal (word, "clear") && t && g_str_equal (t->state, "exited"))
-      g_ptr_array_remove (m->tasks, t);
-    else
-      continue;
-    beat_soon (m);
-  }
-}
-
-static void
-see_token (Machine *m, guint64 token)
-{
-  if (token > m->token) {
-    m->token = token;
-    beat_soon (m);
-  }
-}
-
-typedef struct {
-  Machine *m;
-  guint64 session;
-} Beat;
-
-static void
-beat_done (guint status, json_t *body, gpointer data)
-{
-  Beat *b = data;
-  Machine *m = b->m;
-  guint64 token = (guint64) json_integer_value (json_object_get (body, "Helm"));
-
-  m->busy = FALSE;
-  if (m->hangs) { /* given up by the time it goes on */
-    g_free (b);
-    return;
-  }
-  if (status == 200 && b->session == m->session) {
-    if (token >= m->token && token) {
-      m->last_ok = m->sent;
-      see_token (m, token);
-      execute (m, json_object_get (body, "Orders"));
-    }
-  } else if (status != 200) {
-    const char *to = json_string_value (json_object_get (body, "Harbormaster"));
-    m->next_beat = S.now + 1000000;
-    if (status == 421 && to && atoi (to + strlen ("berth-")) != (int) m->node) {
-      m->node = (guint) atoi (to + strlen ("berth-"));
-      m->next_beat = S.now + 100000;
-    } else
-      m->node = (m->node + 1) % S.o.nodes;
-  }
-  g_free (b);
-}
-
-static void
-copy_answered (guint status, json_t *body, gpointer data)
-{
-}
-
-/* For sim_old_reports. */
-#define KEEP_US 10000000
-
-static void
-keep_report (Machine *m, json_t *report)
-{
-  if (m->kept && S.now - m->kept_at < KEEP_US)
-    return;
-  json_decref (m->kept_before);
-  m->kept_before = m->kept;
-  m->kept = json_deep_copy (report);
-  m->kept_at = S.now;
-}
-
-static void
-send_old_report (Machine *m)
-{
-  if (!m->kept_before)
-    return;
-  for (guint i = 0; i < S.o.nodes; i++) {
-    g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", i + 1);
-    call_new (m->id, "POST", address, "/agent/beat", json_deep_copy (m->kept_before), 4,
-              copy_answered, NULL);
-  }
-}
-
-void
-sim_old_reports (void)
-{
-  g_autoptr (GList) ids = g_list_sort (g_hash_table_get_keys (S.machines), by_text);
-  for (GList *l = ids; l; l = l->next)
-    send_old_report (g_hash_table_lookup (S.machines, l->data));
-}
-
-static gboolean
-copy_arrives (gpointer data)
-{
-  Copy *c = data;
-  copying = TRUE;
-  call_new (c->from, c->method, c->to, c->path, c->body, 4, copy_answered, NULL);
-  copying = FALSE;
-  g_free (c->from);
-  g_free (c->method);
-  g_free (c->to);
-  g_free (c->path);
-  g_free (c);
-  return FALSE;
-}
-
-static gboolean
-machine_step (gpointer data)
-{
-  Machine *m = data;
-  if (m->dead)
-    return FALSE;
-  later (S.o.step_s > 0 ? S.o.step_s : 0.05, machine_step, m);
-  if (S.now < m->up_at)
-    return FALSE;
-  if (!m->up) {
-    m->up = TRUE;
-    m->session = 1;
-    m->last_ok = m->next_beat = S.now;
-  }
-  if (S.now - m->last_ok > (gint64) (S.o.lease_s * 1e6)) {
-    g_ptr_array_set_size (m->tasks, 0);
-    m->session++;
-    m->last_ok = S.now;
-    beat_soon (m);
-  }
-  /* Its lease runs on: it may go on only within it. */
-  if (m->hangs)
-    return FALSE;
-  for (guint i = 0; i < m->tasks->len; i++) {
-    Task *t = m->tasks->pdata[i];
-    User *u = g_hash_table_lookup (S.jobs, t->job);
-    start_if_due (m, t);
-    if (!g_str_equal (t->state, "running"))
-      continue;
-    if (u && u->cancelled_at && S.now - u->cancelled_at > (gint64) (S.o.cancel_s * 1e6)) {
-      broken ("ran_cancelled: %s/%u still on %s", t->job, t->index, m->id);
-      u->cancelled_at = G_MAXINT64 / 2; /* once */
-    }
-    if (S.now < t->ends)
-      continue;
-    t->state = "exited";
-    t->why = t->fails ? "error" : "done";
-    task_off (t);
-    if (!t->fails && u && !u->completed[t->index]) {
-      u->completed[t->index] = 1;
-      u->n_completed++;
-      u->complete_at = S.now;
-    }
-    beat_soon (m);
-  }
-  if (!m->busy && S.now >= m->next_beat && m->mute) {
-    m->node = (m->node + 1) % S.o.nodes;
-    m->next_beat = S.now + 1000000;
-  } else if (!m->busy && S.now >= m->next_beat) {
-    g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", m->node + 1);
-    Beat *b = g_new (Beat, 1);
-    *b = (Beat){ m, m->session };
-    m->busy = TRUE;
-    m->sent = m->last_beat = S.now;
-    m->next_beat = S.now + (gint64) (S.o.report_s * g_rand_double_range (S.rng, 0.75, 1.25) * 1e6);
-    json_t *r = report (m);
-    keep_report (m, r);
-    if (g_rand_double (S.rng) < S.o.copies)
-      copy_of (m->id, "POST", address, "/agent/beat", r);
-    call_new_late (m->id, "POST", address, "/agent/beat", r, 4, m->report_late_s, beat_done, b);
-    m->report_late_s = 0;
-  }
-  return FALSE;
-}
-
-static void machine_answer (Call *c);
-
-static gboolean
-machine_asked (gpointer call)
-{
-  machine_answer (call);
-  return FALSE;
-}
-
-/* 409: nothing was done. */
-static guint
-carry_out (Machine *m, Call *c)
-{
-  guint64 token = (guint64) json_integer_value (json_object_get (c->body, "Helm"));
-  guint64 session = (guint64) json_integer_value (json_object_get (c->body, "Watch"));
-  if (token < m->token || session != m->session)
-    return 409;
-  see_token (m, token);
-  execute (m, json_object_get (c->body, "Orders"));
-  return 200;
-}
-
-static gboolean
-command_late (gpointer call)
-{
-  Call *c = call;
-  Machine *m = g_hash_table_lookup (S.machines, c->to);
-  if (m && !m->dead)
-    carry_out (m, c);
-  return FALSE;
-}
-
-static void
-machine_answer (Call *c)
-{
-  Machine *m = g_hash_table_lookup (S.machines, c->to);
-  if (!m || m->dead || !m->up)
-    return;
-  if (m->hangs) { /* the asker has given up by then, the machine goes by token and session */
-    later (0.05, machine_asked, c);
-    return;
-  }
-  if (g_str_equal (c->path, "/show")) {
-    answer_call (c, 200, report (m));
-    return;
-  }
-  if (g_rand_double (S.rng) < S.late_commands) {
-    later (g_rand_double_range (S.rng, 2, 16), command_late, c);
-    return;
-  }
-  guint status = carry_out (m, c);
-  answer_call (c, status, report (m));
-}
-
-void
-sim_late_commands (double share)
-{
-  S.late_commands = share;
-}
-
-static void
-machine_new (const char *zone)
-{
-  Machine *m = g_new0 (Machine, 1);
-  m->zone = g_strdup (zone);
-  m->id = g_strdup_printf ("host-%06u", S.next_machine);
-  m->address = g_strdup_printf ("10.1.0.%u:9000", S.next_machine++);
-  m->rented = S.now;
-  double least = S.o.boot_max_s > 0 ? S.o.boot_min_s : 6;
-  double most = S.o.boot_max_s > 0 ? S.o.boot_max_s : 15;
-  m->up_at = S.now + g_rand_int_range (S.rng, (gint32) (least * 1e6), (gint32) (most * 1e6));
-  if (S.boots_fail)
-    m->up_at = G_MAXINT64;
-  m->tasks = g_ptr_array_new_with_free_func (task_free);
-  m->node = (guint) g_rand_int_range (S.rng, 0, (gint32) S.o.nodes);
-  g_hash_table_insert (S.machines, m->id, m);
-  S.alive++;
-  machine_step (m);
-}
-
-void
-sim_machine_kill (const char *id)
-{
-  Machine *m = g_hash_table_lookup (S.machines, id);
-  S.alive -= !m->dead;
-  m->dead = TRUE;
-  g_ptr_array_set_size (m->tasks, 0);
-}
-
-void
-sim_machine_sick (const char *id, gboolean sick)
-{
-  ((Machine *) g_hash_table_lookup (S.machines, id))->sick = sick;
-}
-
-void
-sim_machine_slow (const char *id, double factor)
-{
-  ((Machine *) g_hash_table_lookup (S.machines, id))->slow = factor;
-}
-
-void
-sim_machine_hang (const char *id, gboolean on)
-{
-  ((Machine *) g_hash_table_lookup (S.machines, id))->hangs = on;
-}
-
-void
-sim_machine_mute (const char *id, gboolean on)
-{
-  ((Machine *) g_hash_table_lookup (S.machines, id))->mute = on;
-}
-
-void
-sim_delay_report (const char *id, double seconds)
-{
-  ((Machine *) g_hash_table_lookup (S.machines, id))->report_late_s = seconds;
-}
-
-gboolean
-sim_report_under_way (const char *id)
-{
-  return ((Machine *) g_hash_table_lookup (S.machines, id))->busy;
-}
-
-void
-sim_boots_fail (gboolean on)
-{
-  S.boots_fail = on;
-}
-
-double
-sim_longest_boot (void)
-{
-  GHashTableIter it;
-  gpointer value;
-  gint64 most = 0;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const Machine *m = value;
-    if (!m->up && !m->dead)
-      most = MAX (most, S.now - m->rented);
-  }
-  return most / 1e6;
-}
-
-char **
-sim_machine_names (const char *zone)
-{
-  g_autoptr (GList) ids = g_list_sort (g_hash_table_get_keys (S.machines), by_text);
-  GPtrArray *names = g_ptr_array_new ();
-  for (GList *l = ids; l; l = l->next) {
-    const Machine *m = g_hash_table_lookup (S.machines, l->data);
-    if (m->up && !m->dead && (!zone || g_str_equal (m->zone, zone)))
-      g_ptr_array_add (names, g_strdup (m->id));
-  }
-  g_ptr_array_add (names, NULL);
-  return (char **) g_ptr_array_free (names, FALSE);
-}
-
-const char *
-sim_machine_of (const char *job)
-{
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const Machine *m = value;
-    for (guint i = 0; i < m->tasks->len; i++)
-      if (g_str_equal (((Task *) m->tasks->pdata[i])->job, job))
-        return m->id;
-  }
-  return NULL;
-}
-
-double
-sim_slowest_begin (void)
-{
-  GHashTableIter it;
-  gpointer value;
-  double most = 0;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const Machine *m = value;
-    if (m->up && !m->dead)
-      most = MAX (most, ((m->began ? m->began : S.now) - m->up_at) / 1e6);
-  }
-  return most;
-}
-
-static const char *
-by_tasks (gboolean most)
-{
-  GHashTableIter it;
-  gpointer value;
-  Machine *best = NULL;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    Machine *m = value;
-    if (m->dead || !m->up || !m->tasks->len)
-      continue;
-    if (!best || (most ? m->tasks->len > best->tasks->len : m->tasks->len < best->tasks->len))
-      best = m;
-  }
-  return best ? best->id : NULL;
-}
-
-static void
-count_unheard (const char *machine)
-{
-  Machine *m = g_hash_table_lookup (S.machines, machine);
-  if (m)
-    m->unheard++;
-}
-
-guint
-sim_unheard (const char *id)
-{
-  GHashTableIter it;
-  gpointer value;
-  guint n = 0;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    n += !id || g_str_equal (((Machine *) value)->id, id) ? ((Machine *) value)->unheard : 0;
-  return n;
-}
-
-const char *
-sim_busiest_machine (void)
-{
-  return by_tasks (TRUE);
-}
-
-const char *
-sim_idlest_machine (void)
-{
-  return by_tasks (FALSE);
-}
-
-gboolean
-sim_machine_lives (const char *id)
-{
-  const Machine *m = g_hash_table_lookup (S.machines, id);
-  return m && !m->dead;
-}
-
-guint
-sim_machines (void)
-{
-  return S.alive;
-}
-
-guint
-sim_tasks_running (const char *job)
-{
-  GHashTableIter it;
-  gpointer value;
-  guint n = 0;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    Machine *m = value;
-    for (guint i = 0; i < m->tasks->len; i++) {
-      Task *t = m->tasks->pdata[i];
-      n += (!job || g_str_equal (t->job, job)) && g_str_equal (t->state, "running");
-    }
-  }
-  return n;
-}
-
-/* --- the cloud ---------------------------------------------------------------------------------
- */
-static void
-cloud_answer (Call *c)
-{
-  json_t *o, *a = json_array ();
-  size_t i;
-
-  if (g_str_equal (c->path, "/machine_types")) {
-    json_t *zones = json_array ();
-    for (guint z = 0; z < MAX (1, S.o.zones); z++)
-      json_array_append_new (zones, json_sprintf ("z%u", z));
-    answer_call (c, 200,
-                 json_pack ("{s[{ss sf sf sf sf sf sf sf sf so}]}", "Hulls", "Name", "t8", "Cores",
-                            (double) S.o.machine_cpus, "Accelerators", 0.0, "MemGb", 64.0,
-                            "CacheGb", 50.0, "PullGbPerS", 1.0, "Rate", 1.0, "MarketPrice",
-                            S.o.spot_price, "ReadyS", 10.0, "Harbors", zones));
-  } else if (g_str_equal (c->path, "/rentals/delete")) {
-    json_array_foreach (json_object_get (c->body, "Berths"), i, o)
-    {
-      Machine *m = g_hash_table_lookup (S.machines, json_string_value (o));
-      if (m && !m->dead)
-        sim_machine_kill (m->id);
-    }
-    answer_call (c, 200, json_object ());
-  } else if (g_str_equal (c->path, "/rentals")) {
-    const char *charter = json_string_value (json_object_get (c->body, "Charter"));
-    json_t *known = g_hash_table_lookup (S.charters, charter);
-    guint n = (guint) json_integer_value (json_object_get (c->body, "Number"));
-    if (!known) {
-      known = json_array ();
-      for (guint k = 0; k < n && sim_machines () < S.o.machines; k++) {
-        json_array_append_new (known, json_sprintf ("host-%06u", S.next_machine));
-        machine_new (json_string_value (json_object_get (c->body, "Harbor")));
-      }
-      if (json_array_size (known) == 0) {
-        answer_call (c, 503, json_pack ("{ss}", "error", "no capacity"));
-        return;
-      }
-      g_hash_table_insert (S.charters, g_strdup (charter), known);
-    }
-    answer_call (c, 200, json_pack ("{sO}", "Berths", known));
-  } else {
-    g_autoptr (GList) ids = g_list_sort (g_hash_table_get_keys (S.machines), by_text);
-    for (GList *l = ids; l; l = l->next) {
-      Machine *m = g_hash_table_lookup (S.machines, l->data);
-      /* Two seconds old: new ones are missing, and dead ones still there only for that long. */
-      if (!m->dead && S.now - m->rented > 2000000)
-        json_array_append_new (
-            a, json_pack ("{ss ss ss ss sb ss sf}", "Id", m->id, "Endpoint", m->address, "Hull",
-                          "t8", "Harbor", m->zone, "Driftwood", 1, "Bearing",
-                          m->up ? "running" : "starting", "HeldS", (S.now - m->rented) / 1e6));
-    }
-    answer_call (c, 200, json_pack ("{sO sb}", "Berths", a, "More", 0));
-  }
-  json_decref (a);
-}
-
-static void
-world_answer (Call *c)
-{
-  if (g_str_equal (c->to, "state"))
-    state_answer (c);
-  else if (g_str_equal (c->to, "cloud"))
-    cloud_answer (c);
-  else if (g_str_has_prefix (c->to, "host-"))
-    machine_answer (c);
-}
-
-/* --- users --------------------------------------------------------------------------------------
- */
-static gboolean user_step (gpointer data);
-
-/* Any node that lives, as the balancer would choose. */
-static char *
-some_node (void)
-{
-  guint n = (guint) g_rand_int_range (S.rng, 0, (gint32) S.o.nodes);
-  for (guint i = 0; i < S.o.nodes && !S.nodes[n].alive; i++)
-    n = (n + 1) % S.o.nodes;
-  return g_strdup_printf ("10.0.0.%u:8080", n + 1);
-}
-
-/* No question about it answered for 75 s, although there are no troubles. */
-static void
-check_known (User *u)
-{
-  if (!S.calm_at || !u->accepted || S.now - MAX (u->answered_at, S.calm_at) <= 75000000)
-    return;
-  broken ("forgotten: no answer about %s for 75 s", u->id);
-  u->answered_at = S.now;
-}
-
-static gboolean
-over (const User *u)
-{
-  return g_str_equal (u->told, "done") || g_str_equal (u->told, "cancelled");
-}
-
-/* Tasks of a job that are fetching or running, in a zone or (zone NULL) on a machine. */
-static guint
-tasks_in (const User *u, const char *zone, const Machine *only)
-{
-  GHashTableIter it;
-  gpointer value;
-  guint n = 0;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const Machine *m = value;
-    if (!m || (zone ? !g_str_equal (m->zone, zone) : m != only))
-      continue;
-    for (guint i = 0; i < m->tasks->len; i++) {
-      const Task *t = m->tasks->pdata[i];
-      n += g_str_equal (t->job, u->id) && !g_str_equal (t->state, "exited");
-    }
-  }
-  return n;
-}
-
-/* Of a team, or on a machine: what is fetching or running. */
-static double
-cpus_in_use (const Machine *m, const char *team)
-{
-  double used = 0;
-  for (guint i = 0; i < m->tasks->len; i++) {
-    const Task *t = m->tasks->pdata[i];
-    const User *u = g_hash_table_lookup (S.jobs, t->job);
-    if (u && !g_str_equal (t->state, "exited") && (!team || g_str_equal (u->team, team)))
-      used += u->cpus;
-  }
-  return used;
-}
-
-/* Whether a task of it could start now: not all are done or on machines, its team is under its
- * limit, and a machine that fits has room. */
-static gboolean
-could_start (const User *u)
-{
-  GHashTableIter it;
-  gpointer value;
-  double team = 0;
-  guint on = 0, here, most = (u->tasks + 1) / 2;
-  gboolean room = FALSE;
-
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    team += cpus_in_use (value, u->team);
-    on += tasks_in (u, NULL, value);
-  }
-  if (u->n_completed + on >= u->tasks ||
-      (S.o.team_limit > 0 && team + u->cpus > S.o.team_limit + 1e-6))
-    return FALSE;
-  g_hash_table_iter_init (&it, S.machines);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    const Machine *m = value;
-    here = tasks_in (u, m->zone, NULL);
-    room |= m->up && !m->dead && cpus_in_use (m, NULL) + u->cpus <= S.o.machine_cpus + 1e-6 &&
-            (u->placing != SIM_ONE_ZONE || here == on) && (u->placing != SIM_APART || here < most);
-  }
-  return room;
-}
-
-/* The largest jobs have to begin within four minutes, and so does every other here. */
-static void
-check_begun (User *u)
-{
-  if (u->began_at || !u->accepted || u->aborting || u->late ||
-      S.now - MAX (u->submitted_at, S.calm_at) <= 240000000)
-    return;
-  broken ("not_begun: nothing of %s for 240 s", u->id);
-  u->late = TRUE;
-}
-
-static gboolean
-check_waiting (gpointer data)
-{
-  GHashTableIter it;
-  gpointer value;
-  later (1, check_waiting, NULL);
-  g_hash_table_iter_init (&it, S.jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    User *u = value;
-    check_begun (u);
-    if (!u->accepted || u->aborting || over (u) || !could_start (u)) {
-      u->room_at = 0;
-      continue;
-    }
-    if (!u->room_at)
-      u->room_at = S.now;
-    if (S.now - u->room_at > 90000000) {
-      broken ("waits: %s for 90 s beside room", u->id);
-      u->room_at = S.now;
-    }
-  }
-  return FALSE;
-}
-
-void
-sim_calm (void)
-{
-  if (!S.calm_at)
-    check_waiting (NULL);
-  S.calm_at = S.now;
-}
-
-double
-sim_began (const char *id)
-{
-  const User *u = g_hash_table_lookup (S.jobs, id);
-  return u->began_at ? (u->began_at - u->submitted_at) / 1e6 : -1;
-}
-
-static void look_everywhere (User *u);
-
-static void
-tell (User *u, const char *word, gint64 asked_at)
-{
-  gboolean final = over (u);
-  u->answered_at = S.now;
-  if (final && asked_at < u->over_at)
-    return; /* asked before: the two answers overtook each other */
-  if (final && !g_str_equal (u->told, word))
-    broken ("went_back: %s was %s, is %s", u->id, u->told, word);
-  if (g_str_equal (word, "done") && u->n_completed < u->tasks)
-    broken ("not_done: %s with %u of %u", u->id, u->n_completed, u->tasks);
-  if (g_str_equal (word, "cancelled") && !u->aborting)
-    broken ("went_back: %s was not cancelled by its user", u->id);
-  if (g_str_equal (word, "cancelled") && !u->cancelled_at)
-    u->cancelled_at = S.now;
-  g_free (u->told);
-  u->told = g_strdup (word);
-  if (!final && over (u)) {
-    u->over_at = S.now;
-    look_everywhere (u);
-  }
-}
-
-/* One of the questions that users ask at all nodes right after news. */
-typedef struct {
-  User *user;
-  guint node;
-  gboolean submits; /* it repeats the submission */
-  gint64 asked_at;
-} Look;
-
-static void
-looked (guint status, json_t *body, gpointer data)
-{
-  g_autofree Look *look = data;
-  User *u = look->user;
-  const char *word = json_string_value (json_object_get (body, "Bearing"));
-  if (status == 400 || status == 404 || status == 422)
-    broken ("forgotten: %s gets %u at n%u", u->id, status, look->node);
-  else if (status == 200 && word)
-    tell (u, word, look->asked_at);
-}
-
-static gboolean
-look (gpointer data)
-{
-  Look *l = data;
-  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", l->node + 1);
-  g_autofree char *poll = g_strdup_printf ("/api/jobs/%s", l->user->id);
-  l->asked_at = S.now;
-  if (l->submits)
-    call_new ("user", "POST", address, "/api/jobs", json_incref (l->user->body), 5, looked, l);
-  else
-    call_new ("user", "GET", address, poll, NULL, 2, looked, l);
-  return FALSE;
-}
-
-static void
-look_everywhere (User *u)
-{
-  for (guint i = 0; S.o.close_looks && i < 2 * S.o.nodes; i++) {
-    Look *l = g_new (Look, 1);
-    *l = (Look){ u, i / 2, i % 2, 0 };
-    later (g_rand_double_range (S.rng, 0, 0.02), look, l);
-  }
-}
-
-static void
-accept (User *u)
-{
-  gboolean first = !u->accepted;
-  u->accepted = TRUE;
-  u->answered_at = S.now;
-  if (!first)
-    return;
-  u->accepted_at = S.now;
-  look_everywhere (u);
-}
-
-/* Its user wants it cancelled, and was not yet told that it is. */
-static gboolean
-cancelling (const User *u)
-{
-  return u->aborting && !over (u);
-}
-
-static void
-polled (guint status, json_t *body, gpointer data)
-{
-  User *u = data;
-  const char *word = json_string_value (json_object_get (body, "Bearing"));
-  if (status == 200 && word)
-    tell (u, word, u->asked_at);
-  else if (status == 404)
-    broken ("forgotten: %s gets 404", u->id);
-  later (cancelling (u) ? 1 : 5, user_step, u);
-}
-
-static void
-submitted (guint status, json_t *body, gpointer data)
-{
-  User *u = data;
-  const char *word = json_string_value (json_object_get (body, "Bearing"));
-  if (status == 200 || status == 201) {
-    accept (u);
-    if (word)
-      tell (u, word, u->asked_at);
-  } else if (u->accepted && (status == 400 || status == 422))
-    broken ("forgotten: %s is refused", u->id);
-  later (u->accepted && !cancelling (u) ? 5 : 1, user_step, u);
-}
-
-static void
-abort_answered (guint status, json_t *body, gpointer data)
-{
-  const char *word = json_string_value (json_object_get (body, "Bearing"));
-  if (status == 200 && word)
-    tell (data, word, ((User *) data)->asked_at);
-}
-
-static void
-user_aborted (guint status, json_t *body, gpointer data)
-{
-  abort_answered (status, body, data);
-  later (1, user_step, data);
-}
-
-static void
-ask_abort (User *u, const char *node, KrReply reply)
-{
-  g_autofree char *path = g_strdup_printf ("/api/jobs/%s/abort", u->id);
-  call_new ("user", "POST", node, path, NULL, 5, reply, u);
-}
-
-static gboolean
-user_step (gpointer data)
-{
-  User *u = data;
-  g_autofree char *node = some_node ();
-  g_autofree char *poll = g_strdup_printf ("/api/jobs/%s", u->id);
-  gint turn = g_rand_int_range (S.rng, 0, 3);
-  check_known (u);
-  u->asked_at = S.now;
-  if (u->accepted && cancelling (u) && turn == 0)
-    ask_abort (u, node, user_aborted);
-  else if (!u->accepted || (cancelling (u) && turn == 1))
-    call_new ("user", "POST", node, "/api/jobs", json_incref (u->body), 5, submitted, u);
-  else
-    call_new ("user", "GET", node, poll, NULL, 2, polled, u);
-  return FALSE;
-}
-
-static void
-submit (const char *id, const char *team, const char *rank, guint tasks, double cpus, double run_s,
-        double deadline_s, SimPlacing placing)
-{
-  User *u = g_new0 (User, 1);
-  u->id = g_strdup (id);
-  u->team = g_strdup (team);
-  u->tasks = tasks;
-  u->cpus = cpus;
-  u->run_s = run_s;
-  u->placing = placing;
-  u->told = g_strdup ("");
-  u->submitted_at = S.now;
-  u->completed = g_malloc0 (tasks);
-  u->body = json_pack ("{ss ss ss ss ss sI sf sf sf ss sf sn sn sb sb sb sf sf sf sf}", "Id", id,
-                       "Lane", "l", "Crew", team, "Form", "array", "Rank", rank, "Shifts",
-                       (json_int_t) tasks, "Cores", cpus, "Accelerators", 0.0, "MemGb", 1.0,
-                       "Cargo", "img", "PullGb", 0.0, "Hulls", "Harbor", "OneZone",
-                       placing == SIM_ONE_ZONE, "Apart", placing == SIM_APART, "Driftwood", 1,
-                       "SailS", run_s, "MooringS", 0.0, "StowS", 0.0, "TideS", deadline_s);
-  g_hash_table_insert (S.jobs, u->id, u);
-  user_step (u);
-}
-
-void
-sim_submit (const char *id, const char *team, const char *rank, guint tasks, double cpus,
-            double run_s, double deadline_s)
-{
-  submit (id, team, rank, tasks, cpus, run_s, deadline_s, SIM_ANYWHERE);
-}
-
-void
-sim_submit_placed (const char *id, const char *team, guint tasks, double cpus, double run_s,
-                   SimPlacing placing)
-{
-  submit (id, team, "normal", tasks, cpus, run_s, 600, placing);
-}
-
-void
-sim_poll_at (const char *id, guint node)
-{
-  User *u = g_hash_table_lookup (S.jobs, id);
-  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
-  g_autofree char *path = g_strdup_printf ("/api/jobs/%s", id);
-  u->asked_at = S.now;
-  call_new ("user", "GET", address, path, NULL, 5, abort_answered, u);
-}
-
-void
-sim_mistaken (const char *id, gboolean on)
-{
-  ((User *) g_hash_table_lookup (S.jobs, id))->mistaken = on;
-}
-
-static void
-start_abort (const char *id, const char *node)
-{
-  User *u = g_hash_table_lookup (S.jobs, id);
-  u->aborting = TRUE;
-  ask_abort (u, node, abort_answered); /* now; user_step goes on */
-}
-
-void
-sim_abort (const char *id)
-{
-  g_autofree char *node = some_node ();
-  start_abort (id, node);
-}
-
-void
-sim_abort_at (const char *id, guint node)
-{
-  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
-  start_abort (id, address);
-}
-
-const char *
-sim_told (const char *id)
-{
-  return ((User *) g_hash_table_lookup (S.jobs, id))->told;
-}
-
-gboolean
-sim_all_over (void)
-{
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, S.jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value)) {
-    if (!over (value))
-      return FALSE;
-  }
-  return TRUE;
-}
-
-typedef struct {
-  gboolean over;
-  guint status;
-} Asked;
-
-static void
-asked (guint status, json_t *body, gpointer data)
-{
-  *(Asked *) data = (Asked){ TRUE, status };
-}
-
-static guint
-request (guint node, guint port, const char *method, const char *path, const char *body)
-{
-  g_autofree char *address = g_strdup_printf ("10.0.0.%u:%u", node + 1, port);
-  Asked a = { FALSE, 0 };
-  call_new ("user", method, address, path, body ? json_loads (body, 0, NULL) : NULL, 5, asked, &a);
-  while (!a.over)
-    sim_run (0.01);
-  return a.status;
-}
-
-static void
-count_answer (guint status, json_t *body, gpointer data)
-{
-  S.answered[status]++;
-}
-
-void
-sim_ask (guint node, const char *method, const char *path, const char *body)
-{
-  g_autofree char *address = g_strdup_printf ("10.0.0.%u:8080", node + 1);
-  call_new ("user", method, address, path, body ? json_loads (body, 0, NULL) : NULL, 5,
-            count_answer, NULL);
-}
-
-guint
-sim_answered (guint status)
-{
-  return S.answered[status];
-}
-
-guint
-sim_request (guint node, const char *method, const char *path, const char *body)
-{
-  return request (node, 8080, method, path, body);
-}
-
-guint
-sim_peer (guint node, const char *method, const char *path, const char *body)
-{
-  return request (node, 8081, method, path, body);
-}
-
-/* --- nodes and life
- * -------------------------------------------------------------------------------- */
-static KrSettings *
-settings (guint i)
-{
-  json_t *others = json_array (), *teams = json_array ();
-  for (guint k = 0; k < S.o.nodes; k++)
-    if (k != i)
-      json_array_append_new (
-          others, json_pack ("{so ss so}", "node_name", json_sprintf ("berth-%u", k), "zone", "z",
-                             "peer_addr", json_sprintf ("10.0.0.%u:8081", k + 1)));
-  for (guint k = 0; k < MAX (S.o.teams, S.o.nodes); k++)
-    json_array_append_new (teams, json_pack ("{so sf}", "name", json_sprintf ("team%u", k),
-                                             "cpus_max", S.o.team_limit));
-  json_t *root = json_pack (
-      "{so ss so so so s{ss ss} s{si sf so s{sf sf sf} s{sf sf sf si} s{sf sf} s{sf sf si}}}",
-      "node_name", json_sprintf ("berth-%u", i), "zone", "z", "client_listen",
-      json_sprintf ("10.0.0.%u:8080", i + 1), "internal_addr",
-      json_sprintf ("10.0.0.%u:8081", i + 1), "others", others, "external", "cloud",
-      "10.2.0.2:8443", "state", "10.2.0.1:2379", "facts", "size", (int) S.o.nodes, "clock_error_ms",
-      5.0, "teams", teams, "workers", "report_s", S.o.report_s, "lease_s", S.o.lease_s, "cancel_s",
-      S.o.cancel_s, "state", "rps", 150.0, "write_rps", S.o.write_rps, "value_kb", S.o.value_kb,
-      "txn_ops", 12, "cloud", "rps", 3.0, "list_lag_s", 2.0, "resources", "core_share", 0.1,
-      "ram_mb", 60.0, "sockets", 900);
-  g_autoptr (GError) error = NULL;
-  KrSettings *s = kr_settings_from_json (root, &error);
-  g_assert_no_error (error);
-  json_decref (root);
-  return s;
-}
-
-void
-sim_node_start (guint i)
-{
-  Node *n = &S.nodes[i];
-  n->alive = TRUE;
-  n->life++;
-  n->settings = settings (i);
-  S.current = (gint) i;
-  n->node = kr_node_new (n->settings, NULL);
-  S.current = -1;
-}
-
-/* As the platform does it: no signal, nothing is told to anyone. */
-void
-sim_node_kill (guint i)
-{
-  S.nodes[i].alive = S.nodes[i].hung = FALSE;
-}
-
-void
-sim_node_hang (guint i, gboolean on)
-{
-  Node *n = &S.nodes[i];
-  if (n->hung && !on && S.now - n->hung_at > n->stall_us) {
-    S.current = (gint) i;
-    n->stalled (n->stalled_data);
-    S.current = -1;
-  }
-  n->hung = on;
-  n->hung_at = S.now;
-}
-
-void
-sim_start (guint32 seed, const SimOptions *options)
-{
-  memset (&S, 0, sizeof S);
-  S.o = *options;
-  S.rng = g_rand_new_with_seed (seed);
-  g_random_set_seed (seed);
-  S.queue = g_sequence_new (g_free);
-  S.timers = g_hash_table_new (g_direct_hash, g_direct_equal);
-  S.running = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  S.current = -1;
-  S.servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  S.cuts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  S.held = g_ptr_array_new ();
-  S.store = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
-  S.leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  S.follows = g_ptr_array_new ();
-  S.changes = g_array_new (FALSE, FALSE, sizeof (Change));
-  S.machines = g_hash_table_new (g_str_hash, g_str_equal);
-  S.charters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  S.jobs = g_hash_table_new (g_str_hash, g_str_equal);
-  S.broken = g_string_new (NULL);
-  later (0.05, expire_leases, NULL);
-  for (guint i = 0; i < S.o.nodes; i++)
-    sim_node_start (i);
-}
-
-void
-sim_stop (void)
-{
-  g_sequence_free (S.queue);
-  g_hash_table_unref (S.timers);
-  g_string_free (S.broken, TRUE);
-}
-
-const char *
-sim_broken (void)
-{
-  return S.broken->str;
-}
-
-guint
-sim_started (void)
+char *
+world_peer_address (guint node, guint peer)
 {
-  return S.started;
+  return world_node_address (peer, WORLD_PEER_PORT);
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -77,6 +77,8 @@
 /* Runs sent to a machine (NULL: to all) in answers that a cut dropped. */
 guint sim_unheard (const char *id);
 guint sim_machines (void);
+/* The cloud answers nothing but 503. */
+void sim_cloud_outage (gboolean on);
 /* Machines rented from now on never come up. */
 void sim_boots_fail (gboolean on);
 /* The longest that one which is not up has been paid for, in seconds. */
