Known red: a part that changes hands while a machine hangs and the cloud is out stays closed

Part 1 is handed on at 176.9 s; the new owner cannot reach the machines that hang, asks for their deletion each tick, and the cloud is out until 318 s. Until all used machines are fenced or gone the part starts nothing and confirms no cancellation, so that every question about a cancelled job gets 503 for more than 90 s.

--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -1080,6 +1080,36 @@
   with_seeds (everything);
 }
 
+/* A part changes hands while a machine hangs and the cloud is out: the machine can neither be
+ * fenced nor deleted. Its lease is over long before the cloud is back, and users must learn of
+ * their jobs. */
+static void
+cloud_out_at_handover (void)
+{
+  SimOptions o = usual;
+  begin (&o);
+  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+  const char *machine = sim_machine_of ("wk-000001");
+  g_assert_nonnull (machine);
+  sim_machine_hang (machine, TRUE);
+  sim_run (1);
+  crash (0, 9); /* another one takes the part over */
+  sim_abort ("wk-000001");
+  sim_run (60); /* five times the lease */
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  sim_cloud_outage (FALSE);
+  sim_machine_hang (machine, FALSE);
+  finish (200);
+}
+
+static void
+test_cloud_out_at_handover (void)
+{
+  with_seeds (cloud_out_at_handover);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1111,5 +1141,6 @@
   g_test_add_func ("/meetings/huge-array", test_huge_array);
   g_test_add_func ("/meetings/mistaken-job", test_mistaken_job);
   g_test_add_func ("/meetings/everything", test_everything);
+  g_test_add_func ("/meetings/cloud-out-at-handover", test_cloud_out_at_handover);
   return g_test_run ();
 }
