--- a/src/part-private.h
+++ b/src/part-private.h
@@ -1,4 +1,4 @@
-/* Shared among the files of one module: part.c (ownership, reports, fencing, deletion),
+/* Shared among the files of one module: part.c (ownership, reports, deletion), part-takeover.c,
  * part-record.c, part-progress.c and part-dispatch.c. */
 #pragma once
 #include "part.h"
@@ -66,7 +66,6 @@
 void kr_part_saw (KrMachine *machine, KrLaunch *launch, KrSaw what, gpointer data);
 void kr_part_count_launch (KrPart *part, KrLaunch *launch);
 void kr_part_command_kills (KrPart *part, KrMachine *machine);
-gboolean kr_part_needs_fence (const KrMachine *machine);
 /* Before a machine is taken out of `machines`; `gone`: what became of its launches. */
 void kr_part_forget (KrPart *part, KrMachine *machine, KrGone gone);
 #define KR_LEFT_RECORD "it left the record with tasks" /* why a machine is deleted */
@@ -74,7 +73,15 @@
 void kr_part_delete_machine (KrPart *part, KrMachine *machine, const char *why);
 /* Answers first reports that need not wait any more. */
 void kr_part_answer_held (KrPart *part);
+/* Takes in what a machine says in answer to /show or /commands. */
+void kr_part_take_report (KrPart *part, KrMachine *machine, const KrReport *report);
+
+/* part-takeover.c */
+/* The part is ours now; its record and jobs are yet to be read. */
+void kr_takeover_begin (KrPart *part);
+/* Opens the part once no used machine may obey an earlier owner any more. */
 void kr_part_check_open (KrPart *part);
+gboolean kr_part_needs_fence (const KrMachine *machine);
 
 /* part-record.c */
 /* A transaction that fails once the owner key is no longer ours. */
--- /dev/null
+++ b/src/part-takeover.c
@@ -0,0 +1,262 @@
+/* Taking a part over: its machines may still obey an earlier owner, until each was fenced or is
+ * gone. */
+#include "clock.h"
+#include "constants.h"
+#include "log.h"
+#include "part-private.h"
+#include "rent.h"
+#include "worker.h"
+
+/* --- fencing ------------------------------------------------------------------------- */
+/* A machine that is being fenced: /show tells its session, a command gives it our token. */
+typedef struct {
+  KrPart *part;
+  char *id;
+} Fence;
+
+static void
+fence_free (Fence *fence)
+{
+  kr_part_unref (fence->part);
+  g_free (fence->id);
+  g_free (fence);
+}
+
+/* The machine, unless it or the part is gone meanwhile. */
+static KrMachine *
+fence_machine (const Fence *fence)
+{
+  return fence->part->gone ? NULL : kr_part_machine (fence->part, fence->id);
+}
+
+static void
+fence_over (Fence *fence, gboolean reached)
+{
+  KrMachine *machine = fence_machine (fence);
+  fence->part->fencing--;
+  if (machine) {
+    machine->fencing = FALSE;
+    machine->tries += !reached;
+  }
+  fence_free (fence);
+}
+
+static void
+commanded (guint status, KrReport *report, gpointer data)
+{
+  Fence *fence = data;
+  KrMachine *machine = fence_machine (fence);
+  if (machine && report && (status == 200 || status == 409))
+    kr_part_take_report (fence->part, machine, report);
+  fence_over (fence, report != NULL);
+}
+
+static void
+shown (guint status, KrReport *report, gpointer data)
+{
+  Fence *fence = data;
+  KrPart *part = fence->part;
+  KrMachine *machine = fence_machine (fence);
+
+  if (!machine || status != 200 || !report || !g_str_equal (report->machine, fence->id)) {
+    fence_over (fence, FALSE);
+    return;
+  }
+  kr_worker_command (part->node->workers, machine->endpoint,
+                     kr_wire_commands_new (part->token, report->session), part->cancel, commanded,
+                     fence);
+}
+
+static void
+fence_machine_now (KrPart *part, KrMachine *machine)
+{
+  Fence *fence = g_new (Fence, 1);
+  *fence = (Fence){ kr_part_ref (part), g_strdup (machine->id) };
+  machine->fencing = TRUE;
+  part->fencing++;
+  kr_worker_show (part->node->workers, machine->endpoint, part->cancel, shown, fence);
+}
+
+gboolean
+kr_part_needs_fence (const KrMachine *machine)
+{
+  return machine->must_fence && !machine->fenced;
+}
+
+/* Not only once since the takeover: it may have fallen silent right after. */
+static gboolean
+reports_now (KrPart *part, const KrMachine *machine, gint64 now)
+{
+  double silent_s = KR_SILENT_REPORTS * part->node->settings->report_s;
+  return machine->heard && now - machine->heard <= kr_seconds (silent_s);
+}
+
+/* Why a used machine that could not be fenced since the takeover is given up; NULL: not yet. What
+ * counts is its silence to calls that did go out, not how far we have come. */
+static const char *
+give_up (KrPart *part, const KrMachine *machine, guint unreached, guint used, gint64 now)
+{
+  double age = (double) (now - part->taken_at) / G_USEC_PER_SEC;
+  if (machine->tries < 1)
+    return NULL;
+  /* Guards against one that reports, but hears neither answers nor commands: the part would stay
+   * closed for as long as that lasts. */
+  if (reports_now (part, machine, now))
+    return machine->tries >= KR_FENCE_TRIES && age > part->node->settings->lease_s
+               ? "it reports, but takes no command"
+               : NULL;
+  /* It was up, so lists showed it; the newest, read since, does not. */
+  if (part->listed_at > part->taken_at && !machine->listed)
+    return "not reached, and no longer listed";
+  /* One lost machine must not keep a part with hundreds of others closed for a whole lease. */
+  if (machine->tries >= KR_FENCE_TRIES && unreached <= used / KR_FENCE_FEW && age > KR_FENCE_FEW_S)
+    return "not reached while others were";
+  if (!part->quiet_before && machine->tries >= KR_FENCE_TRIES && age > KR_FENCE_GRACE_S)
+    return "not reached by the new owner";
+  return NULL;
+}
+
+static void
+fence (KrPart *part, gint64 now)
+{
+  const KrSettings *settings = part->node->settings;
+  GHashTableIter it;
+  gpointer value;
+  guint unreached = 0, used = 0;
+
+  g_hash_table_iter_init (&it, part->machines);
+  while (kr_part_next (part, &it, &value)) {
+    const KrMachine *machine = value;
+    used += machine->must_fence;
+    unreached += kr_part_needs_fence (machine) && !reports_now (part, machine, now);
+  }
+  /* Unreachable ones hold their places until the time-out: with a quarter of the fleet behind a cut
+   * a fixed window would ask the last of them half a minute late. */
+  guint window = CLAMP (used / KR_FENCE_WAVES, KR_FENCE_WINDOW, kr_node_worker_conns (settings));
+  g_hash_table_iter_init (&it, part->machines);
+  while (kr_part_next (part, &it, &value)) {
+    KrMachine *machine = value;
+    const char *why;
+    if (!kr_part_needs_fence (machine) || machine->deleting)
+      continue;
+    /* Restarted ourselves, no other owner since all were fenced: nobody else has answered it since
+     * the takeover, so its lease is over. */
+    if (part->quiet_before &&
+        kr_lease_over (MAX (part->taken_at, machine->answered),
+                       kr_membership_proven (part->node->membership), settings->lease_s)) {
+      kr_info ("machine %s: not reached, its lease is over", machine->id);
+      kr_machine_clear (machine, KR_GONE_LEASE, kr_part_saw, part);
+      machine->must_fence = FALSE;
+      continue;
+    }
+    if ((why = give_up (part, machine, unreached, used, now))) {
+      kr_part_delete_machine (part, machine, why);
+      continue;
+    }
+    /* One that we answer will show our token by itself. */
+    if (!machine->endpoint || machine->fencing || part->fencing >= window ||
+        (machine->answered && now - machine->answered < kr_seconds (2 * settings->report_s)))
+      continue;
+    fence_machine_now (part, machine);
+  }
+}
+
+void
+kr_part_check_open (KrPart *part)
+{
+  GHashTableIter it;
+  gpointer value;
+  if (part->phase != FENCING)
+    return;
+  g_hash_table_iter_init (&it, part->machines);
+  while (kr_part_next (part, &it, &value))
+    if (kr_part_needs_fence (value))
+      return;
+  part->phase = OPEN;
+  kr_info ("part %u: open, %.1f s after the takeover", part->index,
+           (double) (kr_now () - part->taken_at) / G_USEC_PER_SEC);
+  kr_part_write_record (part);
+  kr_part_flush (part);
+}
+
+/* --- its steps ------------------------------------------------------------------------ */
+/* Takeovers are worked on more often than a tick: each second closed is a second lost for all. Not
+ * at each report: with hundreds of machines that would be a walk over all for each of them. */
+static gboolean
+fence_tick (gpointer data)
+{
+  KrPart *part = data;
+  if (part->phase == FENCING) {
+    fence (part, kr_now ());
+    kr_part_check_open (part);
+  }
+  if (part->phase != OPEN)
+    return G_SOURCE_CONTINUE;
+  part->fence_tick = 0;
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+scan_again (gpointer data)
+{
+  KrPart *part = data;
+  if (!part->gone)
+    kr_membership_rescan (part->node->membership);
+  kr_part_unref (part);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+claimed (guint status, json_t *body, gpointer data)
+{
+  KrPart *part = data;
+  GHashTableIter it;
+  gpointer value;
+
+  part->claiming = FALSE;
+  if (part->gone) {
+    kr_part_unref (part);
+    return;
+  }
+  if (status != 200) {
+    kr_timer_add (KR_RETRY_MS, scan_again, part);
+    return;
+  }
+  json_t *v = kr_membership_claim_value (part->node->membership, FALSE);
+  kr_membership_note_claim (part->node->membership, part->index, v, kr_wire_revision (body));
+  json_decref (v);
+  part->have_record = TRUE;
+  kr_part_record_changed (part);
+  g_hash_table_iter_init (&it, part->machines);
+  while (kr_part_next (part, &it, &value)) {
+    KrMachine *machine = value;
+    machine->must_fence = machine->used;
+  }
+  kr_follow_rescan (part->node->jobs);
+  if (g_hash_table_size (part->machines))
+    kr_rent_list_soon (part->node->rent);
+  kr_part_unref (part);
+}
+
+/* The scan began after the key became ours: every machine that an earlier owner may have used is in
+ * it, since that was durable before the first run, and an earlier owner's later writes fail. */
+void
+kr_part_scanned (KrPart *part)
+{
+  const KrClaim *claim = kr_membership_claim (part->node->membership, part->index);
+  if (part->have_record || part->claiming)
+    return;
+  /* Whoever owns the part writes its name here before it says or answers anything. So if ours
+   * stands here, only our own earlier life, which is over, has been in touch with the machines. */
+  if (g_strcmp0 (claim->holder, part->node->settings->node_name) == 0 && claim->settled)
+    part->quiet_before = TRUE;
+  part->claiming = TRUE;
+  kr_state_commit (part->node->state, kr_part_claim_txn (part, FALSE), KR_FIRST,
+                   KR_STATE_TIMEOUT_MS, part->cancel, claimed, kr_part_ref (part));
+}
+
+void
+kr_takeover_begin (KrPart *part)
+{
+  part->fence_tick = kr_timer_add (KR_FENCE_MS, fence_tick, part);
+}
