A scan looks at owners before records: a former owner deleted its successor's machines

Symptom: a former owner, back at the state service, took a machine that its successor had returned for one that left the record with tasks: the invariant record-kept broke, and it asked for the machine's deletion. Cause: keys of a scan come in their order, c/berths before c/owner.

--- a/src/membership.c
+++ b/src/membership.c
@@ -227,24 +227,26 @@
     kr_records_note (membership->records, item);
 }
 
+static gboolean
+is_holder_key (const char *key)
+{
+  return g_str_equal (key, KR_LEADER_KEY) || g_str_has_prefix (key, "c/owner/");
+}
+
+/* Who holds what, from all of c/. */
 static void
-on_scan (json_t *items, guint64 revision, gpointer data)
+scan_holders (KrMembership *membership, json_t *items, guint64 revision)
 {
-  KrMembership *membership = data;
   guint size = membership->settings->size;
   g_autofree gboolean *found = g_new0 (gboolean, size + 1);
-  g_autoptr (GHashTable) nodes = g_hash_table_new (g_str_hash, g_str_equal);
-  guint scans = membership->scans; /* what is seen here may make somebody ask for a further one */
   json_t *o;
   size_t i;
 
   json_array_foreach (items, i, o)
   {
     KrItem item;
-    if (!kr_wire_item_parse (o, &item))
+    if (!kr_wire_item_parse (o, &item) || !is_holder_key (item.key))
       continue;
-    if (g_str_has_prefix (item.key, "c/node/"))
-      g_hash_table_add (nodes, (char *) item.key + strlen ("c/node/"));
     for (guint p = 0; p <= size; p++) {
       g_autofree char *key = holder_key (membership, p);
       if (g_str_equal (key, item.key))
@@ -252,11 +254,35 @@
     }
     on_event (&item, membership);
   }
-  if (!g_hash_table_contains (nodes, membership->settings->node_name))
-    membership->shown = FALSE;
   for (guint p = 0; p <= size; p++)
     if (!found[p])
       set_holder (membership, p, NULL, revision);
+}
+
+/* Keys come in their order, records before owners. But who holds a part is looked at first: a
+ * former owner must not take what its successor wrote into the record for a change behind its back,
+ * and delete a machine that is not its own any more. */
+static void
+on_scan (json_t *items, guint64 revision, gpointer data)
+{
+  KrMembership *membership = data;
+  g_autoptr (GHashTable) nodes = g_hash_table_new (g_str_hash, g_str_equal);
+  guint scans = membership->scans; /* what is seen here may make somebody ask for a further one */
+  json_t *o;
+  size_t i;
+
+  scan_holders (membership, items, revision);
+  json_array_foreach (items, i, o)
+  {
+    KrItem item;
+    if (!kr_wire_item_parse (o, &item) || is_holder_key (item.key))
+      continue;
+    if (g_str_has_prefix (item.key, "c/node/"))
+      g_hash_table_add (nodes, (char *) item.key + strlen ("c/node/"));
+    on_event (&item, membership);
+  }
+  if (!g_hash_table_contains (nodes, membership->settings->node_name))
+    membership->shown = FALSE;
   g_autoptr (GList) known = g_hash_table_get_keys (membership->present);
   for (GList *l = known; l; l = l->next) {
     g_autofree char *name = g_strdup (l->data);
