--- a/src/agent.c
+++ b/src/agent.c
@@ -250,6 +250,19 @@
   return KR_NEWS_FRESH;
 }
 
+void
+kr_machine_called (KrMachine *machine, gboolean answered, gint64 now)
+{
+  if (answered) {
+    machine->unanswered = 0;
+    machine->next_call = 0;
+    return;
+  }
+  double pause_s = MIN (KR_CALL_PAUSE_MAX_S, KR_CALL_PAUSE_S * (1u << machine->unanswered));
+  machine->next_call = now + kr_seconds (pause_s);
+  machine->unanswered = MIN (machine->unanswered + 1, KR_CALL_PAUSES);
+}
+
 gboolean
 kr_lease_over (gint64 since, gint64 now, double lease_s)
 {
--- a/src/agent.h
+++ b/src/agent.h
@@ -52,11 +52,16 @@
   /* part */
   gboolean used, used_wanted; /* durable; to be made durable */
   gboolean drain, deleting, fencing;
-  guint tries;               /* to fence it, not answered */
-  gint leaving_to;           /* part that it goes to when empty; -1: none */
-  gboolean moving;           /* the move may be under way: nothing may start */
-  gboolean move_unknown;     /* its outcome is not known */
-  guint64 chunk_revision;    /* revision of the record chunk that holds it */
+  guint tries;            /* to fence it, not answered */
+  gboolean commanding;    /* a direct command to it is under way */
+  gboolean command_again; /* more has come to be killed meanwhile */
+  guint unanswered;       /* direct calls to it in a row */
+  gint64 next_call;       /* monotonic us: no direct call to it before */
+  gint64 delete_after;    /* monotonic us: no deletion is asked for before; 0: none was refused */
+  gint leaving_to;        /* part that it goes to when empty; -1: none */
+  gboolean moving;        /* the move may be under way: nothing may start */
+  gboolean move_unknown;  /* its outcome is not known */
+  guint64 chunk_revision; /* revision of the record chunk that holds it */
   gint64 idle_since, joined; /* monotonic us */
   gpointer held;             /* KrRequest: its first report, answered once it is used */
   gint64 held_since;         /* monotonic us */
@@ -98,6 +103,8 @@
  * the response to the last. */
 KrNews kr_machine_apply (KrMachine *machine, const KrReport *report, gboolean beat, guint64 token,
                          gint64 now, KrSawFunc saw, gpointer data);
+/* A direct call to it has ended: one that goes unanswered is followed by a growing pause. */
+void kr_machine_called (KrMachine *machine, gboolean answered, gint64 now);
 /* Everything on it is gone, for the reason given. */
 void kr_machine_clear (KrMachine *machine, KrGone gone, KrSawFunc saw, gpointer data);
 /* Whether a lease that nobody has renewed since then has surely run out. */
--- a/src/constants.h
+++ b/src/constants.h
@@ -91,12 +91,16 @@
 #define KR_FENCE_WINDOW 32       /* machines asked at once, at least: each call has a connection */
 #define KR_FENCE_WAVES 3         /* of a part's used machines, the inverse share asked at once */
 #define KR_FENCE_TRIES 2         /* calls without an answer before a machine is given up */
-#define KR_FENCE_FEW 5           /* of the used machines, the inverse share that counts as few */
-#define KR_FENCE_FEW_S 4.0       /* s; then few that were not reached are deleted */
-#define KR_LEASE_MARGIN_S 1.0    /* s over a worker's lease: timers' steps and our own lateness */
-#define KR_CLOCK_DRIFT 0.001     /* two clocks may drift apart by 0.0005 each */
-#define KR_LOST_DELETE_S 25.0    /* s of silence beyond the lease before a machine is returned */
-#define KR_LAUNCH_BITS 20        /* bits of an attempt number below the token */
+#define KR_CALL_PAUSE_S 1.0 /* s; first pause after a direct call that a machine did not answer */
+#define KR_CALL_PAUSE_MAX_S 8.0 /* s; longest such pause: it may be well again, and kills wait */
+#define KR_CALL_PAUSES 3        /* doublings of it until then */
+#define KR_DELETE_RETRY_S 2.0   /* s until a refused deletion is asked for again */
+#define KR_FENCE_FEW 5          /* of the used machines, the inverse share that counts as few */
+#define KR_FENCE_FEW_S 4.0      /* s; then few that were not reached are deleted */
+#define KR_LEASE_MARGIN_S 1.0   /* s over a worker's lease: timers' steps and our own lateness */
+#define KR_CLOCK_DRIFT 0.001    /* two clocks may drift apart by 0.0005 each */
+#define KR_LOST_DELETE_S 25.0   /* s of silence beyond the lease before a machine is returned */
+#define KR_LAUNCH_BITS 20       /* bits of an attempt number below the token */
 
 /* --- Scheduling ---------------------------------------------------------------------- */
 #define KR_TICK_MS 1000           /* ms; the part's periodic duties */
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -44,9 +44,10 @@
   gint64 taken_at, last_beat;
   gboolean quiet_before; /* no other owner since every machine was fenced: leases may settle */
   gboolean record_busy, flushing;
-  gint64 next_tell;   /* monotonic us: needs are not told before */
-  gint64 next_record; /* monotonic us: the record is not written before */
-  gboolean claiming;  /* the claim is being written */
+  gint64 next_tell;           /* monotonic us: needs are not told before */
+  gint64 next_record;         /* monotonic us: the record is not written before */
+  gboolean claiming;          /* the claim is being written */
+  gboolean deletions_refused; /* the cloud did not carry out the newest */
   guint tick, fence_tick, preempt_soon;
   guint ticks; /* so far */
   guint held_tick;
@@ -69,8 +70,9 @@
 /* Before a machine is taken out of `machines`; `gone`: what became of its launches. */
 void kr_part_forget (KrPart *part, KrMachine *machine, KrGone gone);
 #define KR_LEFT_RECORD "it left the record with tasks" /* why a machine is deleted */
-/* Has the cloud delete it: what runs there is gone once it says so. Repeated until then. */
-void kr_part_delete_machine (KrPart *part, KrMachine *machine, const char *why);
+/* Has the cloud delete it: what runs there is gone once it says so. Repeated by those who ask until
+ * then, with a pause after each refusal. FALSE: such a pause is on. */
+gboolean kr_part_delete_machine (KrPart *part, KrMachine *machine, const char *why);
 /* Answers first reports that need not wait any more. */
 void kr_part_answer_held (KrPart *part);
 /* Takes in what a machine says in answer to /show or /commands. */
--- a/src/part-takeover.c
+++ b/src/part-takeover.c
@@ -37,6 +37,7 @@
   if (machine) {
     machine->fencing = FALSE;
     machine->tries += !reached;
+    kr_machine_called (machine, reached, kr_now ());
   }
   fence_free (fence);
 }
@@ -149,12 +150,13 @@
       machine->must_fence = FALSE;
       continue;
     }
-    if ((why = give_up (part, machine, unreached, used, now))) {
-      kr_part_delete_machine (part, machine, why);
+    /* While the cloud refuses, it is asked again like the others: it may be well again. */
+    if ((why = give_up (part, machine, unreached, used, now)) &&
+        kr_part_delete_machine (part, machine, why))
       continue;
-    }
     /* One that we answer will show our token by itself. */
     if (!machine->endpoint || machine->fencing || part->fencing >= window ||
+        (machine->tries >= KR_FENCE_TRIES && now < machine->next_call) ||
         (machine->answered && now - machine->answered < kr_seconds (2 * settings->report_s)))
       continue;
     fence_machine_now (part, machine);
--- a/src/part.c
+++ b/src/part.c
@@ -296,17 +296,31 @@
 commanded (guint status, KrReport *report, gpointer data)
 {
   Contact *contact = data;
-  KrMachine *machine = contact->part->gone ? NULL : kr_part_machine (contact->part, contact->id);
-  if (machine && report && (status == 200 || status == 409))
-    kr_part_take_report (contact->part, machine, report);
+  KrPart *part = contact->part;
+  KrMachine *machine = part->gone ? NULL : kr_part_machine (part, contact->id);
+
+  if (machine) {
+    machine->commanding = FALSE;
+    kr_machine_called (machine, report != NULL, kr_now ());
+    if (report && (status == 200 || status == 409))
+      kr_part_take_report (part, machine, report);
+    if (machine->command_again && report)
+      kr_part_command_kills (part, machine);
+    machine->command_again = FALSE;
+  }
   contact_free (contact);
 }
 
 void
 kr_part_command_kills (KrPart *part, KrMachine *machine)
 {
-  if (!machine->endpoint || !machine->session)
+  if (!machine->endpoint || !machine->session || kr_now () < machine->next_call)
     return;
+  /* One at a time: it carries all kills, and what piles up costs the whole loop its turns. */
+  if (machine->commanding) {
+    machine->command_again = TRUE;
+    return;
+  }
   json_t *orders = kr_wire_commands_new (part->token, machine->session);
   for (guint i = 0; i < machine->launches->len; i++) {
     KrLaunch *launch = machine->launches->pdata[i];
@@ -319,11 +333,27 @@
     json_decref (orders);
     return;
   }
+  machine->commanding = TRUE;
   kr_worker_command (part->node->workers, machine->endpoint, orders, part->cancel, commanded,
                      contact_new (part, machine));
 }
 
 /* --- deletion ------------------------------------------------------------------------ */
+/* One line when the cloud begins to refuse deletions, and one when it takes them again. */
+static void
+note_deletion (KrPart *part, guint status)
+{
+  gboolean refused = status != 200;
+  if (part->gone || refused == part->deletions_refused)
+    return;
+  part->deletions_refused = refused;
+  if (refused)
+    kr_info ("part %u: the cloud does not delete machines (%u), asked again until it does",
+             part->index, status);
+  else
+    kr_info ("part %u: the cloud deletes machines again", part->index);
+}
+
 static void
 deleted (guint status, json_t *body, gpointer data)
 {
@@ -336,20 +366,30 @@
     g_hash_table_add (part->leaving, g_strdup (machine->id));
     g_hash_table_remove (part->machines, machine->id);
     kr_part_write_record (part);
-  } else if (machine)
-    machine->deleting = FALSE; /* the next tick asks again */
+  } else if (machine) {
+    machine->deleting = FALSE; /* a tick asks again */
+    machine->delete_after = kr_now () + kr_seconds (KR_DELETE_RETRY_S);
+  }
+  note_deletion (part, status);
   contact_free (contact);
 }
 
-void
+gboolean
 kr_part_delete_machine (KrPart *part, KrMachine *machine, const char *why)
 {
   if (machine->deleting)
-    return;
-  machine->deleting = machine->drain = TRUE;
-  kr_info ("machine %s: deleting it, %s", machine->id, why);
+    return TRUE;
+  machine->drain = TRUE;
+  if (kr_now () < machine->delete_after)
+    return FALSE;
+  machine->deleting = TRUE;
+  if (machine->delete_after)
+    kr_debug ("machine %s: deleting it again, %s", machine->id, why);
+  else
+    kr_info ("machine %s: deleting it, %s", machine->id, why);
   kr_cloud_delete (part->node->cloud, machine->id, part->cancel, deleted,
                    contact_new (part, machine));
+  return TRUE;
 }
 
 void
--- a/tests/scenes.c
+++ b/tests/scenes.c
@@ -161,5 +161,7 @@
   g_test_init (argc, argv, NULL);
   /* Always the same verdict: the seed is fixed unless told otherwise. */
   seed = fixed ? (guint32) g_ascii_strtoull (fixed, NULL, 10) : 20261201;
+  if (g_getenv ("KR_TEST_LOG"))
+    sim_log_to_stderr ();
   g_test_message ("seed %u", seed);
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -516,6 +516,22 @@
   n->hung_at = world.now;
 }
 
+/* With KR_TEST_LOG set: what the nodes log, with simulated time and node. */
+static GLogWriterOutput
+write_log (GLogLevelFlags level, const GLogField *fields, gsize n_fields, gpointer data)
+{
+  for (gsize i = 0; i < n_fields; i++)
+    if (g_str_equal (fields[i].key, "MESSAGE"))
+      g_printerr ("%9.3f n%d %s\n", sim_now (), sim.current, (const char *) fields[i].value);
+  return G_LOG_WRITER_HANDLED;
+}
+
+void
+sim_log_to_stderr (void)
+{
+  g_log_set_writer_func (write_log, NULL, NULL);
+}
+
 void
 sim_start (guint32 seed, const SimOptions *options)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -27,6 +27,7 @@
 
 void sim_start (guint32 seed, const SimOptions *options);
 void sim_stop (void);
+void sim_log_to_stderr (void); /* what the nodes log, with simulated time */
 double sim_now (void); /* s since the start */
 void sim_run (double seconds);
 
