--- a/tests/sim.h
+++ b/tests/sim.h
@@ -44,6 +44,8 @@
 void sim_state_refuse (guint node, gboolean on);
 /* Its answers take up to this much longer. */
 void sim_state_slow (double seconds);
+/* What its watches show arrives that much later; all else at once. */
+void sim_watches_slow (double seconds);
 /* That share of commits gets no answer and is carried out 2 to 12 s later, after newer ones. */
 void sim_late_writes (double share);
 /* The next n commits are executed, but their answers are lost. */
--- a/tests/test_races.c
+++ b/tests/test_races.c
@@ -279,6 +279,65 @@
   with_seeds (teams_at_limits);
 }
 
+/* What happened: an owner's watch of the jobs showed one of its own earlier writes only after its
+ * final one had taken the job away ("job wk-000001: cancelled", then the same job read again, then
+ * "ended", in the log of /double-start/late-assignment). The job lived again with what that write
+ * held: of before its cancellation, so that its tasks started after the user had been told
+ * (`started_cancelled`), or of before its last tasks were done, so that these started once more.
+ * Why: only what a live job already was had a revision to compare with; of a job that had ended
+ * nothing was kept. A watch's answer may be seconds late; the state service answers slowly now and
+ * then. */
+static void
+old_event (gboolean cancel)
+{
+  SimOptions o = usual;
+  o.vary = 0.9;
+  begin (&o);
+  sim_submit ("wk-000001", "team0", "normal", 24, 1, cancel ? 40 : 14, 600);
+  sim_submit ("wk-000002", "team0", "normal", 6, 1, 90, 600); /* keeps machines with room */
+  sim_run (18);
+  sim_watches_slow (6);
+  guint64 mark = sim_state_mark ("job/wk-000001");
+  for (guint i = 0; i < 200 && sim_state_mark ("job/wk-000001") == mark; i++)
+    sim_run (0.05);
+  if (cancel)
+    sim_abort_at ("wk-000001", 0);
+  for (guint i = 0; i < 1200 && sim_state_has ("job/wk-000001"); i++)
+    sim_run (0.05);
+  g_assert_false (sim_state_has ("job/wk-000001"));
+  guint started = sim_started ();
+  sim_run (15);
+  sim_watches_slow (0);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  g_assert_cmpuint (sim_started (), ==, started);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, cancel ? "cancelled" : "done");
+  finish (200);
+}
+
+static void
+old_event_cancelled (void)
+{
+  old_event (TRUE);
+}
+
+static void
+test_old_event_cancelled (void)
+{
+  with_seeds (old_event_cancelled);
+}
+
+static void
+old_event_done (void)
+{
+  old_event (FALSE);
+}
+
+static void
+test_old_event_done (void)
+{
+  with_seeds (old_event_done);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -291,5 +350,7 @@
   g_test_add_func ("/races/close-looks", test_close_looks);
   g_test_add_func ("/races/old-reports", test_old_reports);
   g_test_add_func ("/races/teams-at-limits", test_teams_at_limits);
+  g_test_add_func ("/races/old-event-cancelled", test_old_event_cancelled);
+  g_test_add_func ("/races/old-event-done", test_old_event_done);
   return g_test_run ();
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -171,6 +171,33 @@
   return world.outage || (from[0] == 'n' && world.refuse[atoi (from + 1)]);
 }
 
+typedef struct {
+  Call *call;
+  json_t *answer;
+} LateAnswer;
+
+static gboolean
+answer_late (gpointer data)
+{
+  LateAnswer *late = data;
+  world_answer_call (late->call, 200, late->answer);
+  g_free (late);
+  return FALSE;
+}
+
+/* What has changed by now; it may be under way for long. */
+static void
+answer_follow (Call *call, json_t *events)
+{
+  LateAnswer *late = g_new (LateAnswer, 1);
+  *late = (LateAnswer){ call, json_pack ("{sI so}", "Ledger", (json_int_t) world.revision, "Events",
+                                         events) };
+  if (world.slow_watches > 0)
+    world_later (world.slow_watches, answer_late, late);
+  else
+    answer_late (late);
+}
+
 static void
 wake_follows (void)
 {
@@ -183,8 +210,7 @@
       json_decref (a);
       continue;
     }
-    world_answer_call (f->call, 200,
-                       json_pack ("{sI so}", "Ledger", (json_int_t) world.revision, "Events", a));
+    answer_follow (f->call, a);
     g_ptr_array_remove_index (world.follows, i);
   }
 }
@@ -296,6 +322,12 @@
   return e ? e->mark : 0;
 }
 
+void
+sim_watches_slow (double seconds)
+{
+  world.slow_watches = seconds;
+}
+
 void
 sim_state_slow (double seconds)
 {
