A job that has ended does not live again: its end is kept until the watch of the jobs is past it

Cause: an event was compared with the revision of a live job only; of one that had ended nothing was kept, so an earlier write of the owner's own brought it back. Mend: the owner keeps the ids of jobs it has ended until kr_follow_revision shows that no older event, scan or read can come, and starts of such a job are an invariant (ended).

--- a/src/invariant.c
+++ b/src/invariant.c
@@ -5,7 +5,8 @@
 static const char *const names[] = { [KR_INVARIANT_ONE_RECORD] = "one-record",
                                      [KR_INVARIANT_RECORD_KEPT] = "record-kept",
                                      [KR_INVARIANT_ONE_LAUNCH] = "one-launch",
-                                     [KR_INVARIANT_MACHINE_READY] = "machine-ready" };
+                                     [KR_INVARIANT_MACHINE_READY] = "machine-ready",
+                                     [KR_INVARIANT_ENDED] = "ended" };
 
 void
 kr_invariant_broken (KrInvariant which, const char *format, ...)
--- a/src/invariant.h
+++ b/src/invariant.h
@@ -10,6 +10,7 @@
   KR_INVARIANT_RECORD_KEPT,   /* a machine with tasks does not leave its part's record */
   KR_INVARIANT_ONE_LAUNCH,    /* of a task, one launch at most may be on a machine */
   KR_INVARIANT_MACHINE_READY, /* a task starts only where it may */
+  KR_INVARIANT_ENDED,         /* nothing of a job that has ended starts */
   KR_N_INVARIANTS
 } KrInvariant;
 
--- a/src/part-dispatch.c
+++ b/src/part-dispatch.c
@@ -296,6 +296,11 @@
                          job->spec->id, (int) task, machine->id, readiness);
     return FALSE;
   }
+  if (kr_part_has_ended (part, job->spec->id)) {
+    kr_invariant_broken (KR_INVARIANT_ENDED, "task %s/%d would start on %s, its job has ended",
+                         job->spec->id, (int) task, machine->id);
+    return FALSE;
+  }
   if (task < 0 || job->cancelled || kr_job_is_done (job, (guint) task) || job->active[task]) {
     kr_invariant_broken (KR_INVARIANT_ONE_LAUNCH,
                          "task %s/%d would start on %s (cancelled %d, token %" G_GUINT64_FORMAT ")",
--- a/src/part-private.h
+++ b/src/part-private.h
@@ -38,6 +38,8 @@
   KrRoom *used;         /* a team each */
   gint64 ranked_at;     /* monotonic us */
   GHashTable *machines; /* id -> KrMachine */
+  GHashTable *ended;    /* id -> guint64: revision of the end that we wrote or found, kept until the
+                           watch of the jobs is past it */
   GPtrArray *held;      /* KrMachine whose first report waits for its answer */
   GHashTable *leaving;  /* ids to be taken out of the record: deleted */
   guint64 launches;     /* counter below the token */
@@ -108,6 +110,10 @@
 
 /* part-progress.c */
 void kr_part_flush (KrPart *part);
+/* Whether the job has ended, as far as that is not yet past in the watch of the jobs. */
+gboolean kr_part_has_ended (KrPart *part, const char *job);
+/* Forgets ends that the watch of the jobs is past. */
+void kr_part_prune_ended (KrPart *part);
 
 /* part-dispatch.c */
 KrLive *kr_live_new (KrPart *part, KrJob *job); /* takes `job` */
--- a/src/part-progress.c
+++ b/src/part-progress.c
@@ -5,6 +5,35 @@
 #include "log.h"
 #include <string.h>
 
+/* --- ends ---------------------------------------------------------------------------- */
+/* Guards against a job that lives again, with what an earlier write held: a watch event, a scan or
+ * a read from before its end may come seconds after it. */
+static void
+job_ended (KrPart *part, const char *id, guint64 revision)
+{
+  g_hash_table_replace (part->ended, g_strdup (id), g_memdup2 (&revision, sizeof revision));
+  g_hash_table_remove (part->jobs, id);
+}
+
+gboolean
+kr_part_has_ended (KrPart *part, const char *job)
+{
+  return g_hash_table_contains (part->ended, job);
+}
+
+static gboolean
+is_past (gpointer id, gpointer revision, gpointer shown)
+{
+  return *(guint64 *) revision <= *(guint64 *) shown;
+}
+
+void
+kr_part_prune_ended (KrPart *part)
+{
+  guint64 shown = kr_follow_revision (part->node->jobs);
+  g_hash_table_foreach_remove (part->ended, is_past, &shown);
+}
+
 /* --- progress ------------------------------------------------------------------------ */
 typedef struct {
   char *id;
@@ -41,7 +70,7 @@
   else if (!r->part->gone && status == 404) {
     /* Our final write was applied after all, though its answer was lost. */
     kr_info ("job %s: ended", r->id);
-    g_hash_table_remove (r->part->jobs, r->id);
+    job_ended (r->part, r->id, kr_wire_revision (body));
   }
   kr_part_unref (r->part);
   g_free (r->id);
@@ -87,7 +116,7 @@
       if (written->final) {
         kr_info ("job %s: %s, %u tasks, %.1f s after submission", written->id,
                  job->cancelled ? "cancelled" : "done", job->n_done, kr_time_of_day () - job->at);
-        g_hash_table_remove (part->jobs, written->id);
+        job_ended (part, written->id, kr_wire_revision (body));
       }
     } else {
       job->dirty = TRUE;
@@ -422,6 +451,11 @@
   KrJob *job = kr_part_job (p, id);
   if (job && item->revision <= job->revision)
     return;
+  if (kr_part_has_ended (p, id)) {
+    kr_debug ("job %s: its value of revision %" G_GUINT64_FORMAT " is from before its end", id,
+              item->revision);
+    return;
+  }
   json_t *part = json_object_get (item->value, "Part");
   if (json_is_integer (part) && (guint) json_integer_value (part) != p->index)
     return;
--- a/src/part.c
+++ b/src/part.c
@@ -21,6 +21,7 @@
     return;
   g_hash_table_unref (part->jobs); /* before the machines: it lets go of their launches */
   g_hash_table_unref (part->machines);
+  g_hash_table_unref (part->ended);
   g_ptr_array_unref (part->lives);
   g_ptr_array_unref (part->held);
   g_free (part->used);
@@ -738,6 +739,7 @@
   kr_part_tell_needs (part);
   kr_part_preempt (part, now);
   kr_part_flush (part);
+  kr_part_prune_ended (part);
   /* Cut off from the workers, but not from the state service: somebody else may reach them. */
   if (heard >= 2 && now - part->last_beat > kr_seconds (2 * settings->report_s + KR_SILENCE_S) &&
       kr_state_silence (part->node->state) < KR_SILENCE_S) {
@@ -767,6 +769,7 @@
   part->cancel = kr_cancellable_child (node->cancel);
   part->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_live_free);
   part->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_machine_free);
+  part->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   part->lives = g_ptr_array_new ();
   part->held = g_ptr_array_new ();
   part->used = g_new0 (KrRoom, node->settings->teams->len);
--- a/src/state.c
+++ b/src/state.c
@@ -342,3 +342,9 @@
   kr_follow_stop (follow);
   step (follow);
 }
+
+guint64
+kr_follow_revision (const KrFollow *follow)
+{
+  return follow->scanned ? follow->from : 0;
+}
--- a/src/state.h
+++ b/src/state.h
@@ -45,5 +45,7 @@
                          KrFollowScan on_scan, KrFollowEvent on_event, gpointer data);
 /* Drops what is under way and reads anew: the next on_scan began after this call. */
 void kr_follow_rescan (KrFollow *follow);
+/* Everything up to this revision has been shown; 0: a scan is under way. */
+guint64 kr_follow_revision (const KrFollow *follow);
 /* Stops until the next rescan. */
 void kr_follow_stop (KrFollow *follow);
