--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -156,12 +156,10 @@
 }
 
 /* What happened: "error" lines in the log, on which operators alarm, whenever a client or the
- * balancer gave a connection up and reset it before the server had accepted it. Why: such a
- * connection has no remote address any more, and libsoup does not expect that of one that it is
- * handed
- * ("soup_server_accept_iostream" takes the address as it is; the message of its first request then
- * fails G_IS_SOCKET_ADDRESS). The test framework makes such criticals fatal. Clients after it are
- * served. */
+ * balancer gave a connection up and reset it before the server had accepted it.
+ * Why: such a connection has no remote address any more, and we handed it to libsoup without one:
+ * "soup_server_connection_new_for_connection: assertion 'G_IS_SOCKET_ADDRESS (remote_addr)'
+ * failed". The test framework makes such criticals fatal. Clients after it are served. */
 static void
 test_reset_before_accept (void)
 {
