A connection that is reset before it is accepted is dropped where connections come in

Symptom: libsoup criticals, which are error lines in the log. Cause, in our use: without a peer there is no remote address, and libsoup's soup_server_accept_iostream asserts one.

--- a/src/http.c
+++ b/src/http.c
@@ -262,6 +262,25 @@
   return G_SOURCE_REMOVE;
 }
 
+static void
+serve_connection (KrServer *server, GSocketConnection *connection)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (connection, NULL);
+  g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (connection, NULL);
+
+  /* Reset before we accepted it: libsoup takes no connection without addresses. */
+  if (!local || !remote) {
+    kr_debug ("connection gone before it was accepted");
+    return;
+  }
+  g_socket_set_timeout (g_socket_connection_get_socket (connection), server->idle_s);
+  server->conns++;
+  g_object_weak_ref (G_OBJECT (connection), connection_gone, server);
+  if (!soup_server_accept_iostream (server->soup, G_IO_STREAM (connection), local, remote, &error))
+    kr_debug ("connection refused: %s", error->message);
+}
+
 static void
 accepted (GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -275,13 +294,7 @@
       kr_timer_add (KR_ACCEPT_PAUSE_MS, accept_again, server);
     return;
   }
-  g_socket_set_timeout (g_socket_connection_get_socket (c), server->idle_s);
-  g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (c, NULL);
-  g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (c, NULL);
-  server->conns++;
-  g_object_weak_ref (G_OBJECT (c), connection_gone, server);
-  if (!soup_server_accept_iostream (server->soup, G_IO_STREAM (c), local, remote, &error))
-    kr_debug ("connection refused: %s", error->message);
+  serve_connection (server, c);
   accept_next (server);
 }
 
