--- a/tests/sim.h
+++ b/tests/sim.h
@@ -134,6 +134,7 @@
 void sim_state_remove (const char *key);
 gboolean sim_state_has (const char *key);
 guint64 sim_state_mark (const char *key); /* 0: not there */
+int sim_owner (guint part);               /* node that holds the part's key; -1: none */
 guint sim_started (void);
 /* Reports handled so far, and what walks over machines they cost. */
 guint sim_beats (guint64 *steps);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -215,6 +215,23 @@
   each_machine (fault, sim_machine_mute, on);
 }
 
+static gboolean
+cancel_job (gpointer data)
+{
+  g_autofree char *id = job_id (GPOINTER_TO_UINT (data));
+  sim_abort_at (id, (guint) g_rand_int_range (user_random, 0, (gint32) world.o.nodes));
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+ask_about (gpointer data)
+{
+  g_autofree char *id = job_id (GPOINTER_TO_UINT (data));
+  for (guint i = 0; i < world.o.nodes; i++)
+    sim_poll_at (id, i);
+  return G_SOURCE_REMOVE;
+}
+
 static gboolean
 cancel_and_mute (gpointer data)
 {
@@ -241,6 +258,31 @@
   world_later (world.o.report_s, cancel_and_mute, fault);
 }
 
+/* An owner ends while machines hang and the cloud deletes none of them, for longer than a lease;
+ * jobs are cancelled meanwhile, and users ask at all nodes. */
+static void
+takeover_without_cloud (Fault *fault, gboolean on)
+{
+  sim_cloud_outage (on);
+  each_machine (fault, sim_machine_hang, on);
+  if (!on)
+    return;
+  fault->for_s = MAX (fault->for_s, SILENT_LEASES * world.o.lease_s);
+  kill_for (fault->node, fault->for_s * g_rand_double_range (schedule_random, 0.02, 0.6));
+  for (guint i = 0; i < CANCELLED_AT_ONCE && i < submitted; i++) {
+    world_later (g_rand_double_range (schedule_random, 0, fault->for_s / 2), cancel_job,
+                 GUINT_TO_POINTER (submitted - i));
+    world_later (g_rand_double_range (schedule_random, 0, fault->for_s), ask_about,
+                 GUINT_TO_POINTER (submitted - i));
+  }
+}
+
+static void
+watches_slow (Fault *fault, gboolean on)
+{
+  sim_watches_slow (on ? 3 : 0);
+}
+
 static void
 deafen (const char *id, gboolean on)
 {
@@ -301,6 +343,8 @@
   { "hang", hang },
   { "mute", mute },
   { "silent-after-cancel", silent_after_cancel },
+  { "takeover-without-cloud", takeover_without_cloud },
+  { "watches-slow", watches_slow },
   { "deaf", deaf },
   { "cut-workers", cut_workers },
   { "die", machines_die },
@@ -370,23 +414,6 @@
 }
 
 /* --- users --------------------------------------------------------------------------- */
-static gboolean
-cancel_job (gpointer data)
-{
-  g_autofree char *id = job_id (GPOINTER_TO_UINT (data));
-  sim_abort_at (id, (guint) g_rand_int_range (user_random, 0, (gint32) world.o.nodes));
-  return G_SOURCE_REMOVE;
-}
-
-static gboolean
-ask_about (gpointer data)
-{
-  g_autofree char *id = job_id (GPOINTER_TO_UINT (data));
-  for (guint i = 0; i < world.o.nodes; i++)
-    sim_poll_at (id, i);
-  return G_SOURCE_REMOVE;
-}
-
 /* Users of all teams: jobs of a few tasks, a third of which is cancelled at some moment; questions
  * at all nodes at once, now and then. */
 static gboolean
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -294,6 +294,263 @@
   with_seeds (heard_by_peers);
 }
 
+/* --- from when the lease counts ----------------------------------------------------------- */
+/* A machine and, of a kind, all nodes but one. */
+static void
+cut_but (const char *machine, const char *node, SimCut how)
+{
+  for (guint i = 0; i < usual.nodes; i++) {
+    g_autofree char *other = g_strdup_printf ("n%u", i);
+    if (!g_str_equal (other, node))
+      sim_cut_both (machine, other, how);
+  }
+}
+
+/* The former owner's word comes long after the takeover, and until then it has renewed the
+ * machine's lease: that counts from the word on. Counted from the takeover, its tasks start a
+ * second time while they run there. */
+static void
+late_word (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+  g_autofree char *machine = g_strdup (sim_machine_of ("wk-000001"));
+  cut_but (machine, "n0", SIM_DROP);
+  cut_peers (SIM_DROP);
+  sim_cut_both ("n0", "state", SIM_DROP);
+  sim_run (35); /* taken over, and a lease and more has passed */
+  cut_peers (SIM_OPEN);
+  sim_run (30);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  cut_but (machine, "n0", SIM_OPEN);
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  sim_cloud_outage (FALSE);
+  finish (300);
+}
+
+static void
+test_late_word (void)
+{
+  with_seeds (late_word);
+}
+
+/* The new owner itself renews the lease of a machine that it has not fenced yet, some time after
+ * the word, and then it falls silent: its lease counts from that answer. */
+static void
+own_answer (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+  g_autofree char *machine = g_strdup (sim_machine_of ("wk-000001"));
+  cut_but (machine, "n0", SIM_DROP);
+  sim_cut_both ("n0", "state",
+                SIM_DROP); /* its peers reach it: it gives its word at the takeover */
+  sim_run (16.5);          /* most of the machine's lease is over */
+  cut_but (machine, "n0", SIM_OPEN);
+  for (guint i = 0; i < 200 && !sim_report_under_way (machine); i++)
+    sim_run (0.01);
+  for (guint i = 0; i < 200 && sim_report_under_way (machine); i++)
+    sim_run (0.01);
+  sim_machine_hang (machine, TRUE);
+  sim_run (11);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  sim_machine_hang (machine, FALSE);
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  sim_cloud_outage (FALSE);
+  finish (300);
+}
+
+static void
+test_own_answer (void)
+{
+  with_seeds (own_answer);
+}
+
+/* A refused deletion does not end the attempts to fence: the machine is well again, and no node is
+ * back that could give its word. */
+static void
+well_after_refusal (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+  g_autofree char *machine = g_strdup (sim_machine_of ("wk-000001"));
+  sim_machine_mute (machine, TRUE); /* it reports to nobody, but answers commands */
+  for (guint i = 0; i < usual.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    sim_cut_both (machine, node, SIM_DROP);
+  }
+  sim_node_kill (0);
+  sim_run (20); /* given up, its deletion refused */
+  for (guint i = 0; i < usual.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    sim_cut_both (machine, node, SIM_OPEN);
+  }
+  sim_abort_at ("wk-000001", 1);
+  sim_run (20);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  sim_machine_mute (machine, FALSE);
+  sim_cloud_outage (FALSE);
+  sim_node_start (0);
+  finish (300);
+}
+
+static void
+test_well_after_refusal (void)
+{
+  with_seeds (well_after_refusal);
+}
+
+/* A machine that hears nothing goes on reporting to the new owner. Answered for ever, its lease
+ * would never count as over; once it is given up it is not answered any more. */
+static void
+hears_nothing (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+  g_autofree char *machine = g_strdup (sim_machine_of ("wk-000001"));
+  deafen (machine, SIM_DROP);
+  sim_run (1);
+  crash (0, 9);
+  sim_abort ("wk-000001");
+  sim_run (60);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  sim_cloud_outage (FALSE);
+  deafen (machine, SIM_OPEN);
+  finish (300);
+}
+
+static void
+test_hears_nothing (void)
+{
+  with_seeds (hears_nothing);
+}
+
+/* A part whose takeover is under way is not handed back: at home all waits would begin anew. The
+ * home node is back 9 s after its end; with a lease of 12 s, the part opens within 9 + 1.5 + 13 s
+ * and a little. */
+static void
+opens_once (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+  const char *machine = sim_machine_of ("wk-000001");
+  sim_machine_hang (machine, TRUE);
+  crash (0, 9);
+  sim_abort ("wk-000001");
+  sim_run (1.5 + 13 + 3);
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
+  sim_machine_hang (machine, FALSE);
+  sim_cloud_outage (FALSE);
+  finish (300);
+}
+
+static void
+test_opens_once (void)
+{
+  with_seeds (opens_once);
+}
+
+/* What happened: a former owner and leader was back at the state service, and read all keys since a
+ * write of its own had gone unanswered. Keys come in their order, records before owners: it took
+ * machines that its successor had returned meanwhile for machines of its own that had left the
+ * record with tasks, and asked for their deletion ("invariant record-kept does not hold (1):
+ * machine host-000000 left the record of part 0 (token 3) with 8 tasks", which ends a test). */
+static void
+former_owner_scans (void)
+{
+  begin (&usual);
+  sim_submit ("wk-000001", "team0", "normal", 12, 1, 60, 600);
+  sim_run (30);
+  g_autofree char *machine = g_strdup (sim_idlest_machine ());
+  sim_cut_both ("n0", "state", SIM_DROP);
+  sim_cut_both ("n0", "n1", SIM_DROP);
+  sim_cut_both ("n0", "n2", SIM_DROP);
+  sim_machine_kill (machine); /* n0 rents another one, and gives it to a part without an answer */
+  sim_run (15);
+  sim_cut_both ("n0", "cloud", SIM_DROP); /* it sees in no list what becomes of its machines */
+  sim_run (115);                          /* its successor ends the job and returns the machines */
+  g_assert_cmpstr (sim_told ("wk-000001"), ==, "done");
+  sim_cut_both ("n0", "state", SIM_OPEN);
+  sim_run (2);
+  sim_cut_both ("n0", "cloud", SIM_OPEN);
+  sim_cut_both ("n0", "n1", SIM_OPEN);
+  sim_cut_both ("n0", "n2", SIM_OPEN);
+  finish (300);
+}
+
+static void
+test_former_owner_scans (void)
+{
+  with_seeds (former_owner_scans);
+}
+
+/* The new owner loses the state service, its peers and the machine in the wait, and a third one
+ * takes over and answers it: what the second judges, it judges at the last moment at which the part
+ * was surely its own. It still has a machine with room that the third does not reach, where the
+ * tasks would start a second time. */
+static void
+owner_replaced_in_wait (void)
+{
+  SimOptions options = usual;
+  options.nodes = 4;
+  begin (&options);
+  sim_submit ("wk-000001", "team0", "normal", 20, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+  g_autofree char *machine = g_strdup (sim_busiest_machine ());
+  g_autofree char *with_room = g_strdup (sim_idlest_machine ());
+  sim_cut_both ("n0", "state", SIM_DROP); /* its peers reach it: it gives its word */
+  for (guint i = 1; i < options.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    sim_cut_both (machine, node, SIM_DROP);
+  }
+  int second = -1;
+  for (guint i = 0; i < 200 && second < 0; i++) {
+    sim_run (0.1);
+    second = sim_owner (0);
+    second = second == 0 ? -1 : second;
+  }
+  g_assert_cmpint (second, >, 0);
+  sim_run (1.5); /* the word is given */
+  g_autofree char *name = g_strdup_printf ("n%d", second);
+  sim_cut_both (name, "state", SIM_DROP);
+  for (guint i = 0; i < options.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    if ((int) i == second)
+      continue;
+    sim_cut_both (machine, node, SIM_OPEN);
+    sim_cut_both (with_room, node, SIM_DROP);
+    sim_cut_both (name, node, SIM_DROP);
+  }
+  sim_run (35);
+  g_assert_cmpstr (sim_broken (), ==, "");
+  for (guint i = 0; i < options.nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    sim_cut_both (machine, node, SIM_OPEN);
+    sim_cut_both (with_room, node, SIM_OPEN);
+    sim_cut_both (name, node, SIM_OPEN);
+    sim_cut_both (node, "state", SIM_OPEN);
+  }
+  sim_cloud_outage (FALSE);
+  finish (300);
+}
+
+static void
+test_owner_replaced_in_wait (void)
+{
+  with_seeds (owner_replaced_in_wait);
+}
+
 /* --- what a node is asked --------------------------------------------------------------- */
 /* Questions that no node of ours asks, and such that come late, change nothing. */
 static void
@@ -426,5 +683,12 @@
   g_test_add_func ("/takeover/state-out", test_state_out);
   g_test_add_func ("/takeover/drift", test_drift);
   g_test_add_func ("/takeover/former-owner-lives", test_former_owner_lives);
+  g_test_add_func ("/takeover/former-owner-scans", test_former_owner_scans);
+  g_test_add_func ("/takeover/owner-replaced-in-wait", test_owner_replaced_in_wait);
+  g_test_add_func ("/takeover/late-word", test_late_word);
+  g_test_add_func ("/takeover/own-answer", test_own_answer);
+  g_test_add_func ("/takeover/well-after-refusal", test_well_after_refusal);
+  g_test_add_func ("/takeover/hears-nothing", test_hears_nothing);
+  g_test_add_func ("/takeover/opens-once", test_opens_once);
   return g_test_run ();
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -315,6 +315,14 @@
   return g_hash_table_contains (world.store, key);
 }
 
+int
+sim_owner (guint part)
+{
+  g_autofree char *key = g_strdup_printf ("c/owner/%u", part);
+  const char *name = json_string_value (json_object_get (world_stored (key), "Node"));
+  return name ? atoi (name + strlen ("berth-")) : -1;
+}
+
 guint64
 sim_state_mark (const char *key)
 {
