A node that alone is without the state service names no owner to workers

Cause: redirects follow the last view, however old. Mend: where a peer reaches the state service and we do not, 421 without a name, and the worker tries the next node. In an outage for all nothing changes.

--- a/src/node.c
+++ b/src/node.c
@@ -185,7 +185,10 @@
   gboolean self = holder->node && g_str_equal (holder->node, node->settings->node_name);
   if (part < 0 && self)
     kr_rent_seen (node->rent, r);
-  kr_request_reply (request, 421, kr_wire_redirect (self ? NULL : holder->node), 0);
+  /* Without the state service while others have it, what we knew may be over: a worker would go to
+   * and fro between us and an owner that is gone. */
+  gboolean telling = !self && !node->state_cut;
+  kr_request_reply (request, 421, kr_wire_redirect (telling ? holder->node : NULL), 0);
 }
 
 static void
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -70,6 +70,8 @@
 /* Its next report takes that much longer to arrive; whether one is under way. */
 void sim_delay_report (const char *id, double seconds);
 gboolean sim_report_under_way (const char *id);
+/* When the report was sent from which its lease counts, in seconds since the start. */
+double sim_last_renewal (const char *id);
 /* A machine that has a task of the job, or NULL. */
 const char *sim_machine_of (const char *job);
 /* The machine that runs most tasks, or NULL. */
--- a/tests/world.c
+++ b/tests/world.c
@@ -1120,6 +1120,13 @@
   ((Machine *) g_hash_table_lookup (world.machines, id))->report_late_s = seconds;
 }
 
+double
+sim_last_renewal (const char *id)
+{
+  const Machine *m = g_hash_table_lookup (world.machines, id);
+  return (double) m->last_ok / 1e6;
+}
+
 gboolean
 sim_report_under_way (const char *id)
 {
