--- a/tests/world.c
+++ b/tests/world.c
@@ -673,9 +673,8 @@
   gint64 answered_at; /* a question about it was answered last */
   gint64 began_at;    /* its first task started; 0: not yet */
   gint64 submitted_at;
-  gint64 asked_at; /* when what user_step asked last was sent */
-  gint64 over_at;  /* when it was told that it is over */
-  gint64 room_at;  /* since when it has waited beside room; 0: it does not */
+  gint64 over_at; /* when it was told that it is over */
+  gint64 room_at; /* since when it has waited beside room; 0: it does not */
 } User;
 
 /* It is not on its machine any more. */
@@ -1594,13 +1593,29 @@
   return u->aborting && !over (u);
 }
 
+/* A question of a user on its way. Each has its own time: several may be on their way at once, and
+ * an answer that was overtaken by a newer question's is none that goes back. */
+typedef struct {
+  User *user;
+  gint64 asked_at;
+} Question;
+
+static Question *
+question_new (User *u)
+{
+  Question *question = g_new (Question, 1);
+  *question = (Question){ u, world.now };
+  return question;
+}
+
 static void
 polled (guint status, json_t *body, gpointer data)
 {
-  User *u = data;
+  g_autofree Question *question = data;
+  User *u = question->user;
   const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 && word)
-    tell (u, word, u->asked_at);
+    tell (u, word, question->asked_at);
   else if (status == 404)
     world_broken ("forgotten: %s gets 404", u->id);
   world_later (cancelling (u) ? 1 : 5, user_step, u);
@@ -1609,37 +1624,46 @@
 static void
 submitted (guint status, json_t *body, gpointer data)
 {
-  User *u = data;
+  g_autofree Question *question = data;
+  User *u = question->user;
   const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 || status == 201) {
     accept (u);
     if (word)
-      tell (u, word, u->asked_at);
+      tell (u, word, question->asked_at);
   } else if (u->accepted && (status == 400 || status == 422))
     world_broken ("forgotten: %s is refused", u->id);
   world_later (u->accepted && !cancelling (u) ? 5 : 1, user_step, u);
 }
 
 static void
-abort_answered (guint status, json_t *body, gpointer data)
+note_answer (const Question *question, guint status, json_t *body)
 {
   const char *word = json_string_value (json_object_get (body, "Bearing"));
   if (status == 200 && word)
-    tell (data, word, ((User *) data)->asked_at);
+    tell (question->user, word, question->asked_at);
+}
+
+static void
+answered (guint status, json_t *body, gpointer data)
+{
+  g_autofree Question *question = data;
+  note_answer (question, status, body);
 }
 
 static void
 user_aborted (guint status, json_t *body, gpointer data)
 {
-  abort_answered (status, body, data);
-  world_later (1, user_step, data);
+  g_autofree Question *question = data;
+  note_answer (question, status, body);
+  world_later (1, user_step, question->user);
 }
 
 static void
 ask_abort (User *u, const char *node, KrReply reply)
 {
   g_autofree char *path = g_strdup_printf ("/api/jobs/%s/abort", u->id);
-  world_call ("user", "POST", node, path, NULL, 5, reply, u);
+  world_call ("user", "POST", node, path, NULL, 5, reply, question_new (u));
 }
 
 static gboolean
@@ -1650,13 +1674,13 @@
   g_autofree char *poll = g_strdup_printf ("/api/jobs/%s", u->id);
   gint turn = g_rand_int_range (world.rng, 0, 3);
   check_known (u);
-  u->asked_at = world.now;
   if (u->accepted && cancelling (u) && turn == 0)
     ask_abort (u, node, user_aborted);
   else if (!u->accepted || (cancelling (u) && turn == 1))
-    world_call ("user", "POST", node, "/api/jobs", json_incref (u->body), 5, submitted, u);
+    world_call ("user", "POST", node, "/api/jobs", json_incref (u->body), 5, submitted,
+                question_new (u));
   else
-    world_call ("user", "GET", node, poll, NULL, 2, polled, u);
+    world_call ("user", "GET", node, poll, NULL, 2, polled, question_new (u));
   return FALSE;
 }
 
@@ -1704,8 +1728,7 @@
   User *u = g_hash_table_lookup (world.jobs, id);
   g_autofree char *address = world_node_address (node, WORLD_USER_PORT);
   g_autofree char *path = g_strdup_printf ("/api/jobs/%s", id);
-  u->asked_at = world.now;
-  world_call ("user", "GET", address, path, NULL, 5, abort_answered, u);
+  world_call ("user", "GET", address, path, NULL, 5, answered, question_new (u));
 }
 
 void
@@ -1719,7 +1742,7 @@
 {
   User *u = g_hash_table_lookup (world.jobs, id);
   u->aborting = TRUE;
-  ask_abort (u, node, abort_answered); /* now; user_step goes on */
+  ask_abort (u, node, answered); /* now; user_step goes on */
 }
 
 void
