--- a/tests/sim.c
+++ b/tests/sim.c
@@ -228,19 +228,17 @@
 {
   if (c->over)
     return;
-  c->over = TRUE;
-  if (!alive (c->owner, c->life)) {
-    count_command (c, -1);
-    return;
-  }
-  if (hung (c->owner)) {
-    c->over = FALSE;
+  gboolean asker_lives = alive (c->owner, c->life);
+  if (asker_lives && hung (c->owner)) {
     c->status = status;
     c->answer = body;
     world_later (HANG_STEP_US / 1e6, answer_arrives, c);
     return;
   }
+  c->over = TRUE;
   count_command (c, -1);
+  if (!asker_lives)
+    return;
   gint before = sim.current;
   sim.current = c->owner;
   c->reply (status, body, c->data);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -235,6 +235,28 @@
   }
 }
 
+/* --- scenes of their own ---------------------------------------------------------------- */
+/* The first job's tasks run, and the cloud goes out. */
+static void
+begin_without_cloud (const SimOptions *options, guint tasks)
+{
+  begin (options);
+  sim_submit ("wk-000001", "team0", "normal", tasks, 1, 100, 600);
+  sim_run (30);
+  sim_cloud_outage (TRUE);
+}
+
+/* Between a host and all nodes but one. */
+static void
+cut_but (const char *host, guint nodes, guint but, SimCut how)
+{
+  for (guint i = 0; i < nodes; i++) {
+    g_autofree char *node = g_strdup_printf ("n%u", i);
+    if (i != but)
+      sim_cut_both (host, node, how);
+  }
+}
+
 /* --- the former owner lives ------------------------------------------------------------ */
 /* It loses the state service, and its peers or not; a machine that hears it alone goes on reporting
  * to it. */
@@ -247,12 +269,9 @@
   sim_run (30);
   sim_cloud_outage (TRUE);
   g_autofree char *machine = g_strdup (sim_machine_of ("wk-000001"));
-  for (guint i = 1; i < usual.nodes; i++) {
-    g_autofree char *node = g_strdup_printf ("n%u", i);
-    sim_cut_both (machine, node, SIM_DROP);
-    if (!peers)
-      sim_cut_both ("n0", node, SIM_DROP);
-  }
+  cut_but (machine, usual.nodes, 0, SIM_DROP);
+  if (!peers)
+    cut_but ("n0", usual.nodes, 0, SIM_DROP);
   sim_cut_both ("n0", "state", SIM_DROP);
   sim_run (10);
   sim_abort_at ("wk-000001", 1);
@@ -267,11 +286,8 @@
     g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
   sim_cloud_outage (FALSE);
   sim_cut_both ("n0", "state", SIM_OPEN);
-  for (guint i = 1; i < usual.nodes; i++) {
-    g_autofree char *node = g_strdup_printf ("n%u", i);
-    sim_cut_both (machine, node, SIM_OPEN);
-    sim_cut_both ("n0", node, SIM_OPEN);
-  }
+  cut_but (machine, usual.nodes, 0, SIM_OPEN);
+  cut_but ("n0", usual.nodes, 0, SIM_OPEN);
   finish (300);
 }
 
@@ -295,36 +311,22 @@
 }
 
 /* --- from when the lease counts ----------------------------------------------------------- */
-/* A machine and, of a kind, all nodes but one. */
-static void
-cut_but (const char *machine, const char *node, SimCut how)
-{
-  for (guint i = 0; i < usual.nodes; i++) {
-    g_autofree char *other = g_strdup_printf ("n%u", i);
-    if (!g_str_equal (other, node))
-      sim_cut_both (machine, other, how);
-  }
-}
-
 /* The former owner's word comes long after the takeover, and until then it has renewed the
  * machine's lease: that counts from the word on. Counted from the takeover, its tasks start a
  * second time while they run there. */
 static void
 late_word (void)
 {
-  begin (&usual);
-  sim_submit ("wk-000001", "team0", "normal", 12, 1, 100, 600); /* the other machine has room */
-  sim_run (30);
-  sim_cloud_outage (TRUE);
+  begin_without_cloud (&usual, 12); /* the other machine has room */
   g_autofree char *machine = g_strdup (sim_busiest_machine ());
-  cut_but (machine, "n0", SIM_DROP);
+  cut_but (machine, usual.nodes, 0, SIM_DROP);
   cut_peers (SIM_DROP);
   sim_cut_both ("n0", "state", SIM_DROP);
   sim_run (35); /* taken over, and a lease and more has passed */
   cut_peers (SIM_OPEN);
   sim_run (30);
   g_assert_cmpstr (sim_broken (), ==, "");
-  cut_but (machine, "n0", SIM_OPEN);
+  cut_but (machine, usual.nodes, 0, SIM_OPEN);
   sim_cut_both ("n0", "state", SIM_OPEN);
   sim_cloud_outage (FALSE);
   finish (300);
@@ -341,23 +343,20 @@
 static void
 own_answer (void)
 {
-  begin (&usual);
-  sim_submit ("wk-000001", "team0", "normal", 12, 1, 100, 600); /* the other machine has room */
-  sim_run (30);
-  sim_cloud_outage (TRUE);
+  begin_without_cloud (&usual, 12); /* the other machine has room */
   g_autofree char *machine = g_strdup (sim_busiest_machine ());
-  cut_but (machine, "n0", SIM_DROP);
-  sim_cut_both ("n0", "state",
-                SIM_DROP); /* its peers reach it: it gives its word at the takeover */
-  sim_run (16.5);          /* most of the machine's lease is over */
+  sim_late_commands (1);                  /* so that only its reports fence a machine */
+  sim_cut_both ("n0", "state", SIM_DROP); /* its peers reach it: it gives its word */
+  for (guint i = 0; i < 200 && sim_owner (0) <= 0; i++)
+    sim_run (0.1);
+  sim_run (0.3); /* the word is given */
   double renewed = sim_last_renewal (machine);
-  sim_late_commands (1); /* so that it is not fenced at once */
-  cut_but (machine, "n0", SIM_OPEN);
   for (guint i = 0; i < 500 && sim_last_renewal (machine) <= renewed; i++)
     sim_run (0.01);
   g_assert_cmpfloat (sim_last_renewal (machine), >, renewed); /* by the new owner */
+  g_assert_cmpfloat (sim_last_renewal (machine), <, renewed + usual.lease_s);
   sim_machine_hang (machine, TRUE);
-  sim_run (11.5);
+  sim_run (11.8);
   g_assert_cmpstr (sim_broken (), ==, "");
   sim_machine_hang (machine, FALSE);
   sim_late_commands (0);
@@ -377,22 +376,13 @@
 static void
 well_after_refusal (void)
 {
-  begin (&usual);
-  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
-  sim_run (30);
-  sim_cloud_outage (TRUE);
+  begin_without_cloud (&usual, 16);
   g_autofree char *machine = g_strdup (sim_machine_of ("wk-000001"));
   sim_machine_mute (machine, TRUE); /* it reports to nobody, but answers commands */
-  for (guint i = 0; i < usual.nodes; i++) {
-    g_autofree char *node = g_strdup_printf ("n%u", i);
-    sim_cut_both (machine, node, SIM_DROP);
-  }
+  cut_off (machine, SIM_DROP);
   sim_node_kill (0);
   sim_run (20); /* given up, its deletion refused */
-  for (guint i = 0; i < usual.nodes; i++) {
-    g_autofree char *node = g_strdup_printf ("n%u", i);
-    sim_cut_both (machine, node, SIM_OPEN);
-  }
+  cut_off (machine, SIM_OPEN);
   sim_abort_at ("wk-000001", 1);
   sim_run (20);
   g_assert_cmpstr (sim_told ("wk-000001"), ==, "cancelled");
@@ -413,10 +403,7 @@
 static void
 hears_nothing (void)
 {
-  begin (&usual);
-  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
-  sim_run (30);
-  sim_cloud_outage (TRUE);
+  begin_without_cloud (&usual, 16);
   g_autofree char *machine = g_strdup (sim_machine_of ("wk-000001"));
   deafen (machine, SIM_DROP);
   sim_run (1);
@@ -441,10 +428,7 @@
 static void
 opens_once (void)
 {
-  begin (&usual);
-  sim_submit ("wk-000001", "team0", "normal", 16, 1, 100, 600);
-  sim_run (30);
-  sim_cloud_outage (TRUE);
+  begin_without_cloud (&usual, 16);
   const char *machine = sim_machine_of ("wk-000001");
   sim_machine_hang (machine, TRUE);
   crash (0, 9);
@@ -475,8 +459,7 @@
   sim_run (30);
   g_autofree char *machine = g_strdup (sim_idlest_machine ());
   sim_cut_both ("n0", "state", SIM_DROP);
-  sim_cut_both ("n0", "n1", SIM_DROP);
-  sim_cut_both ("n0", "n2", SIM_DROP);
+  cut_but ("n0", usual.nodes, 0, SIM_DROP);
   sim_machine_kill (machine); /* n0 rents another one, and gives it to a part without an answer */
   sim_run (15);
   sim_cut_both ("n0", "cloud", SIM_DROP); /* it sees in no list what becomes of its machines */
@@ -485,8 +468,7 @@
   sim_cut_both ("n0", "state", SIM_OPEN);
   sim_run (2);
   sim_cut_both ("n0", "cloud", SIM_OPEN);
-  sim_cut_both ("n0", "n1", SIM_OPEN);
-  sim_cut_both ("n0", "n2", SIM_OPEN);
+  cut_but ("n0", usual.nodes, 0, SIM_OPEN);
   finish (300);
 }
 
@@ -506,17 +488,11 @@
   SimOptions options = usual;
   options.nodes = 4;
   options.lease_s = 20; /* the third one takes over within it */
-  begin (&options);
-  sim_submit ("wk-000001", "team0", "normal", 12, 1, 100, 600);
-  sim_run (30);
-  sim_cloud_outage (TRUE);
+  begin_without_cloud (&options, 12);
   g_autofree char *machine = g_strdup (sim_busiest_machine ());
   g_autofree char *with_room = g_strdup (sim_idlest_machine ());
   sim_cut_both ("n0", "state", SIM_DROP); /* its peers reach it: it gives its word */
-  for (guint i = 1; i < options.nodes; i++) {
-    g_autofree char *node = g_strdup_printf ("n%u", i);
-    sim_cut_both (machine, node, SIM_DROP);
-  }
+  cut_but (machine, options.nodes, 0, SIM_DROP);
   int second = -1;
   for (guint i = 0; i < 200 && second < 0; i++) {
     sim_run (0.1);
@@ -527,14 +503,9 @@
   sim_run (1.5); /* the word is given */
   g_autofree char *name = g_strdup_printf ("n%d", second);
   sim_cut_both (name, "state", SIM_DROP);
-  for (guint i = 0; i < options.nodes; i++) {
-    g_autofree char *node = g_strdup_printf ("n%u", i);
-    if ((int) i == second)
-      continue;
-    sim_cut_both (machine, node, SIM_OPEN);
-    sim_cut_both (with_room, node, SIM_DROP);
-    sim_cut_both (name, node, SIM_DROP);
-  }
+  cut_but (machine, options.nodes, (guint) second, SIM_OPEN);
+  cut_but (with_room, options.nodes, (guint) second, SIM_DROP);
+  cut_but (name, options.nodes, (guint) second, SIM_DROP);
   sim_run (32);
   /* The third one answers it. Without the guard in the routing of reports it went to and fro
    * between the first, which knew the second as owner, and the second: "silent, its lease is over,
