--- a/src/part-private.h
+++ b/src/part-private.h
@@ -50,8 +50,7 @@
   gboolean record_busy, flushing;
   gint64 next_tell;           /* monotonic us: needs are not told before */
   gint64 next_record;         /* monotonic us: the record is not written before */
-  gboolean claiming;          /* the claim is being written */
-  json_t *claim_written;      /* what it is being made */
+  json_t *claim_written;      /* what the claim is being made; NULL: no write of it is under way */
   gboolean deletions_refused; /* the cloud did not carry out the newest */
   guint tick, fence_tick, preempt_soon;
   guint ticks; /* so far */
--- a/src/part-takeover.c
+++ b/src/part-takeover.c
@@ -327,10 +327,8 @@
   KrPart *part = data;
   GHashTableIter it;
   gpointer machine;
-
   json_t *value = g_steal_pointer (&part->claim_written);
 
-  part->claiming = FALSE;
   if (status == 200)
     kr_membership_note_claim (part->node->membership, part->index, value, kr_wire_revision (body));
   json_decref (value);
@@ -359,10 +357,9 @@
 kr_part_scanned (KrPart *part)
 {
   const KrClaim *claim = kr_membership_claim (part->node->membership, part->index);
-  if (part->have_record || part->claiming)
+  if (part->have_record || part->claim_written)
     return;
   note_former_owners (part);
-  part->claiming = TRUE;
   part->claim_written = kr_claim_taken_over (claim, part->node->settings->node_name);
   kr_state_commit (part->node->state, kr_part_claim_txn (part, part->claim_written), KR_FIRST,
                    KR_STATE_TIMEOUT_MS, part->cancel, claimed, kr_part_ref (part));
