--- a/src/api.h
+++ b/src/api.h
@@ -1,6 +1,6 @@
 /* Users. Any node answers any request from the state service; what cannot be known is 503. */
 #pragma once
-#include "http.h"
+#include "http-server.h"
 #include "node.h"
 #include "wire.h"
 
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -1,6 +1,7 @@
 #include "cloud.h"
 #include "clock.h"
 #include "constants.h"
+#include "flow.h"
 
 struct KrCloud {
   KrClient *client;
--- a/src/cloud.h
+++ b/src/cloud.h
@@ -1,6 +1,6 @@
 /* The cloud's client, within this node's share of its requests. */
 #pragma once
-#include "http.h"
+#include "http-client.h"
 #include "wire.h"
 
 typedef struct KrCloud KrCloud;
--- /dev/null
+++ b/src/http-client.h
@@ -0,0 +1,16 @@
+/* HTTP calls on libsoup: JSON bodies, a deadline, a bounded number at once. Knows no field of the
+ * protocol. */
+#pragma once
+#include <gio/gio.h>
+#include <jansson.h>
+
+typedef struct KrClient KrClient;
+/* status 0: no response, the outcome is unknown. `body` is borrowed, NULL if not JSON. */
+typedef void (*KrReply) (guint status, json_t *body, gpointer data);
+
+KrClient *kr_client_new (guint conns, guint conns_per_host, guint idle_s);
+void kr_client_free (KrClient *client);
+/* Takes over `body` (may be NULL). `reply` is called exactly once, later, cancelled or not. */
+void kr_client_call (KrClient *client, const char *method, const char *host, const char *path,
+                     json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply,
+                     gpointer data);
--- a/src/http.h
+++ b/src/http-server.h
@@ -1,24 +1,9 @@
-/* HTTP on libsoup: bounded servers and JSON calls with a deadline. Knows no field of the protocol.
- */
+/* An HTTP server on libsoup: bounded connections, bodies and idle times. Knows no field of the
+ * protocol. */
 #pragma once
-#include "flow.h"
-#include "settings.h"
 #include <gio/gio.h>
 #include <jansson.h>
 
-/* --- calls --------------------------------------------------------------------------- */
-typedef struct KrClient KrClient;
-/* status 0: no response, the outcome is unknown. `body` is borrowed, NULL if not JSON. */
-typedef void (*KrReply) (guint status, json_t *body, gpointer data);
-
-KrClient *kr_client_new (guint conns, guint conns_per_host, guint idle_s);
-void kr_client_free (KrClient *client);
-/* Takes over `body` (may be NULL). `reply` is called exactly once, later, cancelled or not. */
-void kr_client_call (KrClient *client, const char *method, const char *host, const char *path,
-                     json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply,
-                     gpointer data);
-
-/* --- server -------------------------------------------------------------------------- */
 typedef struct KrServer KrServer;
 typedef struct KrRequest KrRequest;
 typedef void (*KrHandler) (KrRequest *request, gpointer data);
--- a/src/node.h
+++ b/src/node.h
@@ -1,6 +1,7 @@
 /* One controller: puts the modules together and runs them on one main loop. */
 #pragma once
 #include "cloud.h"
+#include "http-server.h"
 #include "membership.h"
 #include "settings.h"
 #include "state.h"
--- a/src/part.h
+++ b/src/part.h
@@ -1,7 +1,7 @@
 /* An owned part: its jobs and machines, what runs where, and what of it is durable. */
 #pragma once
 #include "agent.h"
-#include "http.h"
+#include "http-server.h"
 #include "ledger.h"
 #include "node.h"
 
--- a/src/rent.c
+++ b/src/rent.c
@@ -2,7 +2,7 @@
 #include "budget.h"
 #include "clock.h"
 #include "constants.h"
-#include "http.h"
+#include "http-client.h"
 #include "log.h"
 #include "part.h"
 #include "rebalance.h"
--- a/src/state.h
+++ b/src/state.h
@@ -1,6 +1,7 @@
 /* The state service's client: rate-limited calls, and a follower that keeps a prefix in view. */
 #pragma once
-#include "http.h"
+#include "flow.h"
+#include "http-client.h"
 #include "settings.h"
 #include "wire.h"
 
--- a/src/worker.h
+++ b/src/worker.h
@@ -1,7 +1,7 @@
 /* Direct calls to workers: fencing and kills. Never `run`: such a command could be executed late.
  */
 #pragma once
-#include "http.h"
+#include "http-client.h"
 #include "wire.h"
 
 /* report: NULL if there was none in the answer. status as in KrReply. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -2,7 +2,8 @@
 #include "world.h"
 #include "clock.h"
 #include "constants.h"
-#include "http.h"
+#include "http-client.h"
+#include "http-server.h"
 #include "part.h"
 #include "wire.h"
 #include <math.h>
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -1,6 +1,7 @@
 /* A small world in simulated time for whole nodes: stand-ins of the state service, the cloud and
  * the workers by the published protocol, a network that can fail, and a plain checker of the rules.
- * It takes the place of clock.c and http.c: the nodes under test are otherwise the real thing. */
+ * It takes the place of clock.c, http-client.c and http-server.c: the nodes under test are
+ * otherwise the real thing. */
 #pragma once
 #include "node.h"
 
--- a/tests/soak/backend.c
+++ b/tests/soak/backend.c
@@ -1,5 +1,6 @@
 #include "backend.h"
-#include "http.h"
+#include "http-client.h"
+#include "http-server.h"
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -8,7 +8,7 @@
  * in the same turn of the main loop, and never reports the end of the call, nor of its
  * cancellation. */
 #include "constants.h"
-#include "http.h"
+#include "http-client.h"
 #include <string.h>
 #include <sys/socket.h>
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,7 +1,8 @@
 /* The real server on loopback: what broken or greedy clients may do, and what many calls at
  * once cost. */
 #include "constants.h"
-#include "http.h"
+#include "http-client.h"
+#include "http-server.h"
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
--- a/tests/world.h
+++ b/tests/world.h
@@ -1,7 +1,8 @@
 /* Between the stand-ins (world.c) and what carries time and messages: sim.c, in simulated time with
  * nodes in this process, and soak/soak.c, in real time with nodes as processes on loopback. */
 #pragma once
-#include "http.h"
+#include "http-client.h"
+#include "http-server.h"
 #include "sim.h"
 
 #define WORLD_MAX_NODES 8
