A read without end is begun anew; a controller that cannot read gives its keys up

Callers would see 503 to every question about a part for as long as its owner renews its lease and cannot read who owns what (the second half of the incident): the watch of a prefix went on only from an answer, and the lease was renewed whether c/ could be read or not.

Weighed: ending the process for its supervisor to restart it; it would hide the cause, costs a restart where a retry is enough, and is no smaller. A node that serves is never concerned: it has read c/.

New log lines: each whole read of a prefix (keys, revision), readiness and why not; /health counts calls whose end was never reported.

--- a/src/constants.h
+++ b/src/constants.h
@@ -42,6 +42,7 @@
 /* --- State service ------------------------------------------------------------------- */
 #define KR_FOLLOW_HOLD_MS 10000 /* ms; long enough to be cheap, short enough to see a cut */
 #define KR_FOLLOW_SLACK_MS 4000 /* ms beyond the hold before a watch counts as lost */
+#define KR_FOLLOW_LOST_MS 2000  /* ms beyond the deadline of a read before it counts as lost */
 #define KR_FOLLOW_PAUSE_MS 100  /* ms between watches: changes of one moment come together */
 #define KR_SCAN_PAGE 200        /* keys a page: stays far below 512 KiB */
 #define KR_STATE_SILENCE_S 4.0  /* s; two renewals of the lease unanswered */
@@ -49,6 +50,7 @@
 #define KR_RETRY_MS 500       /* ms; pause after a failed state call */
 #define KR_NODE_LEASE_MS 6000 /* ms; a dead node's parts are free after this */
 #define KR_STALL_MS 6000      /* ms; a node that stood still so long may have lost all keys */
+#define KR_UNREAD_S 15.0      /* s; a node that could not read who owns what gives its keys up */
 #define KR_NODE_RENEW_MS 1500 /* ms; four tries within the lease */
 #define KR_VALUE_RESERVE 2048 /* bytes of a value kept for a job's fields beside its bits */
 #define KR_CHUNK_BITS 24000   /* tasks a chunk of a done set: 4 KB in base64 */
--- a/src/membership.c
+++ b/src/membership.c
@@ -13,9 +13,11 @@
   gpointer data;
   char *incarnation;
   KrFollow *follow;
-  gboolean seen;
-  guint scans;       /* asked for */
-  KrHolder *holders; /* size parts, then the leader */
+  gboolean seen;       /* c/ was read since we began, or began anew */
+  gint64 unseen_since; /* monotonic us, while not seen */
+  gboolean given_up;   /* our lease is left to run out */
+  guint scans;         /* asked for */
+  KrHolder *holders;   /* size parts, then the leader */
   KrRecords *records;
   KrClaim *claims;     /* size */
   GHashTable *present; /* node -> Present */
@@ -291,6 +293,7 @@
       note_node (membership, name, NULL);
   }
   membership->seen = TRUE;
+  membership->given_up = FALSE;
   if (membership->scans == scans)
     membership->events.scanned (membership->data);
 }
@@ -482,11 +485,25 @@
   }
 }
 
+/* A node that cannot read who owns what serves none of its parts: without its keys another can. */
+static gboolean
+must_give_up (KrMembership *membership)
+{
+  double unseen_s = (double) (kr_now () - membership->unseen_since) / G_USEC_PER_SEC;
+  if (membership->seen || !membership->lease || unseen_s < KR_UNREAD_S)
+    return FALSE;
+  if (!membership->given_up)
+    kr_info ("state: our lease stands, but c/ could not be read for %.0f s, giving our keys up",
+             unseen_s);
+  membership->given_up = TRUE;
+  return TRUE;
+}
+
 static gboolean
 renew (gpointer data)
 {
   KrMembership *membership = data;
-  if (!membership->lease_busy) {
+  if (!membership->lease_busy && !must_give_up (membership)) {
     membership->lease_busy = TRUE;
     membership->renewal_sent = kr_now ();
     kr_state_lease (membership->state, membership->lease, KR_NODE_LEASE_MS, membership->cancel,
@@ -516,6 +533,7 @@
   g_free (membership->incarnation);
   membership->incarnation = incarnation_new ();
   membership->seen = membership->shown = FALSE;
+  membership->unseen_since = kr_now ();
   for (guint p = 0; p < membership->settings->size; p++)
     if (ours[p])
       membership->events.holder_changed (p, membership->data);
@@ -534,6 +552,7 @@
   membership->events = *events;
   membership->data = data;
   membership->incarnation = incarnation_new ();
+  membership->unseen_since = kr_now ();
   membership->holders = g_new0 (KrHolder, settings->size + 1);
   for (guint p = 0; p <= settings->size; p++)
     membership->holders[p].free_since = kr_now ();
--- a/src/node.c
+++ b/src/node.c
@@ -191,6 +191,39 @@
   kr_request_reply (request, 421, kr_wire_redirect (telling ? holder->node : NULL), 0);
 }
 
+/* Why the node can take no requests, or NULL. */
+static const char *
+unready_cause (const KrNode *node)
+{
+  if (!kr_membership_seen (node->membership))
+    return "who owns what is not read yet";
+  if (!node->types)
+    return "machine types are not known yet";
+  if (node->state_cut)
+    return "peers reach the state service, this node does not";
+  return NULL;
+}
+
+static void
+answer_ready (const KrNode *node, KrRequest *request)
+{
+  const char *cause = unready_cause (node);
+  if (cause)
+    kr_request_reply (request, 503, kr_wire_error (cause), KR_RETRY_AFTER_S);
+  else
+    kr_request_reply (request, 200, NULL, 0);
+}
+
+static void
+log_readiness (KrNode *node)
+{
+  const char *cause = unready_cause (node);
+  if (cause == node->unready)
+    return;
+  node->unready = cause;
+  kr_info ("%s: %s", cause ? "not ready" : "ready", cause ? cause : "taking requests");
+}
+
 static void
 serve_public (KrRequest *request, gpointer data)
 {
@@ -199,11 +232,7 @@
 
   switch (kr_wire_route (kr_request_method (request), kr_request_path (request), &id)) {
   case KR_ROUTE_READY:
-    if (kr_membership_seen (node->membership) && node->types && !node->state_cut)
-      kr_request_reply (request, 200, NULL, 0);
-    else
-      kr_request_reply (request, 503, kr_wire_error ("not able to take requests"),
-                        KR_RETRY_AFTER_S);
+    answer_ready (node, request);
     break;
   case KR_ROUTE_BEAT:
     beat (node, request);
@@ -250,7 +279,9 @@
   else if (g_str_equal (kr_request_path (request), KR_PEER_TAKEOVERS))
     kr_request_reply (request, kr_takeover_answer (node, kr_request_json (request)), NULL, 0);
   else if (g_str_equal (kr_request_path (request), "/health"))
-    kr_request_reply (request, 200, json_pack ("{sf}", "Silence", kr_state_silence (node->state)),
+    kr_request_reply (request, 200,
+                      json_pack ("{sf si}", "Silence", kr_state_silence (node->state), "LostCalls",
+                                 (int) kr_calls_lost ()),
                       0);
   else
     kr_request_reply (request, 404, NULL, 0);
@@ -277,6 +308,7 @@
 {
   KrNode *node = data;
   set_shares (node);
+  log_readiness (node);
   if (state_heard (node)) {
     node->state_cut = FALSE;
     return G_SOURCE_CONTINUE;
--- a/src/node.h
+++ b/src/node.h
@@ -25,6 +25,7 @@
   KrRent *rent;
   KrApi *api;
   KrServer *public_server, *peer_server;
+  const char *unready; /* why it takes no requests, as logged last; NULL: it does */
   gboolean state_cut;  /* a peer reaches the state service and we do not */
   double writes;       /* changes a second that the leader allots, */
   gint64 writes_until; /* monotonic us: and until when */
--- a/src/state.c
+++ b/src/state.c
@@ -188,7 +188,7 @@
   gboolean scanned;
   json_t *items; /* pages so far */
   guint64 first_revision;
-  guint timer;
+  guint timer; /* until the next call; while one is under way: until it counts as lost */
 };
 
 /* A call under way; it may outlive the follower's interest in it. */
@@ -215,6 +215,29 @@
   follow->timer = kr_timer_add (ms, step_again, follow);
 }
 
+/* Drops the interest in the call under way. */
+static void
+leave_call (KrFollow *follow)
+{
+  GCancellable *cancel = g_steal_pointer (&follow->cancel);
+  if (!cancel)
+    return;
+  g_cancellable_cancel (cancel);
+  g_object_unref (cancel);
+}
+
+/* Every other step follows from an answer: without one the prefix would never be read again. */
+static gboolean
+call_lost (gpointer data)
+{
+  KrFollow *follow = data;
+  follow->timer = 0;
+  kr_info ("state: a read of %s had no end, reading on", follow->prefix);
+  leave_call (follow);
+  step_later (follow, KR_RETRY_MS);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 scan_page (KrFollow *follow, json_t *body)
 {
@@ -239,6 +262,8 @@
   json_t *all = g_steal_pointer (&follow->items);
   follow->scanned = TRUE;
   follow->from = follow->first_revision;
+  kr_info ("state: all of %s read, %zu keys, revision %" G_GUINT64_FORMAT, follow->prefix,
+           json_array_size (all), follow->from);
   follow->on_scan (all, follow->from, follow->data);
   json_decref (all);
   if (follow->scanned && !follow->cancel)
@@ -277,6 +302,7 @@
   if (!current || g_cancellable_is_cancelled (follow->parent))
     return;
   g_clear_object (&follow->cancel);
+  kr_timer_clear (&follow->timer);
   if (status == 410) {
     kr_info ("state: watch of %s is too old, reading it anew", follow->prefix);
     kr_follow_rescan (follow);
@@ -307,6 +333,8 @@
   }
   follow->cancel = kr_cancellable_child (follow->parent);
   *turn = (Turn){ follow, g_object_ref (follow->cancel) };
+  kr_timer_clear (&follow->timer);
+  follow->timer = kr_timer_add (timeout + KR_FOLLOW_LOST_MS, call_lost, follow);
   start (follow->state, "GET", path, NULL, 0, KR_FIRST, timeout, follow->cancel, step_done, turn);
 }
 
@@ -327,14 +355,10 @@
 void
 kr_follow_stop (KrFollow *follow)
 {
-  GCancellable *c = g_steal_pointer (&follow->cancel);
   kr_timer_clear (&follow->timer);
   g_clear_pointer (&follow->items, json_decref);
   follow->scanned = FALSE;
-  if (c) {
-    g_cancellable_cancel (c);
-    g_object_unref (c);
-  }
+  leave_call (follow);
 }
 
 void
--- a/tests/scenes.c
+++ b/tests/scenes.c
@@ -51,6 +51,8 @@
 {
   sim_calm ();
   work_off (within_s);
+  while (!sim_liveness_checked ())
+    sim_run (1);
   g_assert_cmpstr (sim_broken (), ==, "");
   g_assert_true (sim_all_over ());
   g_assert_cmpuint (sim_started (), >, 0);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -50,6 +50,7 @@
   guint64 beat_steps;
   GHashTable *commands; /* address -> direct commands to it under way */
   guint commands_most;  /* to one address at once, so far */
+  guint lose_reads[WORLD_MAX_NODES];
 } sim;
 
 static int
@@ -218,6 +219,12 @@
   sim.commands_most = MAX (sim.commands_most, now);
 }
 
+void
+sim_lose_reads (guint node, guint n)
+{
+  sim.lose_reads[node] = n;
+}
+
 guint
 sim_commands_at_once (void)
 {
@@ -424,6 +431,11 @@
                 json_t *body, guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
 {
   g_autofree char *from = g_strdup_printf ("n%d", sim.current);
+  if (sim.lose_reads[sim.current] && g_str_has_prefix (path, "/store?")) {
+    sim.lose_reads[sim.current]--;
+    json_decref (body);
+    return;
+  }
   Call *c = world_call (from, method, host, path, body, timeout_ms / 1000.0, reply, data);
   if (cancel && g_cancellable_is_cancelled (cancel))
     world_later (0, call_cancelled_now, c);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -43,6 +43,11 @@
 void sim_cut_both (const char *a, const char *b, SimCut how);
 void sim_state_outage (gboolean on);
 void sim_state_refuse (guint node, gboolean on);
+/* It answers 503 when that node reads a prefix whole; all else is answered. */
+void sim_state_refuse_reads (guint node, gboolean on);
+/* The node's next n reads of a prefix never end for their caller, against what kr_client_call
+ * promises. */
+void sim_lose_reads (guint node, guint n);
 /* Its answers take up to this much longer. */
 void sim_state_slow (double seconds);
 /* What its watches show arrives that much later; all else at once. */
@@ -115,6 +120,8 @@
  * 90 s while a machine that fits has room and its team is under its limit, or not begin within
  * 240 s. */
 void sim_calm (void);
+/* Every living node was asked whether it is ready, and every part looked at: 30 s after that. */
+gboolean sim_liveness_checked (void);
 /* One request to a node's public address; the answer's status (0: none) after up to 5 s. */
 guint sim_request (guint node, const char *method, const char *path, const char *body);
 
--- /dev/null
+++ b/tests/test_liveness.c
@@ -0,0 +1,130 @@
+/* After a trouble every controller serves again, and no part stays without an owner who serves.
+ *
+ * What was seen: an owner that was frozen while the state service was out again and again kept its
+ * lease, went on, and never served its part again: its first read of who owns what had no end
+ * (test_calls.c tells how), and everything that follows waited for that end. */
+#include "scenes.h"
+#include <string.h>
+
+#define OUTAGE_S 1.2
+#define FLAP_S 2.5
+#define FROZEN_S 9.0 /* longer than the lease: only the outages keep it */
+
+/* The state service is out for OUTAGE_S every `every_s`, for that long. */
+static void
+flap (double every_s, double for_s)
+{
+  double end = sim_now () + for_s;
+  while (sim_now () < end) {
+    sim_state_outage (TRUE);
+    sim_run (OUTAGE_S);
+    sim_state_outage (FALSE);
+    sim_run (MIN (every_s - OUTAGE_S, MAX (0.01, end - sim_now ())));
+  }
+}
+
+static void
+freeze_beside_flaps (guint node, double every_s, double for_s)
+{
+  sim_node_hang (node, TRUE);
+  flap (every_s, for_s);
+}
+
+static void
+go_on (guint node)
+{
+  sim_node_hang (node, FALSE);
+}
+
+static void
+begin_with_work (void)
+{
+  begin (&usual);
+  submit_some (12, 20);
+  sim_run (10);
+}
+
+/* The read that it begins as it goes on has no end, against what the HTTP client promises. */
+static void
+read_without_end (void)
+{
+  begin_with_work ();
+  freeze_beside_flaps (0, FLAP_S, FROZEN_S);
+  g_assert_cmpint (sim_owner (0), ==, 0); /* nobody else has taken its part */
+  sim_lose_reads (0, 1);
+  go_on (0);
+  sim_run (20);
+  g_assert_cmpuint (sim_request (0, "GET", "/ready", NULL), ==, 200);
+  finish (400);
+}
+
+static void
+test_read_without_end (void)
+{
+  with_seeds (read_without_end);
+}
+
+/* It renews its lease and cannot read who owns what: another takes its part. */
+static void
+reads_refused (void)
+{
+  begin_with_work ();
+  freeze_beside_flaps (0, FLAP_S, FROZEN_S);
+  sim_state_refuse_reads (0, TRUE);
+  go_on (0);
+  sim_run (27); /* 15 s without a read, a lease of 6 s, and those who are due look in turn */
+  g_assert_cmpint (sim_owner (0), >, 0);
+  sim_run (20);
+  sim_state_refuse_reads (0, FALSE);
+  finish (400);
+}
+
+static void
+test_reads_refused (void)
+{
+  with_seeds (reads_refused);
+}
+
+static void
+frozen_owner (double frozen_s, double every_s, gboolean two, gboolean again)
+{
+  begin_with_work ();
+  sim_abort ("wk-000001");
+  if (two)
+    sim_node_hang (1, TRUE);
+  freeze_beside_flaps (0, every_s, frozen_s);
+  go_on (0);
+  go_on (1);
+  if (again) {
+    sim_run (0.3);
+    freeze_beside_flaps (0, every_s, frozen_s);
+    go_on (0);
+  }
+  finish (400);
+}
+
+/* Frozen for less and for longer than the lease, the state service out at several rates, two
+ * controllers at once, and once more right after it went on. */
+static void
+test_frozen_owner (void)
+{
+  static const double frozen_s[] = { 8, 25, 45, 56, 70 }, every_s[] = { 1.7, 2.5, 4 };
+  for (guint f = 0; f < G_N_ELEMENTS (frozen_s); f++)
+    for (guint e = 0; e < G_N_ELEMENTS (every_s); e++) {
+      frozen_owner (frozen_s[f], every_s[e], FALSE, FALSE);
+      seed++;
+    }
+  frozen_owner (45, 2.5, TRUE, FALSE);
+  frozen_owner (25, 2.5, FALSE, TRUE);
+  frozen_owner (56, 1.7, TRUE, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  scenes_init (&argc, &argv);
+  g_test_add_func ("/liveness/read-without-end", test_read_without_end);
+  g_test_add_func ("/liveness/reads-refused", test_reads_refused);
+  g_test_add_func ("/liveness/frozen-owner", test_frozen_owner);
+  return g_test_run ();
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -2,6 +2,7 @@
  * by the published protocol, and a plain checker of the rules. Time and messages are the backend's.
  */
 #include "world.h"
+#include "liveness.h"
 #include "constants.h"
 #include "part.h"
 #include "wire.h"
@@ -388,6 +389,12 @@
   world.refuse[node] = on;
 }
 
+void
+sim_state_refuse_reads (guint node, gboolean on)
+{
+  world.refuse_reads[node] = on;
+}
+
 void
 sim_lose_commit_answers (guint n)
 {
@@ -581,13 +588,22 @@
   return world.state_requests;
 }
 
+static gboolean
+reads_refused (const Call *c)
+{
+  return g_str_has_prefix (c->from, "n") && world.refuse_reads[atoi (c->from + 1)] &&
+         g_str_has_prefix (c->path, "/store?");
+}
+
 static void
 state_answer (Call *c)
 {
   world.state_requests++;
   if (refused (c->from) && !g_str_has_prefix (c->path, "/follow")) {
     world_answer_call (c, 503, NULL);
-  } else if (g_str_has_prefix (c->path, "/store?"))
+  } else if (reads_refused (c))
+    world_answer_call (c, 503, NULL);
+  else if (g_str_has_prefix (c->path, "/store?"))
     scan (c);
   else if (g_str_has_prefix (c->path, "/store/")) {
     Entry *e = g_hash_table_lookup (world.store, c->path + strlen ("/store/"));
@@ -1493,6 +1509,7 @@
 void
 sim_calm (void)
 {
+  liveness_calm ();
   if (!world.calm_at)
     check_waiting (NULL);
   world.calm_at = world.now;
--- a/tests/world.h
+++ b/tests/world.h
@@ -35,7 +35,7 @@
   GPtrArray *follows; /* Follow */
   GArray *changes;    /* Change */
   guint64 revision, next_lease;
-  gboolean outage, refuse[WORLD_MAX_NODES];
+  gboolean outage, refuse[WORLD_MAX_NODES], refuse_reads[WORLD_MAX_NODES];
   double slow, slow_watches;
   guint lose_commits;
   char *hold_prefix; /* of a key that a commit writes, for hold_commits */
