--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,6 +1,7 @@
 /* Randomized faults on real processes: controllers on loopback, stand-ins of everything else, a
  * schedule of troubles drawn from a seed. What workers ran and users were told decides. */
 #include "backend.h"
+#include "constants.h"
 #include <stdio.h>
 #include <string.h>
 
@@ -14,6 +15,10 @@
 #define LAST_NET 250
 #define CANCELLED_AT_ONCE 8 /* jobs */
 #define SILENT_LEASES 1.6   /* that machines are silent, at least */
+#define FLAP_OUT_S 1.2
+#define FLAP_EVERY_S 2.5
+#define LEAST_FLAPS_S 9.0 /* longer than a node's lease */
+#define LONG_STOP_MORE_S 2.0
 
 typedef struct {
   guint kind; /* place in `kinds` */
@@ -22,12 +27,13 @@
   SimCut how;
   char **machines; /* that it has hit */
   guint left;      /* leaders still to be killed */
+  gboolean on;
 } Fault;
 
 static struct {
-  gint seed, seconds, workers, nodes, runs, jobs, net;
-  char *program, *keep;
-} options = { 1, 90, 60, 3, 1, 4, -1, NULL, NULL };
+  gint seed, seconds, workers, nodes, runs, jobs, net, kinds;
+  char *program;
+} options = { 1, 90, 60, 3, 1, 4, -1, 0, NULL };
 
 static GRand *schedule_random, *user_random;
 static guint submitted;
@@ -109,6 +115,45 @@
   sim_node_hang (fault->node, on);
 }
 
+/* For longer than connections stay unused. */
+static void
+stop_for_long (Fault *fault, gboolean on)
+{
+  fault->for_s = MAX (fault->for_s, KR_CLIENT_IDLE_S + LONG_STOP_MORE_S);
+  stop_node (fault, on);
+}
+
+static gboolean
+state_is_back (gpointer data)
+{
+  sim_state_outage (FALSE);
+  return G_SOURCE_REMOVE;
+}
+
+/* An owner stands still while the state service is out again and again, which keeps its lease. */
+static gboolean
+state_goes (gpointer data)
+{
+  Fault *fault = data;
+  if (!fault->on)
+    return G_SOURCE_REMOVE;
+  sim_state_outage (TRUE);
+  world_later (FLAP_OUT_S, state_is_back, NULL);
+  world_later (FLAP_EVERY_S, state_goes, fault);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+stop_beside_flaps (Fault *fault, gboolean on)
+{
+  fault->on = on;
+  sim_node_hang (fault->node, on);
+  if (!on)
+    return;
+  fault->for_s = MAX (fault->for_s, LEAST_FLAPS_S);
+  state_goes (fault);
+}
+
 static void
 state_refuses (Fault *fault, gboolean on)
 {
@@ -348,6 +393,8 @@
   { "deaf", deaf },
   { "cut-workers", cut_workers },
   { "die", machines_die },
+  { "stop-beside-flaps", stop_beside_flaps },
+  { "stop-for-long", stop_for_long },
 };
 
 /* --- the schedule ------------------------------------------------------------------------ */
@@ -368,6 +415,8 @@
 {
   Fault *fault = data;
   kinds[fault->kind].set (fault, FALSE);
+  if (world.calm_at)
+    sim_calm (); /* it was the last one */
   return G_SOURCE_REMOVE;
 }
 
@@ -400,7 +449,7 @@
   double at_s = QUIET_S;
   while (at_s < until_s) {
     Fault *fault = g_new0 (Fault, 1);
-    fault->kind = (guint) g_rand_int_range (schedule_random, 0, G_N_ELEMENTS (kinds));
+    fault->kind = (guint) g_rand_int_range (schedule_random, 0, options.kinds);
     fault->at_s = at_s;
     fault->for_s = g_rand_double_range (schedule_random, 0.3, 3 * FAULT_EVERY_S);
     fault->share = g_rand_double_range (schedule_random, 0.05, 0.4);
@@ -463,11 +512,13 @@
 static void
 wait_for_work (void)
 {
-  double end = sim_now () + WORK_OFF_S;
-  while (!sim_all_over () && sim_now () < end)
+  while ((!sim_all_over () || !sim_liveness_checked ()) &&
+         sim_now () < world.calm_at / 1e6 + WORK_OFF_S)
     sim_run (1);
   if (!sim_all_over ())
     world_broken ("work is left %.0f s after the last trouble", WORK_OFF_S);
+  if (!sim_liveness_checked ())
+    world_broken ("not every controller was asked whether it is ready");
 }
 
 static int
@@ -543,11 +594,12 @@
   g_autofree char *seconds = g_strdup_printf ("%d", options.seconds);
   g_autofree char *workers = g_strdup_printf ("%d", options.workers);
   g_autofree char *nodes = g_strdup_printf ("%d", options.nodes);
+  g_autofree char *some_kinds = g_strdup_printf ("%d", options.kinds);
   g_autoptr (GError) error = NULL;
-  GSubprocess *process =
-      g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE, &error,
-                        runs->self, "--seed", seed, "--net", net, "--seconds", seconds, "--workers",
-                        workers, "--nodes", nodes, "--program", options.program, NULL);
+  GSubprocess *process = g_subprocess_new (
+      G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE, &error, runs->self,
+      "--seed", seed, "--net", net, "--seconds", seconds, "--workers", workers, "--nodes", nodes,
+      "--kinds", some_kinds, "--program", options.program, NULL);
   if (!process)
     g_error ("%s", error->message);
   runs->running++;
@@ -581,16 +633,20 @@
     { "nodes", 0, 0, G_OPTION_ARG_INT, &options.nodes, "Controllers", "N" },
     { "runs", 0, 0, G_OPTION_ARG_INT, &options.runs, "Runs, each with the next seed", "N" },
     { "jobs", 0, 0, G_OPTION_ARG_INT, &options.jobs, "Runs side by side", "N" },
+    { "kinds", 0, 0, G_OPTION_ARG_INT, &options.kinds,
+      "The first N kinds of faults only: as a seed's schedule was before the later ones", "N" },
     { "net", 0, 0, G_OPTION_ARG_INT, &options.net, "One run, on 127.NET.0.0/16", "NET" },
     { "program", 0, 0, G_OPTION_ARG_FILENAME, &options.program, "keelrouter", "FILE" },
     { NULL }
   };
   g_autoptr (GError) error = NULL;
   g_autoptr (GOptionContext) context = g_option_context_new ("- random faults on real processes");
+  options.kinds = G_N_ELEMENTS (kinds);
   g_option_context_add_main_entries (context, entries, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error) || !options.program ||
       options.seconds < 60 || options.workers < 1 || options.nodes < 1 ||
-      options.nodes > WORLD_MAX_NODES || options.jobs < 1 || options.runs < 1) {
+      options.nodes > WORLD_MAX_NODES || options.kinds < 1 ||
+      options.kinds > (gint) G_N_ELEMENTS (kinds) || options.jobs < 1 || options.runs < 1) {
     fprintf (stderr, "soak: %s\n", error ? error->message : "see --help; --program is required");
     return 2;
   }
--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -421,7 +421,8 @@
   gpointer data;
 } Swallowed;
 
-static GPtrArray *swallowed; /* NULL: the library does its work */
+static GPtrArray *swallowed;        /* NULL: the library does its work */
+static SoupSession *latest_session; /* that was given a call; borrowed */
 
 /* Stands before the library's own function. */
 void
@@ -432,6 +433,7 @@
                        gpointer);
   if (!real)
     *(void **) &real = dlsym (RTLD_NEXT, "soup_session_send_and_read_async");
+  latest_session = session;
   if (swallowed) {
     Swallowed *call = g_new (Swallowed, 1);
     *call = (Swallowed){ g_object_ref (session), message, cancel, done, data };
@@ -468,6 +470,7 @@
   run_for (DEADLINE_S + LATE_S);
   for (guint c = 0; c < 2 * CONNS; c++)
     g_assert_cmpuint (later[c].status, ==, 200);
+  g_assert_true (latest_session != ((Swallowed *) calls->pdata[0])->session);
   for (guint c = 0; c < calls->len; c++) {
     Swallowed *swallowed_call = calls->pdata[c];
     soup_session_send_and_read_async (swallowed_call->session, swallowed_call->message,
