A call waits for our own limit of the state service no longer than its caller

Now it is refused with 429, not sent, at its deadline; other calls after KR_LIMIT_WAIT_MS (8 s, chosen: twice KR_QUEUE_S, which bounds the queue). The call leaves the limit's queue, so no request is spent on it.

--- a/src/constants.h
+++ b/src/constants.h
@@ -37,7 +37,9 @@
 #define KR_CLIENT_QUIET_MS 200 /* ms between looks for a moment without calls */
 #define KR_WORKER_IDLE_S 15    /* s; direct connections to workers are rare */
 #define KR_QUEUE_S 4.0         /* s worth of calls that may wait for a rate limit, as users do */
-#define KR_QUEUE_MIN 64        /* such calls at least; beyond: refused at once */
+#define KR_LIMIT_WAIT_MS                                                                           \
+  8000                  /* ms that such a call waits at most: twice that, for those ahead of it */
+#define KR_QUEUE_MIN 64 /* such calls at least; beyond: refused at once */
 
 /* --- State service ------------------------------------------------------------------- */
 #define KR_FOLLOW_HOLD_MS 10000 /* ms; long enough to be cheap, short enough to see a cut */
--- a/src/flow.c
+++ b/src/flow.c
@@ -175,3 +175,23 @@
   kr_timer_clear (&bucket->timer);
   arm (bucket);
 }
+
+static gboolean
+leave_queue (GQueue *queue, gpointer data)
+{
+  for (GList *l = queue->head; l; l = l->next) {
+    if (((Waiter *) l->data)->data != data)
+      continue;
+    g_free (l->data);
+    g_queue_delete_link (queue, l);
+    return TRUE;
+  }
+  return FALSE;
+}
+
+void
+kr_bucket_leave (KrBucket *bucket, gpointer data)
+{
+  if (!leave_queue (&bucket->queue, data))
+    leave_queue (&bucket->last, data);
+}
--- a/src/flow.h
+++ b/src/flow.h
@@ -21,6 +21,8 @@
 /* Calls go(TRUE) when `cost` may be spent, at once if possible; go(FALSE) at once if the queue is
  * full. */
 void kr_bucket_take (KrBucket *bucket, double cost, KrTurn turn, KrBucketGo go, gpointer data);
+/* Takes back a call that waits, by its `data`: go is not called for it. */
+void kr_bucket_leave (KrBucket *bucket, gpointer data);
 double kr_bucket_rate (KrBucket *bucket);
 double kr_bucket_burst (KrBucket *bucket);
 /* What may be spent now on work that can wait: a reserve stays for the rest. A full bucket always
--- a/src/membership.c
+++ b/src/membership.c
@@ -274,6 +274,8 @@
   json_t *o;
   size_t i;
 
+  kr_info ("state: who owns what is read, %zu keys, revision %" G_GUINT64_FORMAT,
+           json_array_size (items), revision);
   scan_holders (membership, items, revision);
   json_array_foreach (items, i, o)
   {
--- a/src/state.c
+++ b/src/state.c
@@ -15,12 +15,13 @@
   const char *method;
   char *path;
   json_t *body;
-  double puts;
   KrTurn turn;
   guint timeout_ms;
   GCancellable *cancel;
   KrReply reply;
   gpointer data;
+  KrBucket *limit; /* in which it waits */
+  guint timer;     /* until it has waited long enough */
 } Op;
 
 KrState *
@@ -91,6 +92,7 @@
 static void
 op_free (Op *op)
 {
+  kr_timer_clear (&op->timer);
   g_free (op->path);
   json_decref (op->body);
   g_clear_object (&op->cancel);
@@ -107,15 +109,33 @@
   op_free (op);
 }
 
+static void
+op_refuse (Op *op)
+{
+  op->reply (429, NULL, op->data);
+  op_free (op);
+}
+
+/* Guards against one that others keep from its turn for as long as they use the limit up. */
+static gboolean
+op_late (gpointer data)
+{
+  Op *op = data;
+  op->timer = 0;
+  kr_bucket_leave (op->limit, op);
+  op_refuse (op);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 op_send (gboolean granted, gpointer data)
 {
   Op *op = data;
   if (!granted) {
-    op->reply (429, NULL, op->data);
-    op_free (op);
+    op_refuse (op);
     return;
   }
+  kr_timer_clear (&op->timer);
   kr_client_call (op->state->client, op->method, op->state->host, op->path,
                   g_steal_pointer (&op->body), op->timeout_ms, op->cancel, op_done, op);
 }
@@ -124,22 +144,31 @@
 op_request (gboolean granted, gpointer data)
 {
   Op *op = data;
+  op->limit = op->state->requests;
   if (granted)
-    kr_bucket_take (op->state->requests, 1, op->turn, op_send, op);
+    kr_bucket_take (op->limit, 1, op->turn, op_send, op);
   else
-    op_send (FALSE, op);
+    op_refuse (op);
 }
 
 static void
 start (KrState *state, const char *method, char *path, json_t *body, double puts, KrTurn turn,
        guint timeout_ms, GCancellable *cancel, KrReply reply, gpointer data)
 {
-  Op *op = g_new (Op, 1);
-  *op = (Op){ state, method, path,       body,
-              puts,  turn,   timeout_ms, cancel ? g_object_ref (cancel) : NULL,
-              reply, data };
+  Op *op = g_new0 (Op, 1);
+  *op = (Op){ .state = state,
+              .method = method,
+              .path = path,
+              .body = body,
+              .turn = turn,
+              .timeout_ms = timeout_ms,
+              .cancel = cancel ? g_object_ref (cancel) : NULL,
+              .reply = reply,
+              .data = data,
+              .limit = state->writes };
+  op->timer = kr_timer_add (turn == KR_LAST ? timeout_ms : KR_LIMIT_WAIT_MS, op_late, op);
   if (puts > 0)
-    kr_bucket_take (state->writes, puts, turn, op_request, op);
+    kr_bucket_take (op->limit, puts, turn, op_request, op);
   else
     op_request (TRUE, op);
 }
@@ -262,8 +291,6 @@
   json_t *all = g_steal_pointer (&follow->items);
   follow->scanned = TRUE;
   follow->from = follow->first_revision;
-  kr_info ("state: all of %s read, %zu keys, revision %" G_GUINT64_FORMAT, follow->prefix,
-           json_array_size (all), follow->from);
   follow->on_scan (all, follow->from, follow->data);
   json_decref (all);
   if (follow->scanned && !follow->cancel)
--- a/src/state.h
+++ b/src/state.h
@@ -10,7 +10,9 @@
 KrState *kr_state_new (const KrSettings *settings);
 void kr_state_free (KrState *state);
 
-/* status 429: refused by our own limit or the service's, not executed; 0: unknown outcome. */
+/* status 429: refused by our own limit or the service's, not executed; 0: unknown outcome.
+ * `timeout_ms` counts from when the call is sent. Before that it waits for our own limit, for
+ * KR_LIMIT_WAIT_MS at most, or, with KR_LAST, for timeout_ms. */
 void kr_state_get (KrState *state, const char *key, KrTurn turn, guint timeout_ms,
                    GCancellable *cancel, KrReply reply, gpointer data);
 /* All changes below a prefix after a revision, as they are when the request is carried out. */
