An owner that is gone does not keep its part beside a flapping state service

Now a node that gets no answer from a peer while its own calls to the state service fail writes a probe of it there (c/probe/NODE/BY). A living node answers by a newer presence; it also shows itself unasked while some peer is silent to it. Where none came in 6 s and four answered reads, the node's lease, which its presence names now, is ended (DELETE /leases): all that follows is what follows when a lease runs out. So what a renewal proves stays true (kr_membership_proven), the successor waits out workers' leases as ever, and two that reach the verdict do no more than one.

No lease ended: peers cut with watches 3 s late, stops of 5 s again and again, a presence that names no lease (an older node). Idle while no call fails.

--- a/src/constants.h
+++ b/src/constants.h
@@ -53,15 +53,20 @@
 #define KR_NODE_LEASE_MS 6000 /* ms; a dead node's parts are free after this */
 #define KR_STALL_MS 6000      /* ms; a node that stood still so long may have lost all keys */
 #define KR_UNREAD_S 15.0      /* s; a node that could not read who owns what gives its keys up */
-#define KR_NODE_RENEW_MS 1500 /* ms; four tries within the lease */
-#define KR_VALUE_RESERVE 2048 /* bytes of a value kept for a job's fields beside its bits */
-#define KR_CHUNK_BITS 24000   /* tasks a chunk of a done set: 4 KB in base64 */
-#define KR_COMMIT_BYTES 40000 /* bytes; a batch stays well below the protocol's 64 KiB */
-#define KR_FLUSH_MS 5000      /* ms; a job's progress is written this often at most */
-#define KR_ENDS_MIN 4         /* changes; two jobs' ends go out together at least */
-#define KR_RESERVE_SHARE 0.25 /* of a burst: what progress leaves to accepts and ends */
-#define KR_FLUSH_NEXT_MS 10   /* ms; between batches when more than one is due */
-#define KR_FINAL_CACHE 4096   /* jobs whose final answer a node remembers */
+#define KR_PROBE_TROUBLE_S                                                                         \
+  10.0                   /* s since a failed call in which the state service counts as failing */
+#define KR_PROBE_MS 500  /* ms between looks at a probe */
+#define KR_PROBE_READS 4 /* answered reads of a presence that show no answer to the probe */
+#define KR_PROBE_PAUSE_MS 10000 /* ms between probes of one peer */
+#define KR_NODE_RENEW_MS 1500   /* ms; four tries within the lease */
+#define KR_VALUE_RESERVE 2048   /* bytes of a value kept for a job's fields beside its bits */
+#define KR_CHUNK_BITS 24000     /* tasks a chunk of a done set: 4 KB in base64 */
+#define KR_COMMIT_BYTES 40000   /* bytes; a batch stays well below the protocol's 64 KiB */
+#define KR_FLUSH_MS 5000        /* ms; a job's progress is written this often at most */
+#define KR_ENDS_MIN 4           /* changes; two jobs' ends go out together at least */
+#define KR_RESERVE_SHARE 0.25   /* of a burst: what progress leaves to accepts and ends */
+#define KR_FLUSH_NEXT_MS 10     /* ms; between batches when more than one is due */
+#define KR_FINAL_CACHE 4096     /* jobs whose final answer a node remembers */
 
 /* --- Shares of the budgets ------------------------------------------------------------ */
 /* The state service's and the cloud's limits hold for all nodes together. Each node's part grows
--- a/src/membership.c
+++ b/src/membership.c
@@ -23,9 +23,11 @@
   GHashTable *present; /* node -> Present */
   guint64 lease;
   gboolean lease_busy;
-  gint64 presence_at; /* monotonic us: our presence is not written again before */
-  gboolean away;      /* what our presence says: we keep off our home part */
-  gboolean shown;     /* our presence, under this incarnation, is what the watch showed last */
+  gint64 presence_at;     /* monotonic us: our presence is not written again before */
+  gboolean away;          /* what our presence says: we keep off our home part */
+  gboolean shown;         /* our presence, under this incarnation, is what the watch showed last */
+  guint64 shown_revision; /* of our presence, */
+  guint64 probe_revision; /* and of the newest probe of us, which is to be older */
   gint64 renewal_sent, proven;
   guint lease_timer, duty_timer;
 };
@@ -42,6 +44,37 @@
   gboolean removal;
 } Change;
 
+char *
+kr_membership_presence_key (const char *node)
+{
+  return g_strconcat ("c/node/", node, NULL);
+}
+
+char *
+kr_membership_probe_key (const char *node, const char *by)
+{
+  return g_strconcat ("c/probe/", node, "/", by, NULL);
+}
+
+guint64
+kr_membership_lease (KrMembership *membership)
+{
+  return membership->lease;
+}
+
+gboolean
+kr_membership_is_present (KrMembership *membership, const char *node)
+{
+  return g_hash_table_contains (membership->present, node);
+}
+
+guint64
+kr_membership_lease_of (json_t *presence)
+{
+  json_int_t lease = json_integer_value (json_object_get (presence, "Lease"));
+  return lease > 0 ? (guint64) lease : 0;
+}
+
 char *
 kr_membership_owner_key (guint part)
 {
@@ -199,6 +232,13 @@
 
 static void put_presence (KrMembership *membership);
 
+static gboolean
+is_probe_of_us (KrMembership *membership, const char *key)
+{
+  g_autofree char *ours = kr_membership_probe_key (membership->settings->node_name, "");
+  return g_str_has_prefix (key, ours);
+}
+
 static void
 on_event (const KrItem *item, gpointer data)
 {
@@ -209,9 +249,17 @@
   if (g_str_has_prefix (k, "c/node/")) {
     const char *name = k + strlen ("c/node/");
     note_node (membership, name, item->value);
-    if (g_str_equal (name, membership->settings->node_name))
+    if (g_str_equal (name, membership->settings->node_name)) {
       membership->shown = g_strcmp0 (json_string_value (json_object_get (item->value, "Inc")),
                                      membership->incarnation) == 0;
+      membership->shown_revision = item->revision;
+    }
+  } else if (g_str_has_prefix (k, "c/probe/")) {
+    if (item->value && is_probe_of_us (membership, k) &&
+        item->revision > membership->probe_revision) {
+      membership->probe_revision = item->revision;
+      membership->presence_at = 0;
+    }
   } else if (g_str_equal (k, KR_LEADER_KEY))
     set_holder (membership, size, item->value, item->revision);
   else if (g_str_has_prefix (k, "c/owner/")) {
@@ -421,7 +469,8 @@
     membership->shown = FALSE;
   /* Also where a late copy of our earlier life's request put its presence over ours, to end with
    * its lease. */
-  if (!membership->shown && now >= membership->presence_at)
+  gboolean answered = membership->shown_revision > membership->probe_revision;
+  if ((!membership->shown || !answered) && now >= membership->presence_at)
     put_presence (membership);
   for (guint p = 0; p <= settings->size; p++) {
     KrHolder *holder = &membership->holders[p];
@@ -456,22 +505,32 @@
   KrMembership *membership = data;
   if (status == 400)
     membership->lease = 0;
+  else if (status == 503)
+    membership->presence_at = kr_now () + KR_RETRY_MS * G_GINT64_CONSTANT (1000);
 }
 
 static void
 put_presence (KrMembership *membership)
 {
   membership->presence_at = kr_now () + KR_NODE_RENEW_MS * G_GINT64_CONSTANT (1000);
-  g_autofree char *key = g_strconcat ("c/node/", membership->settings->node_name, NULL);
+  g_autofree char *key = kr_membership_presence_key (membership->settings->node_name);
   KrTxn *txn = kr_txn_new ();
   membership->away = keeps_off (membership);
   kr_txn_put (txn, key,
-              json_pack ("{ss sb}", "Inc", membership->incarnation, "Away", membership->away),
+              json_pack ("{ss sb sI}", "Inc", membership->incarnation, "Away", membership->away,
+                         "Lease", (json_int_t) membership->lease),
               membership->lease);
   kr_state_commit (membership->state, txn, KR_FIRST, KR_STATE_TIMEOUT_MS, membership->cancel,
                    node_key_done, membership);
 }
 
+void
+kr_membership_refresh (KrMembership *membership)
+{
+  if (membership->seen && membership->lease && kr_now () >= membership->presence_at)
+    put_presence (membership);
+}
+
 static void
 lease_done (guint status, json_t *body, gpointer data)
 {
--- a/src/membership.h
+++ b/src/membership.h
@@ -58,6 +58,16 @@
 /* Gives a part up and keeps off it for a while. */
 void kr_membership_release (KrMembership *membership, guint part, guint keep_off_ms);
 
+/* The lease on which our keys are; 0: none. */
+guint64 kr_membership_lease (KrMembership *membership);
+/* Writes our presence anew, every KR_NODE_RENEW_MS at most: who probes us sees that we live. */
+void kr_membership_refresh (KrMembership *membership);
+gboolean kr_membership_is_present (KrMembership *membership, const char *node);
+/* The lease that a node's presence names; 0: none (an older node), or something else. */
+guint64 kr_membership_lease_of (json_t *presence);
+char *kr_membership_presence_key (const char *node);
+/* Written by a peer that gets no answer from a node; the node answers by a newer presence. */
+char *kr_membership_probe_key (const char *node, const char *by);
 char *kr_membership_owner_key (guint part);
 char *kr_membership_claim_key (guint part);
 char *kr_membership_needs_key (guint part);
--- a/src/node.c
+++ b/src/node.c
@@ -278,7 +278,7 @@
     kr_request_reply (request, kr_cancel_answer (node, kr_request_json (request)), NULL, 0);
   else if (g_str_equal (kr_request_path (request), KR_PEER_TAKEOVERS))
     kr_request_reply (request, kr_takeover_answer (node, kr_request_json (request)), NULL, 0);
-  else if (g_str_equal (kr_request_path (request), "/health"))
+  else if (g_str_equal (kr_request_path (request), KR_PEER_HEALTH))
     kr_request_reply (request, 200,
                       json_pack ("{sf si}", "Silence", kr_state_silence (node->state), "LostCalls",
                                  (int) kr_calls_lost ()),
@@ -288,14 +288,12 @@
 }
 
 static void
-peer_health (guint status, json_t *body, gpointer data)
+peer_heard (double silence_s, gpointer data)
 {
   KrNode *node = data;
-  json_t *silence = json_object_get (body, "Silence");
   /* At the beginning of an outage for all some have heard it a little later than we: that is not
    * served, as only a node that has heard it within the period of its own renewals is. */
-  if (!node->state_cut && !state_heard (node) && json_is_number (silence) &&
-      json_number_value (silence) < KR_PEER_SERVED_S) {
+  if (!node->state_cut && !state_heard (node) && silence_s < KR_PEER_SERVED_S) {
     kr_info ("state: a peer reaches it and we do not, leaving the balancer");
     node->state_cut = TRUE;
   }
@@ -309,15 +307,9 @@
   KrNode *node = data;
   set_shares (node);
   log_readiness (node);
-  if (state_heard (node)) {
+  if (state_heard (node))
     node->state_cut = FALSE;
-    return G_SOURCE_CONTINUE;
-  }
-  for (guint i = 0; i < node->settings->others->len; i++) {
-    const KrPeerSettings *peer = node->settings->others->pdata[i];
-    kr_client_call (node->peers, "GET", peer->addr, "/health", NULL, KR_PEER_TIMEOUT_MS,
-                    node->cancel, peer_health, node);
-  }
+  kr_detector_tick (node->detector);
   return G_SOURCE_CONTINUE;
 }
 
@@ -343,6 +335,8 @@
   node->records = kr_records_new (settings, &record_events, node);
   node->membership =
       kr_membership_new (settings, node->state, node->records, node->cancel, &events, node);
+  node->detector = kr_detector_new (settings, node->state, node->peers, node->membership,
+                                    node->cancel, peer_heard, node);
   node->rent = kr_rent_new (node);
   node->api = kr_api_new (node);
   node->public_server = kr_server_new (settings->client_listen, conns, KR_CLIENT_IDLE_S,
@@ -376,6 +370,7 @@
     kr_server_free (node->public_server);
   if (node->peer_server)
     kr_server_free (node->peer_server);
+  kr_detector_free (node->detector);
   kr_rent_free (node->rent);
   kr_api_free (node->api);
   kr_membership_free (node->membership);
--- a/src/node.h
+++ b/src/node.h
@@ -1,6 +1,7 @@
 /* One controller: puts the modules together and runs them on one main loop. */
 #pragma once
 #include "cloud.h"
+#include "detector.h"
 #include "http-server.h"
 #include "membership.h"
 #include "settings.h"
@@ -19,6 +20,7 @@
   KrClient *workers, *peers;
   KrRecords *records;
   KrMembership *membership;
+  KrDetector *detector;
   KrFollow *jobs;   /* follows job/ while a part is ours */
   KrPart **parts;   /* size; NULL: not ours */
   GPtrArray *types; /* KrType; NULL: not yet known */
--- a/src/state.c
+++ b/src/state.c
@@ -7,7 +7,7 @@
   KrClient *client;
   char *host;
   KrBucket *requests, *writes;
-  gint64 heard;
+  gint64 heard, failed; /* monotonic us; 0: not yet */
 };
 
 typedef struct {
@@ -89,6 +89,12 @@
   return state->heard ? (double) (kr_now () - state->heard) / G_USEC_PER_SEC : G_MAXINT;
 }
 
+double
+kr_state_trouble (KrState *state)
+{
+  return state->failed ? (double) (kr_now () - state->failed) / G_USEC_PER_SEC : G_MAXINT;
+}
+
 static void
 op_free (Op *op)
 {
@@ -105,6 +111,8 @@
   Op *op = data;
   if (status && status != 503)
     op->state->heard = kr_now ();
+  else if (!op->cancel || !g_cancellable_is_cancelled (op->cancel))
+    op->state->failed = kr_now ();
   op->reply (status, body, op->data);
   op_free (op);
 }
@@ -205,6 +213,14 @@
          kr_wire_lease_body (life_ms), 0, KR_FIRST, KR_STATE_TIMEOUT_MS, cancel, reply, data);
 }
 
+void
+kr_state_end_lease (KrState *state, guint64 lease, GCancellable *cancel, KrReply reply,
+                    gpointer data)
+{
+  start (state, "DELETE", kr_wire_lease_path (lease), NULL, 0, KR_FIRST, KR_STATE_TIMEOUT_MS,
+         cancel, reply, data);
+}
+
 /* --- follower ------------------------------------------------------------------------ */
 struct KrFollow {
   KrState *state;
--- a/src/state.h
+++ b/src/state.h
@@ -23,6 +23,11 @@
                       GCancellable *cancel, KrReply reply, gpointer data);
 void kr_state_lease (KrState *state, guint64 lease, guint life_ms, GCancellable *cancel,
                      KrReply reply, gpointer data); /* lease 0: a new one */
+/* Ends a lease at once, whoever has it: all keys on it vanish. 404: it had ended before. */
+void kr_state_end_lease (KrState *state, guint64 lease, GCancellable *cancel, KrReply reply,
+                         gpointer data);
+/* Seconds since a call last failed (503, or no answer); very long if none has. */
+double kr_state_trouble (KrState *state);
 /* Seconds that a further write would wait now. */
 double kr_state_write_wait (KrState *state);
 /* Puts and deletes that leave no debt: what a full budget holds. */
--- a/src/wire.c
+++ b/src/wire.c
@@ -586,6 +586,12 @@
   return g_strdup_printf ("/leases/%" G_GUINT64_FORMAT "/extend", lease);
 }
 
+char *
+kr_wire_lease_path (guint64 lease)
+{
+  return g_strdup_printf ("/leases/%" G_GUINT64_FORMAT, lease);
+}
+
 guint64
 kr_wire_lease_parse (json_t *body)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -153,6 +153,7 @@
 char *kr_wire_follow_path (const char *prefix, guint64 after, guint hold_ms);
 json_t *kr_wire_lease_body (guint life_ms);
 char *kr_wire_lease_extend_path (guint64 lease);
+char *kr_wire_lease_path (guint64 lease);
 guint64 kr_wire_lease_parse (json_t *body); /* 0: malformed */
 guint64 kr_wire_revision (json_t *body);
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -130,6 +130,8 @@
 guint sim_answered (guint status);
 /* Requests that the state service has had so far. */
 guint sim_state_requests (void);
+/* Leases that were ended by a request. */
+guint sim_leases_ended (void);
 
 /* The same to its address for peers. */
 guint sim_peer (guint node, const char *method, const char *path, const char *body);
--- a/tests/test_liveness.c
+++ b/tests/test_liveness.c
@@ -4,23 +4,39 @@
  * lease, went on, and never served its part again: its first read of who owns what had no end
  * (test_calls.c tells how), and everything that follows waited for that end. */
 #include "scenes.h"
-#include <string.h>
+#include <math.h>
 
 #define OUTAGE_S 1.2
+#define STEP_S 0.1
+#define STATE_RPS 150.0 /* of the settings */
 #define FLAP_S 2.5
 #define FROZEN_S 9.0 /* longer than the lease: only the outages keep it */
 
-/* The state service is out for OUTAGE_S every `every_s`, for that long. */
+static gboolean
+nothing_awaited (void)
+{
+  return FALSE;
+}
+
+/* The state service is out for OUTAGE_S every `every_s`, for that long or until `over`. */
 static void
-flap (double every_s, double for_s)
+flap_until (double every_s, double for_s, gboolean (*over) (void))
 {
-  double end = sim_now () + for_s;
-  while (sim_now () < end) {
-    sim_state_outage (TRUE);
-    sim_run (OUTAGE_S);
-    sim_state_outage (FALSE);
-    sim_run (MIN (every_s - OUTAGE_S, MAX (0.01, end - sim_now ())));
+  double begin_s = sim_now (), since_s = 0;
+  gboolean out = FALSE;
+  for (; since_s < for_s && !over (); since_s = sim_now () - begin_s) {
+    if (out != (fmod (since_s + STEP_S / 2, every_s) < OUTAGE_S))
+      sim_state_outage (out = !out);
+    sim_run (STEP_S);
   }
+  if (out)
+    sim_state_outage (FALSE);
+}
+
+static void
+flap (double every_s, double for_s)
+{
+  flap_until (every_s, for_s, nothing_awaited);
 }
 
 static void
@@ -122,6 +138,12 @@
 #define OPEN_ELSEWHERE_S 15.0 /* an owner that is gone: until another holds its part */
 #define FLAPS_AT_MOST_S 70.0
 
+static gboolean
+another_owns (void)
+{
+  return sim_owner (0) > 0;
+}
+
 /* Seconds until another node holds part 0 after its owner was frozen or ended, beside a state
  * service that is out every `every_s`; FLAPS_AT_MOST_S: none does. */
 static double
@@ -133,8 +155,7 @@
     sim_node_kill (0);
   else
     sim_node_hang (0, TRUE);
-  while (sim_owner (0) == 0 && sim_now () < gone_at + FLAPS_AT_MOST_S)
-    flap (every_s, every_s);
+  flap_until (every_s, FLAPS_AT_MOST_S, another_owns);
   double unowned_s = sim_now () - gone_at;
   g_test_message ("state service out every %.1f s, owner %s: %.1f s without an owner, %s", every_s,
                   ended ? "ended" : "frozen", unowned_s,
@@ -156,6 +177,85 @@
       g_assert_cmpfloat (unowned_for (every_s[e], ended), <=, OPEN_ELSEWHERE_S);
 }
 
+/* Healthy nodes that do not reach each other, with a watch that is 3 s late: none is taken for
+ * gone, since each shows itself unasked. */
+static void
+healthy_unreached (double every_s)
+{
+  begin_with_work ();
+  guint64 token = sim_state_mark ("c/owner/0");
+  guint requests = sim_state_requests ();
+  cut_peers (SIM_DROP);
+  sim_watches_slow (3);
+  flap (every_s, FLAPS_AT_MOST_S);
+  g_assert_cmpuint (sim_leases_ended (), ==, 0);
+  g_assert_cmpuint (sim_state_mark ("c/owner/0"), ==, token);
+  g_assert_cmpfloat ((sim_state_requests () - requests) / FLAPS_AT_MOST_S, <, STATE_RPS);
+  sim_watches_slow (0);
+  cut_peers (SIM_OPEN);
+  finish (400);
+}
+
+static void
+test_healthy_unreached (void)
+{
+  healthy_unreached (4);
+  healthy_unreached (2.5);
+  healthy_unreached (1.7);
+}
+
+/* A node that stands still for less than its lease, again and again, keeps its part. */
+static void
+test_short_stops (void)
+{
+  begin_with_work ();
+  for (guint i = 0; i < 8; i++) {
+    freeze_beside_flaps (0, FLAP_S, 5);
+    go_on (0);
+    flap (FLAP_S, 3);
+  }
+  g_assert_cmpuint (sim_leases_ended (), ==, 0);
+  g_assert_cmpint (sim_owner (0), ==, 0);
+  finish (400);
+}
+
+/* Its presence is of an older version, or none of ours: its lease is left to run out. */
+static void
+test_presence_without_lease (void)
+{
+  static const char *const values[] = { "{\"Inc\":\"a\",\"Away\":false}",
+                                        "{\"Inc\":\"a\",\"Lease\":null}",
+                                        "{\"Inc\":\"a\",\"Lease\":\"7\"}",
+                                        "{\"Inc\":\"a\",\"Lease\":-7}",
+                                        "[]",
+                                        "null" };
+  for (guint i = 0; i < G_N_ELEMENTS (values); i++) {
+    begin_with_work ();
+    sim_node_hang (0, TRUE);
+    sim_state_put ("c/node/berth-0", values[i]);
+    flap (FLAP_S, 30);
+    g_assert_cmpuint (sim_leases_ended (), ==, 0);
+    g_assert_cmpint (sim_owner (0), ==, 0);
+    go_on (0);
+    finish (400);
+  }
+}
+
+/* One that probes ends before its verdict; another goes on. */
+static void
+test_prober_ends (void)
+{
+  begin_with_work ();
+  double gone_at = sim_now ();
+  sim_node_hang (0, TRUE);
+  flap (FLAP_S, 5);
+  crash (1, 4);
+  flap_until (FLAP_S, FLAPS_AT_MOST_S, another_owns);
+  g_assert_cmpfloat (sim_now () - gone_at, <=, OPEN_ELSEWHERE_S);
+  go_on (0);
+  finish (400);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -164,5 +264,9 @@
   g_test_add_func ("/liveness/reads-refused", test_reads_refused);
   g_test_add_func ("/liveness/frozen-owner", test_frozen_owner);
   g_test_add_func ("/liveness/owner-gone-beside-flaps", test_owner_gone_beside_flaps);
+  g_test_add_func ("/liveness/healthy-unreached", test_healthy_unreached);
+  g_test_add_func ("/liveness/short-stops", test_short_stops);
+  g_test_add_func ("/liveness/presence-without-lease", test_presence_without_lease);
+  g_test_add_func ("/liveness/prober-ends", test_prober_ends);
   return g_test_run ();
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -236,6 +236,20 @@
     g_hash_table_remove (world.store, key);
 }
 
+static void
+remove_keys_of (guint64 lease)
+{
+  g_autoptr (GList) keys = g_hash_table_get_keys (world.store);
+  world.revision++;
+  for (GList *l = keys; l; l = l->next) {
+    Entry *e = g_hash_table_lookup (world.store, l->data);
+    if (e->lease == lease) {
+      g_autofree char *key = g_strdup (l->data);
+      change (key, NULL, 0);
+    }
+  }
+}
+
 static gboolean
 expire_leases (gpointer data)
 {
@@ -245,15 +259,7 @@
   while (!world.outage && g_hash_table_iter_next (&it, &id, &value)) {
     if (((Lease *) value)->until > world.now)
       continue;
-    g_autoptr (GList) keys = g_hash_table_get_keys (world.store);
-    world.revision++;
-    for (GList *l = keys; l; l = l->next) {
-      Entry *e = g_hash_table_lookup (world.store, l->data);
-      if (e->lease == *(guint64 *) id) {
-        g_autofree char *key = g_strdup (l->data);
-        change (key, NULL, 0);
-      }
-    }
+    remove_keys_of (*(guint64 *) id);
     g_hash_table_iter_remove (&it);
   }
   wake_follows ();
@@ -582,6 +588,12 @@
       json_pack ("{so sb sI}", "Items", items, "More", 0, "Ledger", (json_int_t) world.revision));
 }
 
+guint
+sim_leases_ended (void)
+{
+  return world.leases_ended;
+}
+
 guint
 sim_state_requests (void)
 {
@@ -599,9 +611,7 @@
 state_answer (Call *c)
 {
   world.state_requests++;
-  if (refused (c->from) && !g_str_has_prefix (c->path, "/follow")) {
-    world_answer_call (c, 503, NULL);
-  } else if (reads_refused (c))
+  if ((refused (c->from) && !g_str_has_prefix (c->path, "/follow")) || reads_refused (c))
     world_answer_call (c, 503, NULL);
   else if (g_str_has_prefix (c->path, "/store?"))
     scan (c);
@@ -633,6 +643,14 @@
       world_answer_call (c, 404, NULL);
       return;
     }
+    if (g_str_equal (c->method, "DELETE")) {
+      world.leases_ended++;
+      g_hash_table_remove (world.leases, &id);
+      remove_keys_of (id);
+      wake_follows ();
+      world_answer_call (c, 200, NULL);
+      return;
+    }
     if (!id)
       id = ++world.next_lease;
     Lease *l = g_new (Lease, 1);
--- a/tests/world.h
+++ b/tests/world.h
@@ -58,7 +58,7 @@
   gint64 calm_at; /* 0: not yet */
   guint started;
   guint answered[600]; /* to sim_ask, by status */
-  guint state_requests;
+  guint state_requests, leases_ended;
 } World;
 extern World world;
 
