Detector: a probe's time counts to when the last read was asked for; only present peers are missed

An answer that was 2.5 s on its way must not make that much of the 6 s. The wait for a report of a call's end is 5 s: a starved main loop takes more than one between a cancellation and its report.

--- a/src/constants.h
+++ b/src/constants.h
@@ -33,7 +33,7 @@
   200                        /* ms between questions to it: a watch round, or part of a report's */
 #define KR_CONFIRM_TRIES 5   /* such questions: a launch in doubt is settled within half a second */
 #define KR_PEER_CONNS 4      /* one exchange at a time with each peer */
-#define KR_CALL_LOST_MS 1000 /* ms for the HTTP library to report the end of a cancelled call */
+#define KR_CALL_LOST_MS 5000 /* ms for the HTTP library to report the end of a cancelled call */
 #define KR_CLIENT_QUIET_MS 200 /* ms between looks for a moment without calls */
 #define KR_WORKER_IDLE_S 15    /* s; direct connections to workers are rare */
 #define KR_QUEUE_S 4.0         /* s worth of calls that may wait for a rate limit, as users do */
--- a/src/detector.c
+++ b/src/detector.c
@@ -13,6 +13,7 @@
   gboolean busy;   /* a call for the probe is under way */
   guint64 probe;   /* the probe's revision; 0: not written yet */
   gint64 probe_at; /* monotonic us, when it surely stood */
+  gint64 read_at;  /* monotonic us, when the newest read was asked for */
   guint reads;     /* answered ones that showed no presence newer than the probe */
   guint64 lease;   /* that the newest of them named; 0: none */
   gint64 next_at;  /* monotonic us: no new probe before */
@@ -93,11 +94,12 @@
     end_probe (peer);
 }
 
-/* Long enough without an answer, while the state service answered often enough. */
+/* Long enough without an answer when that was read, while the state service answered often enough.
+ */
 static gboolean
 is_gone (const Peer *peer)
 {
-  gint64 waited = kr_now () - peer->probe_at;
+  gint64 waited = peer->read_at - peer->probe_at;
   return peer->reads >= KR_PROBE_READS && waited >= KR_NODE_LEASE_MS * G_GINT64_CONSTANT (1000);
 }
 
@@ -146,6 +148,7 @@
   KrDetector *detector = peer->detector;
   g_autofree char *key = kr_membership_presence_key (peer->settings->name);
   peer->busy = TRUE;
+  peer->read_at = kr_now ();
   kr_state_get (detector->state, key, KR_FIRST, KR_STATE_TIMEOUT_MS, detector->cancel,
                 presence_read, peer);
 }
@@ -159,12 +162,18 @@
   peer->probe = 0;
 }
 
+/* It has keys, as far as we know, and answers no ping. */
+static gboolean
+is_missed (const Peer *peer)
+{
+  return peer->silent &&
+         kr_membership_is_present (peer->detector->membership, peer->settings->name);
+}
+
 static void
 go_on (Peer *peer)
 {
-  KrMembership *membership = peer->detector->membership;
-  if (!peer->probed && peer->silent && kr_now () >= peer->next_at &&
-      kr_membership_is_present (membership, peer->settings->name))
+  if (!peer->probed && is_missed (peer) && kr_now () >= peer->next_at)
     begin_probe (peer);
   if (!peer->probed || peer->busy)
     return;
@@ -200,7 +209,8 @@
 void
 kr_detector_tick (KrDetector *detector)
 {
-  gboolean failing = kr_state_trouble (detector->state) < KR_PROBE_TROUBLE_S;
+  gboolean failing = kr_state_trouble (detector->state) < KR_PROBE_TROUBLE_S ||
+                     kr_state_silence (detector->state) >= KR_STATE_SILENCE_S;
   for (guint i = 0; i < detector->settings->others->len; i++) {
     Peer *peer = &detector->peers[i];
     if (failing && !peer->asked)
@@ -214,13 +224,13 @@
 look_at_probes (gpointer data)
 {
   KrDetector *detector = data;
-  gboolean silent = FALSE;
+  gboolean missed = FALSE;
   for (guint i = 0; i < detector->settings->others->len; i++) {
-    silent |= detector->peers[i].silent;
+    missed |= is_missed (&detector->peers[i]);
     go_on (&detector->peers[i]);
   }
   /* Who does not answer us may not reach us either, and probe us; our watch may be late. */
-  if (silent)
+  if (missed)
     kr_membership_refresh (detector->membership);
   return G_SOURCE_CONTINUE;
 }
