Count polls that are not answered, by cause, with what they wait for

At about 4,000 machines questions about accepted jobs got no answer for more than a minute, and no logs were kept. What would have told the suspected causes apart is now there: each unanswered poll counted by cause (a line every 5 s while there are any, and in /health), the job that waits longest, lists and updates of the view of live jobs, the request limiter's queues and expiries by class, connections and pauses of accepting, the longest iteration of the main loop. At most 8,192 jobs and three lines are kept. No behaviour changes.

Not measured: which duty the longest iteration was spent on.

--- a/src/api-call.c
+++ b/src/api-call.c
@@ -33,7 +33,8 @@
   call->request = request;
   call->route = route;
   call->id = g_strdup (id);
-  call->deadline = kr_now () + (gint64) deadline_ms * 1000;
+  call->arrived_at = kr_now ();
+  call->deadline = call->arrived_at + (gint64) deadline_ms * 1000;
   return call;
 }
 
@@ -45,12 +46,36 @@
   call->api->pending_polls += call->route == KR_ROUTE_POLL;
 }
 
+static void
+note_poll_outcome (const KrApiCall *call, KrRequest *request, guint status)
+{
+  KrPollMetrics *metrics = call->api->metrics;
+  double waited_s = (double) (kr_now () - call->arrived_at) / G_USEC_PER_SEC;
+
+  if (kr_request_disconnected (request))
+    kr_poll_metrics_note_unanswered (metrics, call->id, KR_UNANSWERED_DISCONNECTED);
+  else if (status == 200 || status == 404)
+    kr_poll_metrics_note_answered (metrics, call->id, waited_s);
+  else
+    kr_poll_metrics_note_unanswered (metrics, call->id, call->unanswered);
+}
+
+static void
+answer_request (const KrApiCall *call, KrRequest *request, guint status, json_t *body,
+                guint retry_after_s)
+{
+  if (call->route == KR_ROUTE_POLL)
+    note_poll_outcome (call, request, status);
+  kr_request_reply (request, status, body, retry_after_s);
+}
+
 void
 kr_api_reply (KrApiCall *call, guint status, json_t *body, guint retry_after_s)
 {
   for (guint i = 0; call->duplicate_polls && i < call->duplicate_polls->len; i++)
-    kr_request_reply (call->duplicate_polls->pdata[i], status, json_incref (body), retry_after_s);
-  kr_request_reply (call->request, status, body, retry_after_s);
+    answer_request (call, call->duplicate_polls->pdata[i], status, json_incref (body),
+                    retry_after_s);
+  answer_request (call, call->request, status, body, retry_after_s);
   call->api->pending_calls -= call->counted;
   call->api->pending_polls -= call->counted && call->route == KR_ROUTE_POLL;
   if (call->route == KR_ROUTE_POLL)
@@ -61,8 +86,9 @@
 }
 
 void
-kr_api_reply_unavailable (KrApiCall *call)
+kr_api_reply_unavailable (KrApiCall *call, KrUnansweredCause cause)
 {
+  call->unanswered = cause;
   kr_api_reply (call, 503, kr_wire_error ("the state service cannot be asked now"),
                 KR_RETRY_AFTER_S);
 }
@@ -71,6 +97,7 @@
 static void
 reply_unconfirmed (KrApiCall *call)
 {
+  call->unanswered = KR_UNANSWERED_UNCONFIRMED;
   kr_api_reply (call, 503, kr_wire_error ("the cancellation is not confirmed yet"),
                 KR_RETRY_AFTER_S);
 }
@@ -107,7 +134,7 @@
   KrKeyValue item;
 
   if (kr_api_call_is_stale (call))
-    kr_api_reply_unavailable (call);
+    kr_api_reply_unavailable (call, KR_UNANSWERED_LATE);
   else if (status == 200 && kr_wire_key_value_parse (body, &item))
     call->on_lookup (call, TRUE, &item);
   else if (status == 404 && !call->reading_final_key)
@@ -260,7 +287,7 @@
   if (kr_stored_job_parse (&stored_job, item))
     kr_api_reply_job (call, &stored_job);
   else
-    kr_api_reply_unavailable (call);
+    kr_api_reply_unavailable (call, KR_UNANSWERED_MALFORMED);
 }
 
 gboolean
@@ -269,6 +296,7 @@
   FinalState *final_state = g_hash_table_lookup (api->final_cache, id);
   if (!final_state)
     return FALSE;
+  kr_poll_metrics_note_answered (api->metrics, id, 0);
   kr_request_reply (request, 200,
                     kr_wire_job_answer (id, final_state->state, with_counts, final_state->done, 0),
                     0);
--- a/src/api-poll.c
+++ b/src/api-poll.c
@@ -1,12 +1,21 @@
 /* Users' polls: the questions about a job's state. */
 #include "api-private.h"
+#include "clock.h"
 #include "constants.h"
+#include "log.h"
+
+static void
+refuse_poll (KrApi *api, KrRequest *request, const char *id)
+{
+  kr_poll_metrics_note_unanswered (api->metrics, id, KR_UNANSWERED_TOO_MANY);
+  kr_api_refuse (request);
+}
 
 static void
 poll_lookup_done (KrApiCall *call, gboolean known, KrKeyValue *item)
 {
   if (!known)
-    kr_api_reply_unavailable (call);
+    kr_api_reply_unavailable (call, KR_UNANSWERED_KEY_UNREAD);
   else if (!item)
     kr_api_reply (call, 404, kr_wire_error ("no such job"), 0);
   else
@@ -18,6 +27,7 @@
 lookup_ended_job (KrApiCall *call)
 {
   if (kr_api_is_overloaded (call->api, KR_ROUTE_POLL)) {
+    call->unanswered = KR_UNANSWERED_TOO_MANY;
     kr_api_reply (call, 429, kr_wire_error ("too many requests"), KR_RETRY_AFTER_S);
     return;
   }
@@ -31,8 +41,10 @@
   KrApiCall *call = data;
   const KrStoredJob *stored_job = kr_job_view_find (call->api->view, call->id);
   call->api->shared_polls--;
-  if (!known || kr_api_call_is_stale (call))
-    kr_api_reply_unavailable (call);
+  if (!known)
+    kr_api_reply_unavailable (call, KR_UNANSWERED_JOBS_UNREAD);
+  else if (kr_api_call_is_stale (call))
+    kr_api_reply_unavailable (call, KR_UNANSWERED_LATE);
   else if (stored_job)
     kr_api_reply_job (call, stored_job);
   else
@@ -75,7 +87,7 @@
   if (first)
     g_ptr_array_add (waiting, first);
   for (guint i = 0; i < waiting->len; i++)
-    kr_api_refuse (waiting->pdata[i]);
+    refuse_poll (api, waiting->pdata[i], id);
   g_ptr_array_unref (waiting);
 }
 
@@ -90,5 +102,49 @@
   else if ((waiting = g_hash_table_lookup (api->active_polls, id)))
     g_ptr_array_add (waiting, request);
   else if (!start_poll (api, request, NULL, id))
-    kr_api_refuse (request);
+    refuse_poll (api, request, id);
+}
+
+void
+kr_api_log_unanswered_polls (KrApi *api)
+{
+  KrNode *node = api->node;
+  KrJobViewStats view = kr_job_view_stats (api->view);
+  KrRateLimiterStats limiter = kr_state_request_stats (node->state_client);
+  KrHttpServerStats server = kr_http_server_stats (node->public_server);
+  guint iteration_ms = kr_longest_iteration_ms ();
+
+  if (!kr_poll_metrics_log (api->metrics))
+    return;
+  kr_info ("polls: view of %u jobs, %.1f s old, %u waiting; lists started %" G_GUINT64_FORMAT
+           ", completed %" G_GUINT64_FORMAT ", given up %" G_GUINT64_FORMAT
+           ", pages %" G_GUINT64_FORMAT "; updates completed %" G_GUINT64_FORMAT
+           ", failed %" G_GUINT64_FORMAT,
+           view.jobs, view.age_s, view.waiting, view.lists_started, view.lists_completed,
+           view.lists_given_up, view.pages, view.updates_completed, view.updates_failed);
+  kr_info ("polls: state requests %.0f/s, queued %u, low %u, expired %" G_GUINT64_FORMAT
+           ", low %" G_GUINT64_FORMAT ", refused %" G_GUINT64_FORMAT
+           "; connections %u of %u, accepting paused %.1f s; longest iteration %u ms",
+           kr_state_request_rate (node->state_client), limiter.queued, limiter.queued_low,
+           limiter.expired, limiter.expired_low, limiter.refused, server.open, server.limit,
+           server.accept_paused_s, iteration_ms);
+}
+
+json_t *
+kr_api_health (KrApi *api)
+{
+  KrJobViewStats view = kr_job_view_stats (api->view);
+  KrRateLimiterStats limiter = kr_state_request_stats (api->node->state_client);
+  json_t *health = kr_poll_metrics_to_json (api->metrics);
+  const char *id;
+  double gap_s = kr_poll_metrics_longest_gap (api->metrics, &id);
+  json_t *rest = json_pack (
+      "{sf ss* si sf sI sI sI sI sI}", "LongestGap", gap_s, "LongestGapJob", id, "LiveJobs",
+      (int) view.jobs, "ViewAge", view.age_s, "ListsStarted", (json_int_t) view.lists_started,
+      "ListsCompleted", (json_int_t) view.lists_completed, "ListsGivenUp",
+      (json_int_t) view.lists_given_up, "ExpiredReads", (json_int_t) limiter.expired,
+      "ExpiredLowReads", (json_int_t) limiter.expired_low);
+  json_object_update (health, rest);
+  json_decref (rest);
+  return health;
 }
--- a/src/api-private.h
+++ b/src/api-private.h
@@ -3,6 +3,7 @@
 #pragma once
 #include "api.h"
 #include "job-view.h"
+#include "poll-metrics.h"
 
 struct KrApi {
   KrNode *node;
@@ -13,6 +14,7 @@
   guint pending_polls;     /* the polls among them */
   guint shared_polls;      /* polls that wait for a shared update of the view */
   KrJobView *view;
+  KrPollMetrics *metrics;
   /* id of each job with a poll in progress -> GPtrArray of KrRequest: the polls of the same job
    * that arrived since then */
   GHashTable *active_polls;
@@ -28,7 +30,8 @@
   GPtrArray *duplicate_polls; /* KrRequest: polls that get the same answer; NULL: none */
   KrRoute route;
   char *id;
-  gint64 deadline; /* monotonic us */
+  gint64 arrived_at, deadline;  /* monotonic us */
+  KrUnansweredCause unanswered; /* why a poll was not answered; set before kr_api_reply() */
   KrApiLookupFunc on_lookup;
   gboolean counted;           /* in pending_calls */
   gboolean reading_final_key; /* the lookup has come to the key below end/ */
@@ -67,7 +70,8 @@
 /* --- answers ----------------------------------------------------------------------------- */
 /* Answers and frees the call. Takes over `body`. */
 void kr_api_reply (KrApiCall *call, guint status, json_t *body, guint retry_after_s);
-void kr_api_reply_unavailable (KrApiCall *call);
+/* Answers 503: the state service cannot be asked now. */
+void kr_api_reply_unavailable (KrApiCall *call, KrUnansweredCause cause);
 /* Answers from the stored state of a job. The owner must first confirm the cancellation of a
  * cancelled job. If this node owns the job's shard, the counts in memory are newer than the stored
  * ones and are used instead. */
@@ -79,6 +83,7 @@
 gboolean kr_api_reply_from_cache (KrApi *api, KrRequest *request, const char *id,
                                   gboolean with_counts);
 void kr_api_cache_final_state (KrApi *api, const char *id, KrJobState state, guint done);
+/* Answers 429. */
 void kr_api_refuse (KrRequest *request);
 
 /* --- polls: api-poll.c ------------------------------------------------------------------- */
--- a/src/api.c
+++ b/src/api.c
@@ -15,6 +15,7 @@
   api->final_cache = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&api->final_order);
   api->active_polls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  api->metrics = kr_poll_metrics_new ();
   api->view = kr_job_view_new (node->state_client, api->cancel);
   return api;
 }
@@ -32,7 +33,7 @@
 {
   /* The write had an unknown outcome and may still be applied, so a missing key proves nothing. */
   if (!known || !item)
-    kr_api_reply_unavailable (call);
+    kr_api_reply_unavailable (call, KR_UNANSWERED_KEY_UNREAD);
   else
     kr_api_reply_stored (call, item);
 }
@@ -46,7 +47,7 @@
   else if (status == 409 || status == 0)
     kr_api_lookup_job (call, submit_lookup_done);
   else
-    kr_api_reply_unavailable (call);
+    kr_api_reply_unavailable (call, KR_UNANSWERED_KEY_UNREAD);
 }
 
 /* Returns why the job can never run, or NULL. */
@@ -121,7 +122,7 @@
   else if ((status == 409 || status == 0) && kr_now () < call->deadline)
     kr_api_lookup_job (call, abort_lookup_done);
   else
-    kr_api_reply_unavailable (call);
+    kr_api_reply_unavailable (call, KR_UNANSWERED_KEY_UNREAD);
 }
 
 static void
@@ -131,7 +132,7 @@
   guint running;
 
   if (!known)
-    kr_api_reply_unavailable (call);
+    kr_api_reply_unavailable (call, KR_UNANSWERED_KEY_UNREAD);
   else if (!item)
     kr_api_reply (call, 404, kr_wire_error ("no such job"), 0);
   else if (!kr_job_parse_status (item->value, &state, &call->done, &running) ||
--- a/src/api.h
+++ b/src/api.h
@@ -11,5 +11,10 @@
 /* These three functions take over `request` and answer it, at once or later. */
 void kr_api_submit (KrApi *api, KrRequest *request);
 void kr_api_poll (KrApi *api, KrRequest *request, const char *id);
+/* Logs the polls that were not answered since the last call, if there are any, with the state of
+ * what they wait for. */
+void kr_api_log_unanswered_polls (KrApi *api);
+/* Returns counters of the polls as a JSON object for /health. */
+json_t *kr_api_health (KrApi *api);
 /* Cancels the job. */
 void kr_api_abort (KrApi *api, KrRequest *request, const char *id);
--- a/src/clock.c
+++ b/src/clock.c
@@ -39,9 +39,21 @@
   gint64 last_check; /* monotonic us */
 } StallSource;
 
+static gint64 longest_iteration_us;
+
+guint
+kr_longest_iteration_ms (void)
+{
+  gint64 longest_us = longest_iteration_us;
+  longest_iteration_us = 0;
+  return (guint) (longest_us / 1000);
+}
+
 static gboolean
 stall_prepare (GSource *source, gint *timeout_ms)
 {
+  const StallSource *stall = (const StallSource *) source;
+  longest_iteration_us = MAX (longest_iteration_us, kr_now () - stall->last_check);
   *timeout_ms = -1;
   return FALSE;
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -34,6 +34,14 @@
 #define KR_STATE_TIMEOUT_MS 2500
 /* Deadline of the answer to a poll. A user waits for it for 2 s. */
 #define KR_USER_READ_DEADLINE_MS 1700
+/* Time for which a user waits for the answer to a poll. */
+#define KR_USER_POLL_TIMEOUT_S 2.0
+/* Interval between log lines about polls that were not answered. */
+#define KR_POLL_LOG_INTERVAL_S 5.0
+/* Number of jobs whose time without an answer a node keeps. */
+#define KR_UNANSWERED_JOBS_MAX 8192
+/* A job that nobody has asked this node about for this time does not wait for its answer. */
+#define KR_UNANSWERED_FORGET_S 30.0
 /* An answer later than its deadline by more than this counts as stale and is not given. */
 #define KR_USER_STALE_MS 1000
 /* Deadline of the answer to a submission or cancellation. A user waits for it for 5 s. */
--- a/src/http-server.c
+++ b/src/http-server.c
@@ -14,6 +14,9 @@
   gpointer data;
   guint connections, max_connections, idle_s;
   gboolean accept_paused; /* until a connection is closed */
+  gint64 paused_since;    /* monotonic us; valid while accept_paused */
+  guint64 accept_pauses;
+  gint64 paused_us; /* length of all earlier pauses */
 };
 
 struct KrRequest {
@@ -95,6 +98,7 @@
   server->connections--;
   if (server->accept_paused && server->connections < server->max_connections) {
     server->accept_paused = FALSE;
+    server->paused_us += kr_now () - server->paused_since;
     accept_next (server);
   }
 }
@@ -147,9 +151,11 @@
 static void
 accept_next (KrHttpServer *server)
 {
-  if (server->connections >= server->max_connections)
+  if (server->connections >= server->max_connections) {
     server->accept_paused = TRUE;
-  else
+    server->paused_since = kr_now ();
+    server->accept_pauses++;
+  } else
     g_socket_listener_accept_async (server->listener, server->cancel, accept_done, server);
 }
 
@@ -198,6 +204,15 @@
    * servers. */
 }
 
+KrHttpServerStats
+kr_http_server_stats (const KrHttpServer *server)
+{
+  gint64 paused_us =
+      server->paused_us + (server->accept_paused ? kr_now () - server->paused_since : 0);
+  return (KrHttpServerStats){ server->connections, server->max_connections, server->accept_pauses,
+                              (double) paused_us / G_USEC_PER_SEC };
+}
+
 const char *
 kr_request_method (KrRequest *request)
 {
--- a/src/http-server.h
+++ b/src/http-server.h
@@ -19,6 +19,14 @@
 /* Stops listening and closes the connections. */
 void kr_http_server_free (KrHttpServer *server);
 
+/* State of the connections, for the log. */
+typedef struct {
+  guint open, limit;
+  guint64 accept_pauses;  /* times that all connections were in use, since the start */
+  double accept_paused_s; /* time for which they were, since the start */
+} KrHttpServerStats;
+KrHttpServerStats kr_http_server_stats (const KrHttpServer *server);
+
 const char *kr_request_method (KrRequest *request);
 const char *kr_request_path (KrRequest *request);  /* without the query */
 const char *kr_request_query (KrRequest *request); /* the text after "?", or NULL */
--- a/src/job-view.c
+++ b/src/job-view.c
@@ -20,9 +20,10 @@
   gint64 synced_at;          /* monotonic us: the view has all changes made before this time */
   gint64 request_started_at; /* monotonic us */
   gboolean request_in_progress;
-  GArray *queued;  /* Waiter: callers that the next request serves */
-  GArray *current; /* Waiter: callers that the request in progress serves */
-  guint timer;     /* until the next request, or the time-out of a list */
+  GArray *queued;       /* Waiter: callers that the next request serves */
+  GArray *current;      /* Waiter: callers that the request in progress serves */
+  KrJobViewStats stats; /* the counters; the other fields are filled in on request */
+  guint timer;          /* until the next request, or the time-out of a list */
 };
 
 static void schedule_request (KrJobView *view);
@@ -75,6 +76,7 @@
   size_t i;
 
   kr_watch_stop (view->lister);
+  view->stats.lists_completed++;
   g_hash_table_remove_all (view->jobs);
   json_array_foreach (items, i, entry)
   {
@@ -102,9 +104,11 @@
   if (status == 410)
     view->revision = 0; /* too old: the changes since then are no longer kept */
   if (status != 200) {
+    view->stats.updates_failed++;
     finish_request (view, FALSE);
     return;
   }
+  view->stats.updates_completed++;
   json_array_foreach (kr_wire_watch_events (body), i, entry)
   {
     KrKeyValue item;
@@ -120,6 +124,7 @@
 {
   KrJobView *view = data;
   view->timer = 0;
+  view->stats.lists_given_up++;
   kr_watch_stop (view->lister);
   finish_request (view, FALSE);
   return G_SOURCE_REMOVE;
@@ -143,6 +148,7 @@
                       view->cancel, changes_done, view);
   else {
     view->timer = kr_timer_add (KR_USER_READ_DEADLINE_MS, list_timed_out, view);
+    view->stats.lists_started++;
     kr_watch_relist (view->lister);
   }
   return G_SOURCE_REMOVE;
@@ -194,3 +200,14 @@
 {
   return g_hash_table_lookup (view->jobs, job);
 }
+
+KrJobViewStats
+kr_job_view_stats (KrJobView *view)
+{
+  KrJobViewStats stats = view->stats;
+  stats.jobs = g_hash_table_size (view->jobs);
+  stats.waiting = view->queued->len + view->current->len;
+  stats.pages = kr_watch_pages_read (view->lister);
+  stats.age_s = view->synced_at ? (double) (kr_now () - view->synced_at) / G_USEC_PER_SEC : -1;
+  return stats;
+}
--- a/src/job-view.h
+++ b/src/job-view.h
@@ -21,6 +21,14 @@
 /* Stops the view's requests. Does not free the memory. */
 void kr_job_view_free (KrJobView *view);
 
+/* State of the view, for the log. */
+typedef struct {
+  guint jobs, waiting; /* live jobs; callers that wait */
+  guint64 lists_started, lists_completed, lists_given_up, pages;
+  guint64 updates_completed, updates_failed; /* requests for the changes */
+  double age_s; /* since the start of the newest completed request; -1: none yet */
+} KrJobViewStats;
+KrJobViewStats kr_job_view_stats (KrJobView *view);
 /* `up_to_date`: the view has all changes that were made before the call of kr_job_view_sync. If
  * FALSE, the state service could not be read. */
 typedef void (*KrJobViewFunc) (gboolean up_to_date, gpointer data);
--- a/src/node.c
+++ b/src/node.c
@@ -296,9 +296,10 @@
                       0);
   else if (g_str_equal (kr_request_path (request), KR_PEER_HEALTH))
     kr_request_reply (request, 200,
-                      json_pack ("{sf si}", "Silence",
+                      json_pack ("{sf si so}", "Silence",
                                  kr_state_seconds_since_answer (node->state_client), "LostCalls",
-                                 (int) kr_http_client_lost_calls ()),
+                                 (int) kr_http_client_lost_calls (), "Polls",
+                                 kr_api_health (node->api)),
                       0);
   else
     kr_request_reply (request, 404, NULL, 0);
@@ -330,6 +331,8 @@
   if (state_reachable (node))
     node->state_unreachable = FALSE;
   kr_detector_tick (node->detector);
+  if (++node->ticks % (guint) KR_POLL_LOG_INTERVAL_S == 0)
+    kr_api_log_unanswered_polls (node->api);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -32,6 +32,7 @@
   double allotted_write_rate;   /* writes a second that the leader has allotted this node */
   gint64 allotment_expires_at;  /* monotonic us */
   guint health_timer;
+  guint ticks; /* of the health timer, one a second */
 } KrNode;
 
 /* Returns NULL and sets `error` if an address cannot be listened on. */
--- a/src/rate-limiter.c
+++ b/src/rate-limiter.c
@@ -30,6 +30,7 @@
   gint64 refilled_at;      /* monotonic us */
   GQueue queue, low_queue; /* low_queue: served only while `queue` is empty */
   guint timer;
+  KrRateLimiterStats stats; /* the queues' lengths are filled in on request */
 };
 
 KrRateLimiter *
@@ -64,6 +65,15 @@
   limiter->refilled_at = now;
 }
 
+KrRateLimiterStats
+kr_rate_limiter_stats (KrRateLimiter *limiter)
+{
+  KrRateLimiterStats stats = limiter->stats;
+  stats.queued = limiter->queue.length;
+  stats.queued_low = limiter->low_queue.length;
+  return stats;
+}
+
 double
 kr_rate_limiter_rate (KrRateLimiter *limiter)
 {
@@ -166,6 +176,7 @@
   }
   if (queue->length >= MAX (KR_LIMITER_QUEUE_MIN, limiter->rate * KR_LIMITER_QUEUE_S) &&
       queue_class != KR_QUEUE_HIGH) {
+    limiter->stats.refused++;
     func (FALSE, data);
     return;
   }
@@ -195,6 +206,8 @@
 void
 kr_rate_limiter_cancel (KrRateLimiter *limiter, gpointer data)
 {
-  if (!remove_from_queue (&limiter->queue, data))
-    remove_from_queue (&limiter->low_queue, data);
+  if (remove_from_queue (&limiter->queue, data))
+    limiter->stats.expired++;
+  else if (remove_from_queue (&limiter->low_queue, data))
+    limiter->stats.expired_low++;
 }
--- a/src/rate-limiter.h
+++ b/src/rate-limiter.h
@@ -29,6 +29,12 @@
                               KrRateLimiterFunc func, gpointer data);
 /* Removes the queued call with this `data`; its function is not called. */
 void kr_rate_limiter_cancel (KrRateLimiter *limiter, gpointer data);
+/* State of the queues, for the log. Class high counts as normal. */
+typedef struct {
+  guint queued, queued_low;              /* calls that wait now */
+  guint64 expired, expired_low, refused; /* since the start: cancelled; queue was full */
+} KrRateLimiterStats;
+KrRateLimiterStats kr_rate_limiter_stats (KrRateLimiter *limiter);
 double kr_rate_limiter_rate (KrRateLimiter *limiter);
 double kr_rate_limiter_burst (KrRateLimiter *limiter);
 /* Returns the cost that may be spent now on work that can wait. A reserve is kept for other calls;
--- a/src/state-client.c
+++ b/src/state-client.c
@@ -84,6 +84,12 @@
   kr_rate_limiter_set_rate (state->write_limiter, writes_per_s);
 }
 
+KrRateLimiterStats
+kr_state_request_stats (KrStateClient *state)
+{
+  return kr_rate_limiter_stats (state->request_limiter);
+}
+
 double
 kr_state_seconds_since_answer (KrStateClient *state)
 {
@@ -238,9 +244,10 @@
   KrWatchListFunc on_list;
   KrWatchEventFunc on_event;
   gpointer data;
-  guint64 revision; /* the changes up to this revision are known; valid once listed */
-  gboolean listed;  /* the list is complete; its changes are being followed */
-  json_t *items;    /* the pages of the list read so far */
+  guint64 revision;   /* the changes up to this revision are known; valid once listed */
+  gboolean listed;    /* the list is complete; its changes are being followed */
+  guint64 pages_read; /* of all lists */
+  json_t *items;      /* the pages of the list read so far */
   /* Revision of the first page. The watch starts there: the pages may lack later changes. */
   guint64 list_revision;
   guint timer; /* until the next call; while a call is in flight: until it counts as lost */
@@ -309,6 +316,7 @@
     watch->items = json_array ();
     watch->list_revision = kr_wire_revision (body);
   }
+  watch->pages_read++;
   json_array_extend (watch->items, items);
   if (more && json_array_size (items) > 0 &&
       kr_wire_key_value_parse (json_array_get (items, json_array_size (items) - 1), &last)) {
@@ -428,3 +436,9 @@
 {
   return watch->listed ? watch->revision : 0;
 }
+
+guint64
+kr_watch_pages_read (const KrWatch *watch)
+{
+  return watch->pages_read;
+}
--- a/src/state-client.h
+++ b/src/state-client.h
@@ -49,6 +49,8 @@
 void kr_state_set_rates (KrStateClient *state, double requests_per_s, double writes_per_s);
 /* Returns the requests a second that this node may make now. */
 double kr_state_request_rate (KrStateClient *state);
+/* State of this node's limit for requests, for the log. */
+KrRateLimiterStats kr_state_request_stats (KrStateClient *state);
 /* Returns the seconds since the service last answered with anything but 503; G_MAXINT if it never
  * did, so that a node which has just started does not tell others that it reaches the service. */
 double kr_state_seconds_since_answer (KrStateClient *state);
@@ -69,5 +71,7 @@
 /* Returns the revision up to which all changes have been passed to the callbacks; 0 while a list is
  * in progress or the watch is stopped. */
 guint64 kr_watch_revision (const KrWatch *watch);
+/* Returns the number of pages that the lists of this watch have read since the start. */
+guint64 kr_watch_pages_read (const KrWatch *watch);
 /* Stops the watch until kr_watch_relist() is called. */
 void kr_watch_stop (KrWatch *watch);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -133,6 +133,12 @@
   n->stall_data = data;
 }
 
+guint
+kr_longest_iteration_ms (void)
+{
+  return 0; /* no simulated time passes in an iteration */
+}
+
 static gboolean
 is_alive (gint node, guint incarnation)
 {
@@ -476,6 +482,12 @@
 {
 }
 
+KrHttpServerStats
+kr_http_server_stats (const KrHttpServer *server)
+{
+  return (KrHttpServerStats){ 0 }; /* the simulated network has no connections */
+}
+
 const char *
 kr_request_method (KrRequest *r)
 {
