A list of the state service takes no malformed page for its end

Lists of a prefix get a module of their own, state-list.c, and the watch that follows a list another, state-watch.c; state-client.c keeps the calls.

What callers would see: a page that says there are more, but has no items, ended the list. Jobs after it were then missing in the view of live jobs, and polls of them got 404. Only a faulty state service sends such a page. Also a page that repeats earlier keys was taken as progress, and a list that got 410 began again at once, without a pause.

Now a page counts only if each of its items can be parsed and its keys follow those before; otherwise it is read again after KR_STATE_RETRY_MS, with the pages before it kept, and logged once a list.

The fakes serve lists page by page, limit requests if a test asks for it, answer 410 beyond 10,000 changes, and can slow a share of the answers down.

--- a/src/job-view.h
+++ b/src/job-view.h
@@ -3,7 +3,7 @@
  * about. */
 #pragma once
 #include "job.h"
-#include "state-client.h"
+#include "state-watch.h"
 
 typedef struct KrJobView KrJobView;
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -7,7 +7,7 @@
 #include "owner-history.h"
 #include "machine-records.h"
 #include "settings.h"
-#include "state-client.h"
+#include "state-watch.h"
 
 /* Holder of a shard's owner key or of the leader's key, as last read from the state service. */
 typedef struct {
--- a/src/node.h
+++ b/src/node.h
@@ -5,7 +5,7 @@
 #include "http-server.h"
 #include "membership.h"
 #include "settings.h"
-#include "state-client.h"
+#include "state-watch.h"
 
 typedef struct KrShard KrShard;
 typedef struct KrProvisioner KrProvisioner;
--- a/src/state-client.c
+++ b/src/state-client.c
@@ -209,6 +209,23 @@
                  timeout_ms, cancel, callback, data);
 }
 
+void
+kr_state_list_page (KrStateClient *state, const char *prefix, const char *after_key,
+                    GCancellable *cancel, KrHttpResponseFunc callback, gpointer data)
+{
+  request_start (state, "GET", kr_wire_store_list_path (prefix, after_key, KR_STORE_LIST_PAGE_KEYS),
+                 NULL, 0, KR_QUEUE_HIGH, KR_STATE_TIMEOUT_MS, cancel, callback, data);
+}
+
+void
+kr_state_follow (KrStateClient *state, const char *prefix, guint64 after, GCancellable *cancel,
+                 KrHttpResponseFunc callback, gpointer data)
+{
+  request_start (state, "GET", kr_wire_watch_path (prefix, after, KR_WATCH_HOLD_MS), NULL, 0,
+                 KR_QUEUE_HIGH, KR_WATCH_HOLD_MS + KR_WATCH_TIMEOUT_SLACK_MS, cancel, callback,
+                 data);
+}
+
 void
 kr_state_commit (KrStateClient *state, KrTxn *txn, KrQueueClass queue_class, guint timeout_ms,
                  GCancellable *cancel, KrHttpResponseFunc callback, gpointer data)
@@ -235,210 +252,3 @@
   request_start (state, "DELETE", kr_wire_lease_path (lease), NULL, 0, KR_QUEUE_HIGH,
                  KR_STATE_TIMEOUT_MS, cancel, callback, data);
 }
-
-/* --- watch --------------------------------------------------------------------------- */
-struct KrWatch {
-  KrStateClient *state;
-  char *prefix;
-  GCancellable *parent, *cancel; /* cancel: of the call in flight */
-  KrWatchListFunc on_list;
-  KrWatchEventFunc on_event;
-  gpointer data;
-  guint64 revision;   /* the changes up to this revision are known; valid once listed */
-  gboolean listed;    /* the list is complete; its changes are being followed */
-  guint64 pages_read; /* of all lists */
-  json_t *items;      /* the pages of the list read so far */
-  /* Revision of the first page. The watch starts there: the pages may lack later changes. */
-  guint64 list_revision;
-  guint timer; /* until the next call; while a call is in flight: until it counts as lost */
-};
-
-/* A call in flight. It may end after the watch has abandoned it. */
-typedef struct {
-  KrWatch *watch;
-  GCancellable *cancel;
-} WatchCall;
-
-static void send_next_call (KrWatch *watch);
-
-static gboolean
-next_call_due (gpointer data)
-{
-  KrWatch *watch = data;
-  watch->timer = 0;
-  send_next_call (watch);
-  return G_SOURCE_REMOVE;
-}
-
-static void
-schedule_next_call (KrWatch *watch, guint ms)
-{
-  kr_timer_clear (&watch->timer);
-  watch->timer = kr_timer_add (ms, next_call_due, watch);
-}
-
-/* Cancels the call in flight; its response will be ignored. */
-static void
-abandon_call (KrWatch *watch)
-{
-  GCancellable *cancel = g_steal_pointer (&watch->cancel);
-  if (!cancel)
-    return;
-  g_cancellable_cancel (cancel);
-  g_object_unref (cancel);
-}
-
-/* Guards against a call whose end is never reported. Each call is scheduled when the previous one
- * ends, so the prefix would never be read again. */
-static gboolean
-call_lost (gpointer data)
-{
-  KrWatch *watch = data;
-  watch->timer = 0;
-  kr_info ("state: the end of a read of %s was never reported, reading again", watch->prefix);
-  abandon_call (watch);
-  schedule_next_call (watch, KR_STATE_RETRY_MS);
-  return G_SOURCE_REMOVE;
-}
-
-static void
-handle_list_page (KrWatch *watch, json_t *body)
-{
-  gboolean more;
-  json_t *items = kr_wire_store_list_items (body, &more);
-  KrKeyValue last;
-
-  if (!json_is_array (items)) {
-    schedule_next_call (watch, KR_STATE_RETRY_MS);
-    return;
-  }
-  if (!watch->items) {
-    watch->items = json_array ();
-    watch->list_revision = kr_wire_revision (body);
-  }
-  watch->pages_read++;
-  json_array_extend (watch->items, items);
-  if (more && json_array_size (items) > 0 &&
-      kr_wire_key_value_parse (json_array_get (items, json_array_size (items) - 1), &last)) {
-    send_next_call (watch);
-    return;
-  }
-  json_t *all = g_steal_pointer (&watch->items);
-  watch->listed = TRUE;
-  watch->revision = watch->list_revision;
-  watch->on_list (all, watch->revision, watch->data);
-  json_decref (all);
-  if (watch->listed && !watch->cancel)
-    schedule_next_call (watch, KR_WATCH_INTERVAL_MS);
-}
-
-static void
-handle_watch_events (KrWatch *watch, json_t *body)
-{
-  json_t *events = kr_wire_watch_events (body), *event;
-  size_t i;
-  guint64 revision = kr_wire_revision (body);
-
-  if (revision > watch->revision)
-    watch->revision = revision;
-  json_array_foreach (events, i, event)
-  {
-    KrKeyValue item;
-    if (kr_wire_watch_event_parse (event, &item))
-      watch->on_event (&item, watch->data);
-    if (!watch->listed) /* the callback has called kr_watch_relist() or kr_watch_stop() */
-      return;
-  }
-  schedule_next_call (watch, KR_WATCH_INTERVAL_MS);
-}
-
-static void
-call_done (guint status, json_t *body, gpointer data)
-{
-  WatchCall *call = data;
-  KrWatch *watch = call->watch;
-  gboolean current = watch->cancel == call->cancel;
-
-  g_object_unref (call->cancel);
-  g_free (call);
-  if (!current || g_cancellable_is_cancelled (watch->parent))
-    return;
-  g_clear_object (&watch->cancel);
-  kr_timer_clear (&watch->timer);
-  if (status == 410) {
-    kr_info ("state: the watch of %s is too far behind, listing it again", watch->prefix);
-    kr_watch_relist (watch);
-  } else if (status != 200)
-    schedule_next_call (watch, KR_STATE_RETRY_MS);
-  else if (watch->listed)
-    handle_watch_events (watch, body);
-  else
-    handle_list_page (watch, body);
-}
-
-static void
-send_next_call (KrWatch *watch)
-{
-  WatchCall *call = g_new (WatchCall, 1);
-  char *path;
-  guint timeout = KR_STATE_TIMEOUT_MS;
-
-  if (watch->listed) {
-    path = kr_wire_watch_path (watch->prefix, watch->revision, KR_WATCH_HOLD_MS);
-    timeout = KR_WATCH_HOLD_MS + KR_WATCH_TIMEOUT_SLACK_MS;
-  } else {
-    KrKeyValue last = { 0 };
-    size_t n = json_array_size (watch->items);
-    if (n)
-      kr_wire_key_value_parse (json_array_get (watch->items, n - 1), &last);
-    path = kr_wire_store_list_path (watch->prefix, last.key, KR_STORE_LIST_PAGE_KEYS);
-  }
-  watch->cancel = kr_cancellable_new_child (watch->parent);
-  *call = (WatchCall){ watch, g_object_ref (watch->cancel) };
-  kr_timer_clear (&watch->timer);
-  watch->timer = kr_timer_add (timeout + KR_WATCH_LOST_MS, call_lost, watch);
-  request_start (watch->state, "GET", path, NULL, 0, KR_QUEUE_HIGH, timeout, watch->cancel,
-                 call_done, call);
-}
-
-KrWatch *
-kr_watch_new (KrStateClient *state, const char *prefix, GCancellable *cancel,
-              KrWatchListFunc on_list, KrWatchEventFunc on_event, gpointer data)
-{
-  KrWatch *watch = g_new0 (KrWatch, 1);
-  watch->state = state;
-  watch->prefix = g_strdup (prefix);
-  watch->parent = kr_cancellable_new_child (cancel);
-  watch->on_list = on_list;
-  watch->on_event = on_event;
-  watch->data = data;
-  return watch;
-}
-
-void
-kr_watch_stop (KrWatch *watch)
-{
-  kr_timer_clear (&watch->timer);
-  g_clear_pointer (&watch->items, json_decref);
-  watch->listed = FALSE;
-  abandon_call (watch);
-}
-
-void
-kr_watch_relist (KrWatch *watch)
-{
-  kr_watch_stop (watch);
-  send_next_call (watch);
-}
-
-guint64
-kr_watch_revision (const KrWatch *watch)
-{
-  return watch->listed ? watch->revision : 0;
-}
-
-guint64
-kr_watch_pages_read (const KrWatch *watch)
-{
-  return watch->pages_read;
-}
--- a/src/state-client.h
+++ b/src/state-client.h
@@ -1,5 +1,4 @@
-/* Client of the state service: rate-limited calls, and watches that list a key prefix and then
- * follow its changes. */
+/* Client of the state service: rate-limited calls. */
 #pragma once
 #include "rate-limiter.h"
 #include "http-client.h"
@@ -23,6 +22,12 @@
  * service executes the call. */
 void kr_state_changes (KrStateClient *state, const char *prefix, guint64 after, guint timeout_ms,
                        GCancellable *cancel, KrHttpResponseFunc callback, gpointer data);
+/* Reads one page of the keys below a prefix: the first one, or the one after `after_key`. */
+void kr_state_list_page (KrStateClient *state, const char *prefix, const char *after_key,
+                         GCancellable *cancel, KrHttpResponseFunc callback, gpointer data);
+/* Waits for changes below a prefix after the revision `after`, for at most KR_WATCH_HOLD_MS. */
+void kr_state_follow (KrStateClient *state, const char *prefix, guint64 after, GCancellable *cancel,
+                      KrHttpResponseFunc callback, gpointer data);
 /* Takes ownership of `txn`. */
 void kr_state_commit (KrStateClient *state, KrTxn *txn, KrQueueClass queue_class, guint timeout_ms,
                       GCancellable *cancel, KrHttpResponseFunc callback, gpointer data);
@@ -54,24 +59,3 @@
 /* Returns the seconds since the service last answered with anything but 503; G_MAXINT if it never
  * did, so that a node which has just started does not tell others that it reaches the service. */
 double kr_state_seconds_since_answer (KrStateClient *state);
-
-/* Lists a key prefix, then follows its changes. After a gap in the changes it lists the prefix
- * again. */
-typedef struct KrWatch KrWatch;
-/* items: JSON array for kr_wire_key_value_parse(), borrowed; it includes all changes up to
- * `revision`. */
-typedef void (*KrWatchListFunc) (json_t *items, guint64 revision, gpointer data);
-typedef void (*KrWatchEventFunc) (const KrKeyValue *item, gpointer data);
-/* Returns a stopped watch; kr_watch_relist() starts it. */
-KrWatch *kr_watch_new (KrStateClient *state, const char *prefix, GCancellable *cancel,
-                       KrWatchListFunc on_list, KrWatchEventFunc on_event, gpointer data);
-/* Abandons the call in flight and lists the prefix again: the next call of on_list is for a list
- * that was started after this call. */
-void kr_watch_relist (KrWatch *watch);
-/* Returns the revision up to which all changes have been passed to the callbacks; 0 while a list is
- * in progress or the watch is stopped. */
-guint64 kr_watch_revision (const KrWatch *watch);
-/* Returns the number of pages that the lists of this watch have read since the start. */
-guint64 kr_watch_pages_read (const KrWatch *watch);
-/* Stops the watch until kr_watch_relist() is called. */
-void kr_watch_stop (KrWatch *watch);
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -9,7 +9,12 @@
 #include <math.h>
 #include <string.h>
 
-#define TXN_MAX_BYTES 65536       /* the protocol's limit for a transaction */
+#define TXN_MAX_BYTES 65536 /* the protocol's limit for a transaction */
+#define LIST_MAX_KEYS 1000  /* the protocol's limits for a page of a list */
+#define LIST_MAX_BYTES (512 * 1024)
+#define CHANGES_KEPT 10000 /* older changes are gone: 410 */
+#define SLOW_RESPONSE_MIN_S 0.1
+#define SLOW_RESPONSE_MAX_S 0.4
 #define RECORD_PREFIX "c/berths/" /* key prefix of the shards' machine records */
 
 Fakes fakes;
@@ -53,6 +58,9 @@
   }
   double delay_s =
       g_str_equal (from, "state") ? g_rand_double (fakes.rng) * fakes.state_delay_s : 0;
+  if (fakes.options.slow_response_share > 0 && g_str_equal (from, "state") &&
+      g_rand_double (fakes.rng) < fakes.options.slow_response_share)
+    delay_s += g_rand_double_range (fakes.rng, SLOW_RESPONSE_MIN_S, SLOW_RESPONSE_MAX_S);
   schedule_after (delay_s + g_rand_double_range (fakes.rng, 0.0003, 0.004), func, data);
 }
 
@@ -230,10 +238,12 @@
 {
   Change c = { g_strdup (key), json_incref (value), fakes.revision };
   g_array_append_val (fakes.changes, c);
+  if (!value || !g_hash_table_contains (fakes.store, key))
+    g_clear_pointer (&fakes.sorted_keys, g_ptr_array_unref);
   if (value) {
     Entry *e = g_new (Entry, 1);
     *e = (Entry){ json_incref (value), fakes.revision, lease };
-    g_hash_table_replace (fakes.store, g_strdup (key), e);
+    g_hash_table_insert (fakes.store, g_strdup (key), e); /* keeps the key that sorted_keys has */
   } else
     g_hash_table_remove (fakes.store, key);
 }
@@ -303,6 +313,22 @@
   notify_watches ();
 }
 
+void
+sim_copy_live_job (const char *id, guint copies)
+{
+  g_autofree char *key = g_strconcat ("job/", id, NULL);
+  for (guint i = 0; i < copies; i++) {
+    g_autofree char *copy_key = g_strdup_printf ("job/wk-%u", 900000 + i);
+    g_autofree char *copy_id = g_strdup (copy_key + strlen ("job/"));
+    json_t *value = json_deep_copy (fakes_stored_value (key));
+    json_object_set_new (json_object_get (value, "Spec"), "Id", json_string (copy_id));
+    fakes.revision++;
+    write_key (copy_key, value, 0);
+    json_decref (value);
+  }
+  notify_watches ();
+}
+
 void
 sim_state_remove (const char *key)
 {
@@ -575,21 +601,129 @@
   return strcmp (a, b);
 }
 
+static int
+compare_string_pointers (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(const char *const *) a, *(const char *const *) b);
+}
+
+static const GPtrArray *
+sorted_keys (void)
+{
+  GHashTableIter it;
+  gpointer key;
+  if (fakes.sorted_keys)
+    return fakes.sorted_keys;
+  fakes.sorted_keys = g_ptr_array_sized_new (g_hash_table_size (fakes.store));
+  g_hash_table_iter_init (&it, fakes.store);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    g_ptr_array_add (fakes.sorted_keys, key);
+  g_ptr_array_sort (fakes.sorted_keys, compare_string_pointers);
+  return fakes.sorted_keys;
+}
+
+/* Returns the index of the first key that is greater than `key`, or that is not less than it. */
+static guint
+find_key (const GPtrArray *keys, const char *key, gboolean greater)
+{
+  guint low = 0, high = keys->len;
+  while (low < high) {
+    guint middle = (low + high) / 2;
+    int order = strcmp (keys->pdata[middle], key);
+    if (order < 0 || (greater && order == 0))
+      low = middle + 1;
+    else
+      high = middle;
+  }
+  return low;
+}
+
+void
+sim_break_job_pages (SimPageFault fault, guint n)
+{
+  fakes.page_fault = fault;
+  fakes.break_pages = n;
+}
+
+guint
+sim_job_pages_left_to_break (void)
+{
+  return fakes.break_pages;
+}
+
+/* Responds with a page that is wrong as sim_break_job_pages() says. Takes over `items`. */
+static void
+respond_with_broken_page (Call *c, json_t *items)
+{
+  static const guint statuses[SIM_PAGE_FAULTS] = {
+    [SIM_PAGE_STATUS_410] = 410, [SIM_PAGE_STATUS_429] = 429, [SIM_PAGE_STATUS_503] = 503
+  };
+  guint status = statuses[fakes.page_fault];
+  if (fakes.page_fault == SIM_PAGE_WITH_BAD_ITEM)
+    json_object_del (json_array_get (items, 0), "Key");
+  else if (fakes.page_fault == SIM_PAGE_EMPTY)
+    json_array_clear (items);
+  json_t *body = json_pack ("{sb sI}", "More", 1, "Ledger", (json_int_t) fakes.revision);
+  if (fakes.page_fault != SIM_PAGE_WITHOUT_ITEMS)
+    json_object_set (body, "Items", items);
+  json_decref (items);
+  fakes_respond (c, status ? status : 200, body);
+}
+
+/* Responds with one page of a list. */
 static void
 list_keys (Call *c)
 {
-  g_autofree char *prefix = query_param (c->path, "Prefix"), *after = query_param (c->path, "From");
-  g_autoptr (GList) keys = g_list_sort (g_hash_table_get_keys (fakes.store), compare_strings);
+  g_autofree char *prefix = query_param (c->path, "Prefix"), *after = query_param (c->path, "From"),
+                  *page = query_param (c->path, "Page");
+  const GPtrArray *keys = sorted_keys ();
+  guint limit = page ? MIN ((guint) atoi (page), LIST_MAX_KEYS) : LIST_MAX_KEYS;
+  gboolean broken = fakes.break_pages && after && g_str_equal (prefix, "job/");
+  gboolean restarts = broken && fakes.page_fault == SIM_PAGE_REPEATED;
+  guint i = find_key (keys, after && !restarts ? after : prefix, after && !restarts);
+  gsize bytes = 0;
   json_t *items = json_array ();
-  for (GList *l = keys; l; l = l->next) {
-    Entry *e = g_hash_table_lookup (fakes.store, l->data);
-    if (g_str_has_prefix (l->data, prefix) && (!after || strcmp (l->data, after) > 0))
-      json_array_append_new (items, json_pack ("{ss sO sI}", "Key", l->data, "Value", e->value,
-                                               "Mark", (json_int_t) e->revision));
+  for (; i < keys->len && g_str_has_prefix (keys->pdata[i], prefix); i++) {
+    Entry *e = g_hash_table_lookup (fakes.store, keys->pdata[i]);
+    bytes += json_dumpb (e->value, NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY);
+    if (json_array_size (items) == limit || (bytes > LIST_MAX_BYTES && json_array_size (items)))
+      break;
+    json_array_append_new (items, json_pack ("{ss sO sI}", "Key", keys->pdata[i], "Value", e->value,
+                                             "Mark", (json_int_t) e->revision));
+  }
+  if (broken) {
+    fakes.break_pages--;
+    respond_with_broken_page (c, items);
+    return;
   }
-  fakes_respond (
-      c, 200,
-      json_pack ("{so sb sI}", "Items", items, "More", 0, "Ledger", (json_int_t) fakes.revision));
+  gboolean more = i < keys->len && g_str_has_prefix (keys->pdata[i], prefix);
+  fakes_respond (c, 200,
+                 json_pack ("{so sb sI}", "Items", items, "More", more, "Ledger",
+                            (json_int_t) fakes.revision));
+}
+
+/* Applies the rate limit for requests. Returns FALSE if the request exceeds it. */
+static gboolean
+within_request_limit (void)
+{
+  double rate = fakes.options.state_rps;
+  if (rate == 0)
+    return TRUE;
+  fakes.request_tokens =
+      MIN (rate, fakes.request_tokens + (fakes.now - fakes.request_tokens_at) / 1e6 * rate);
+  fakes.request_tokens_at = fakes.now;
+  if (fakes.request_tokens < 1)
+    return FALSE;
+  fakes.request_tokens--;
+  return TRUE;
+}
+
+static gboolean
+changes_are_gone (guint64 after)
+{
+  return fakes.changes->len > CHANGES_KEPT &&
+         after <
+             g_array_index (fakes.changes, Change, fakes.changes->len - CHANGES_KEPT).revision - 1;
 }
 
 guint
@@ -617,6 +751,8 @@
   fakes.state_requests++;
   if ((is_refused (c->from) && !g_str_has_prefix (c->path, "/follow")) || refuses_list (c))
     fakes_respond (c, 503, NULL);
+  else if (!within_request_limit ())
+    fakes_respond (c, 429, NULL);
   else if (g_str_has_prefix (c->path, "/store?"))
     list_keys (c);
   else if (g_str_has_prefix (c->path, "/store/")) {
@@ -635,8 +771,12 @@
   else if (g_str_equal (c->path, "/commit"))
     commit (c);
   else if (g_str_has_prefix (c->path, "/follow")) {
-    Watch *w = g_new (Watch, 1);
     g_autofree char *from = query_param (c->path, "From"), *hold = query_param (c->path, "HoldMs");
+    if (changes_are_gone (g_ascii_strtoull (from, NULL, 10))) {
+      fakes_respond (c, 410, NULL);
+      return;
+    }
+    Watch *w = g_new (Watch, 1);
     *w = (Watch){ c, query_param (c->path, "Prefix"), g_ascii_strtoull (from, NULL, 10),
                   fakes.now + (gint64) atoi (hold) * 1000 };
     g_ptr_array_add (fakes.watches, w);
@@ -1929,9 +2069,10 @@
       address_json (sim_cloud_address (node)), "state", address_json (sim_state_address (node)),
       "facts", "size", (int) fakes.options.nodes, "clock_error_ms", 5.0, "teams", teams, "workers",
       "report_s", fakes.options.report_s, "lease_s", fakes.options.lease_s, "cancel_s",
-      fakes.options.cancel_s, "state", "rps", 150.0, "write_rps", fakes.options.write_rps,
-      "value_kb", fakes.options.value_kb, "txn_ops", 12, "cloud", "rps", 3.0, "list_lag_s", 2.0,
-      "resources", "core_share", 0.1, "ram_mb", 60.0, "sockets", 900);
+      fakes.options.cancel_s, "state", "rps",
+      fakes.options.state_rps > 0 ? fakes.options.state_rps : 150.0, "write_rps",
+      fakes.options.write_rps, "value_kb", fakes.options.value_kb, "txn_ops", 12, "cloud", "rps",
+      3.0, "list_lag_s", 2.0, "resources", "core_share", 0.1, "ram_mb", 60.0, "sockets", 900);
 }
 
 /* --- start and stop ------------------------------------------------------------------------- */
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -31,18 +31,23 @@
   GHashTable *links;        /* "from>to" -> SimLinkState */
   GPtrArray *held_messages; /* Message */
   /* state service */
-  GHashTable *store;  /* key -> Entry */
-  GHashTable *leases; /* id -> Lease */
-  GPtrArray *watches; /* Watch */
-  GArray *changes;    /* Change, in the order of their revisions */
+  GHashTable *store;      /* key -> Entry */
+  GPtrArray *sorted_keys; /* the keys of `store`, borrowed; NULL: to be sorted again */
+  GHashTable *leases;     /* id -> Lease */
+  GPtrArray *watches;     /* Watch */
+  GArray *changes;        /* Change, in the order of their revisions */
   guint64 revision, next_lease;
   gboolean outage, refuse_node[SIM_MAX_NODES], refuse_range_reads[SIM_MAX_NODES];
   double state_delay_s, watch_delay_s;
   guint drop_commit_responses;
+  SimPageFault page_fault; /* of the next break_pages pages */
+  guint break_pages;
   char *hold_prefix; /* sim_hold_commits(): prefix of a key that the commit puts */
   guint hold_commits;
   double hold_commits_s;
   double delayed_commit_share, delayed_command_share;
+  double request_tokens; /* of the rate limit for requests, as of request_tokens_at */
+  gint64 request_tokens_at;
   double write_tokens; /* of the rate limit for writes, as of write_tokens_at */
   gint64 write_tokens_at;
   /* cloud */
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -20,6 +20,10 @@
   double spot_price;
   guint max_machines; /* the cloud's capacity */
   double value_kb, write_rps;
+  double state_rps; /* requests a second that the state service serves; 0: 150 in the nodes'
+                     * settings, and no limit at the service */
+  /* Share of the state service's responses that take 0.1 to 0.4 s longer. */
+  double slow_response_share;
   double machine_poll_s; /* interval at which a machine is updated; 0: 50 ms */
   /* Share of the nodes' and users' requests that arrive a second time, 1 to 60 s later. */
   double duplicate_requests;
@@ -70,6 +74,21 @@
 /* The callbacks of the node's next n list requests are never called: a fault in the HTTP client,
  * which promises a callback for each call. */
 void sim_drop_range_reads (guint node, guint n);
+/* Ways in which a page of a list can be wrong. */
+typedef enum {
+  SIM_PAGE_WITHOUT_ITEMS, /* a body without the field */
+  SIM_PAGE_WITH_BAD_ITEM, /* one item has no key */
+  SIM_PAGE_EMPTY,         /* no items, though there are more pages */
+  SIM_PAGE_REPEATED,      /* the list's first page again */
+  SIM_PAGE_STATUS_410,
+  SIM_PAGE_STATUS_429,
+  SIM_PAGE_STATUS_503,
+  SIM_PAGE_FAULTS
+} SimPageFault;
+/* The next n pages of lists of the live jobs, first pages aside, are wrong in that way. */
+void sim_break_job_pages (SimPageFault fault, guint n);
+/* Returns how many of these pages are still to come. */
+guint sim_job_pages_left_to_break (void);
 /* Responses take up to that much longer. */
 void sim_state_delay (double seconds);
 /* Responses to watches take that much longer. */
@@ -191,6 +210,9 @@
 guint sim_recorded_machines (void);
 /* Sets a key of the state service to a JSON value, without a request from a node. */
 void sim_state_put (const char *key, const char *value);
+/* Stores that many copies of a live job under ids from "wk-900000" on, as if they had been
+ * submitted. No user asks about them. */
+void sim_copy_live_job (const char *id, guint copies);
 void sim_state_remove (const char *key);
 gboolean sim_state_has (const char *key);
 /* Returns the revision of the key's last change, or 0 if the key does not exist. */
