The list of live jobs goes on when its callers have gone

What callers saw: every poll of a job got 503, at every node, for as long as users kept polling.

Cause: the view that answers polls listed all live jobs within the 1.7 s that a poll may wait, and gave the list up with all its pages when they were over. The next list began with the first page. With more live jobs than a node reads in that time, by its share of the request limit, the latency or its processor time, no list was ever complete; and while polls waited for it none was read directly. A pause of 3 s without an update (an outage, a restart, a stall) is enough to need a list, and nothing but users giving up ended this.

Fix: the list goes on for itself and is applied page by page; only callers stop waiting, at their own deadline. When it is complete the changes since its first page are read, with a time-out that doubles after each failure, and only that read answers polls: what is told is as new as before. A list is begun again only where its changes are gone (410).

--- a/src/api-poll.c
+++ b/src/api-poll.c
@@ -117,11 +117,10 @@
   if (!kr_poll_metrics_log (api->metrics))
     return;
   kr_info ("polls: view of %u jobs, %.1f s old, %u waiting; lists started %" G_GUINT64_FORMAT
-           ", completed %" G_GUINT64_FORMAT ", given up %" G_GUINT64_FORMAT
-           ", pages %" G_GUINT64_FORMAT "; updates completed %" G_GUINT64_FORMAT
-           ", failed %" G_GUINT64_FORMAT,
+           ", completed %" G_GUINT64_FORMAT ", pages %" G_GUINT64_FORMAT
+           "; updates completed %" G_GUINT64_FORMAT ", failed %" G_GUINT64_FORMAT,
            view.jobs, view.age_s, view.waiting, view.lists_started, view.lists_completed,
-           view.lists_given_up, view.pages, view.updates_completed, view.updates_failed);
+           view.pages, view.updates_completed, view.updates_failed);
   kr_info ("polls: state requests %.0f/s, queued %u, low %u, expired %" G_GUINT64_FORMAT
            ", low %" G_GUINT64_FORMAT ", refused %" G_GUINT64_FORMAT
            "; connections %u of %u, accepting paused %.1f s; longest iteration %u ms",
@@ -139,11 +138,10 @@
   const char *id;
   double gap_s = kr_poll_metrics_longest_gap (api->metrics, &id);
   json_t *rest = json_pack (
-      "{sf ss* si sf sI sI sI sI sI}", "LongestGap", gap_s, "LongestGapJob", id, "LiveJobs",
+      "{sf ss* si sf sI sI sI sI}", "LongestGap", gap_s, "LongestGapJob", id, "LiveJobs",
       (int) view.jobs, "ViewAge", view.age_s, "ListsStarted", (json_int_t) view.lists_started,
-      "ListsCompleted", (json_int_t) view.lists_completed, "ListsGivenUp",
-      (json_int_t) view.lists_given_up, "ExpiredReads", (json_int_t) limiter.expired,
-      "ExpiredLowReads", (json_int_t) limiter.expired_low);
+      "ListsCompleted", (json_int_t) view.lists_completed, "ExpiredReads",
+      (json_int_t) limiter.expired, "ExpiredLowReads", (json_int_t) limiter.expired_low);
   json_object_update (health, rest);
   json_decref (rest);
   return health;
--- a/src/constants.h
+++ b/src/constants.h
@@ -28,6 +28,12 @@
 #define KR_JOB_VIEW_SYNC_MS 100
 /* When the last update is older than this, all live jobs are listed instead of their changes. */
 #define KR_JOB_VIEW_STALE_S 3.0
+/* Longest time-out of a request for the changes. It doubles after each failure, as the changes are
+ * more each time. */
+#define KR_JOB_VIEW_TIMEOUT_MAX_MS 10000
+/* Polls that wait for the live jobs must not go unserved for this time while the state service
+ * answers. */
+#define KR_VIEW_UNSERVED_MAX_S 30.0
 /* Retry-After of 429 and 503 answers to users: the shortest delay that they honour. */
 #define KR_RETRY_AFTER_S 1
 /* Time-out of a call to the state service. Calls usually take 10 ms, sometimes several hundred. */
--- a/src/invariant.h
+++ b/src/invariant.h
@@ -11,6 +11,7 @@
   KR_INVARIANT_ONE_ATTEMPT,   /* at most one attempt of a task may be on a machine */
   KR_INVARIANT_MACHINE_READY, /* a task is started only on a machine that is ready for tasks */
   KR_INVARIANT_JOB_NOT_ENDED, /* no task of a job that has ended is started */
+  KR_INVARIANT_POLLS_SERVED,  /* while the state service answers, polls get served */
   KR_N_INVARIANTS
 } KrInvariant;
 
--- a/src/job-view.h
+++ b/src/job-view.h
@@ -3,7 +3,7 @@
  * about. */
 #pragma once
 #include "job.h"
-#include "state-watch.h"
+#include "state-client.h"
 
 typedef struct KrJobView KrJobView;
 
@@ -24,13 +24,14 @@
 /* State of the view, for the log. */
 typedef struct {
   guint jobs, waiting; /* live jobs; callers that wait */
-  guint64 lists_started, lists_completed, lists_given_up, pages;
+  guint64 lists_started, lists_completed, pages;
   guint64 updates_completed, updates_failed; /* requests for the changes */
   double age_s; /* since the start of the newest completed request; -1: none yet */
 } KrJobViewStats;
 KrJobViewStats kr_job_view_stats (KrJobView *view);
 /* `up_to_date`: the view has all changes that were made before the call of kr_job_view_sync. If
- * FALSE, the state service could not be read. */
+ * FALSE, it could not be brought up to date within KR_USER_READ_DEADLINE_MS; the work for it goes
+ * on for later callers. */
 typedef void (*KrJobViewFunc) (gboolean up_to_date, gpointer data);
 /* Brings the view up to date, then calls `callback`. */
 void kr_job_view_sync (KrJobView *view, KrJobViewFunc callback, gpointer data);
--- a/src/state-watch.c
+++ b/src/state-watch.c
@@ -173,9 +173,3 @@
 {
   return watch->listed ? watch->revision : 0;
 }
-
-guint64
-kr_watch_pages_read (const KrWatch *watch)
-{
-  return kr_state_list_pages_read (watch->list);
-}
--- a/src/state-watch.h
+++ b/src/state-watch.h
@@ -17,7 +17,5 @@
 /* Returns the revision up to which all changes have been passed to the callbacks; 0 while a list is
  * in progress or the watch is stopped. */
 guint64 kr_watch_revision (const KrWatch *watch);
-/* Returns the number of pages that the lists of this watch have read since the start. */
-guint64 kr_watch_pages_read (const KrWatch *watch);
 /* Stops the watch until kr_watch_relist() is called. */
 void kr_watch_stop (KrWatch *watch);
