A call costs no walk over all idle connections: sessions of 32 connections

Cause: whenever a call starts or ends, the HTTP library reads from each idle connection of its session to see whether it is still open. A takeover leaves up to 1,421 of them here (15% of the sockets), so a call cost milliseconds and a thousand of them seconds without a turn of the main loop. The time-outs of the calls then passed unread, machines that were alive counted as not reached and were deleted, and the node lost its lease. Nothing ended this.

In a scratch build with the library's system calls counted, such an iteration made 3.7 million recv(), all of one byte, called from the library's search for a connection; the handlers took next to nothing.

Fix: a client's connections are spread over sessions of at most 32, by host, so that a call walks over those of one session; the limit for all stays. A session without calls closes its idle connections even while others have some.

The two findings of the linter in tests/fakes.c and one in api-private.h are mended with it.

--- a/src/api-private.h
+++ b/src/api-private.h
@@ -65,7 +65,7 @@
 /* Calls `retry` with the call a little later, or answers that the cancellation is not confirmed. */
 void kr_api_retry_later (KrApiCall *call, GSourceFunc retry);
 /* A retry that reads the job again. */
-gboolean kr_api_retry_lookup (gpointer call);
+gboolean kr_api_retry_lookup (gpointer data);
 
 /* --- answers ----------------------------------------------------------------------------- */
 /* Answers and frees the call. Takes over `body`. */
--- a/src/constants.h
+++ b/src/constants.h
@@ -78,6 +78,8 @@
 #define KR_CANCEL_CONFIRM_TRIES 5
 /* Connections to each peer, for one exchange at a time. */
 #define KR_PEER_CONNS 4
+/* Connections of one session of the HTTP library, whose calls each cost a walk over them. */
+#define KR_HTTP_SESSION_CONNS 32
 /* Time within which the HTTP library must report the end of a cancelled call. After that the call
  * counts as lost. */
 #define KR_CALL_LOST_TIMEOUT_MS 5000
--- a/src/http-client.c
+++ b/src/http-client.c
@@ -6,14 +6,20 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-/* Calls that exceed the number of connections are queued here, not in the session. The session
- * walks over all its messages whenever one starts or ends, so each message queued there makes every
- * call more expensive. */
+/* A session of the library with a bounded number of connections. Whenever a message starts or ends,
+ * the library walks over all messages of its session, and reads from all its idle connections. */
+typedef struct {
+  SoupSession *soup;  /* NULL: not used yet */
+  guint active_calls; /* calls that the session has and that are not lost */
+} Session;
+
+/* Calls that exceed the number of connections are queued here, not in a session. */
 struct KrHttpClient {
   grefcount refs; /* each call holds a reference */
-  SoupSession *session;
+  Session *sessions;
+  guint session_count, conns_per_session;
   guint conns, conns_per_host, idle_s;
-  guint active_calls; /* calls that a session has and that are not lost */
+  guint active_calls; /* of all sessions */
   GQueue queue;       /* Call: in the order in which they are sent */
   guint idle_timer;   /* until idle connections are closed */
 };
@@ -22,6 +28,7 @@
  * come after the call was answered with a time-out or counted as lost. */
 typedef struct {
   KrHttpClient *client;
+  Session *session;  /* that has the call; NULL: none yet */
   GList *queue_link; /* in the client's queue; NULL: the session has the call */
   GCancellable *cancel;
   SoupMessage *message;
@@ -47,8 +54,8 @@
 session_new (const KrHttpClient *client)
 {
   SoupSession *session = soup_session_new_with_options (
-      "max-conns", client->conns, "max-conns-per-host", client->conns_per_host, "idle-timeout", 0,
-      "proxy-resolver", NULL, NULL);
+      "max-conns", client->conns_per_session, "max-conns-per-host", client->conns_per_host,
+      "idle-timeout", 0, "proxy-resolver", NULL, NULL);
   soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
   soup_session_remove_feature_by_type (session, SOUP_TYPE_WEBSOCKET_EXTENSION_MANAGER);
   soup_session_remove_feature_by_type (session, SOUP_TYPE_AUTH_MANAGER);
@@ -63,8 +70,10 @@
   client->conns = conns;
   client->conns_per_host = conns_per_host;
   client->idle_s = idle_s;
+  client->conns_per_session = MIN (conns, KR_HTTP_SESSION_CONNS);
+  client->session_count = (conns + client->conns_per_session - 1) / client->conns_per_session;
+  client->sessions = g_new0 (Session, client->session_count);
   g_queue_init (&client->queue);
-  client->session = session_new (client);
   return client;
 }
 
@@ -74,30 +83,53 @@
   if (!g_ref_count_dec (&client->refs))
     return;
   kr_timer_clear (&client->idle_timer);
-  g_object_unref (client->session);
+  for (guint i = 0; i < client->session_count; i++)
+    g_clear_object (&client->sessions[i].soup);
+  g_free (client->sessions);
   g_free (client);
 }
 
 void
 kr_http_client_free (KrHttpClient *client)
 {
-  soup_session_abort (client->session);
+  for (guint i = 0; i < client->session_count; i++)
+    if (client->sessions[i].soup)
+      soup_session_abort (client->sessions[i].soup);
   client_unref (client);
 }
 
-/* Without active calls, aborting the session only closes its idle connections. */
+/* Without active calls, aborting a session only closes its idle connections. */
 static gboolean
 close_idle_connections (gpointer data)
 {
   KrHttpClient *client = data;
   client->idle_timer = 0;
+  for (guint i = 0; i < client->session_count; i++)
+    if (client->sessions[i].soup && !client->sessions[i].active_calls)
+      soup_session_abort (client->sessions[i].soup);
   if (client->active_calls)
     client->idle_timer = kr_timer_add (KR_IDLE_CLOSE_RETRY_MS, close_idle_connections, client);
-  else
-    soup_session_abort (client->session);
   return G_SOURCE_REMOVE;
 }
 
+/* Returns a session that may take one more call: the one that last had the host, if it may, since
+ * it may still have a connection to it. The client has fewer active calls than connections. */
+static Session *
+find_session (KrHttpClient *client, SoupMessage *message)
+{
+  GUri *uri = soup_message_get_uri (message);
+  guint first = g_str_hash (g_uri_get_host (uri)) + (guint) g_uri_get_port (uri);
+  for (guint i = 0; i < client->session_count; i++) {
+    Session *session = &client->sessions[(first + i) % client->session_count];
+    if (session->active_calls >= client->conns_per_session)
+      continue;
+    if (!session->soup)
+      session->soup = session_new (client);
+    return session;
+  }
+  g_assert_not_reached ();
+}
+
 static void
 call_complete (Call *call, guint status, json_t *body)
 {
@@ -129,12 +161,13 @@
   call->timer = 0;
   call->lost = TRUE;
   client->active_calls--;
+  call->session->active_calls--;
   if (lost_calls++ == 0)
     kr_info ("http: the end of call %s %s was not reported, continuing with a new session",
              soup_message_get_method (call->message),
              g_uri_get_path (soup_message_get_uri (call->message)));
-  g_object_unref (client->session);
-  client->session = session_new (client);
+  g_object_unref (call->session->soup);
+  call->session->soup = session_new (client);
   send_queued (client);
   return G_SOURCE_REMOVE;
 }
@@ -167,6 +200,7 @@
     return;
   }
   call->client->active_calls--;
+  call->session->active_calls--;
   send_queued (call->client);
 }
 
@@ -193,15 +227,17 @@
   json_decref (body);
 }
 
-/* Passes queued calls to the session, up to the number of connections. */
+/* Passes queued calls to the sessions, up to the number of connections. */
 static void
 send_queued (KrHttpClient *client)
 {
   Call *call;
   while (client->active_calls < client->conns && (call = g_queue_pop_head (&client->queue))) {
     call->queue_link = NULL;
+    call->session = find_session (client, call->message);
     client->active_calls++;
-    soup_session_send_and_read_async (client->session, call->message, G_PRIORITY_DEFAULT,
+    call->session->active_calls++;
+    soup_session_send_and_read_async (call->session->soup, call->message, G_PRIORITY_DEFAULT,
                                       call->cancel, send_finished, call);
   }
   if (client->active_calls && client->idle_s && !client->idle_timer)
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -680,7 +680,9 @@
   guint limit = page ? MIN ((guint) atoi (page), LIST_MAX_KEYS) : LIST_MAX_KEYS;
   gboolean broken = fakes.break_pages && after && g_str_equal (prefix, "job/");
   gboolean restarts = broken && fakes.page_fault == SIM_PAGE_REPEATED;
-  guint i = find_key (keys, after && !restarts ? after : prefix, after && !restarts);
+  const char *start = after && !restarts ? after : prefix;
+  g_assert_nonnull (start);
+  guint i = find_key (keys, start, after && !restarts);
   gsize bytes = 0;
   json_t *items = json_array ();
   for (; i < keys->len && g_str_has_prefix (keys->pdata[i], prefix); i++) {
@@ -745,6 +747,22 @@
          g_str_has_prefix (c->path, "/store?");
 }
 
+static void
+handle_follow (Call *c)
+{
+  g_autofree char *from = query_param (c->path, "From"), *hold = query_param (c->path, "HoldMs");
+  guint64 after = g_ascii_strtoull (from, NULL, 10);
+  if (changes_are_gone (after)) {
+    fakes_respond (c, 410, NULL);
+    return;
+  }
+  Watch *w = g_new (Watch, 1);
+  *w =
+      (Watch){ c, query_param (c->path, "Prefix"), after, fakes.now + (gint64) atoi (hold) * 1000 };
+  g_ptr_array_add (fakes.watches, w);
+  notify_watches ();
+}
+
 static void
 handle_state_request (Call *c)
 {
@@ -770,18 +788,9 @@
     schedule_after (g_rand_double_range (fakes.rng, 2, 12), commit_delayed, c);
   else if (g_str_equal (c->path, "/commit"))
     commit (c);
-  else if (g_str_has_prefix (c->path, "/follow")) {
-    g_autofree char *from = query_param (c->path, "From"), *hold = query_param (c->path, "HoldMs");
-    if (changes_are_gone (g_ascii_strtoull (from, NULL, 10))) {
-      fakes_respond (c, 410, NULL);
-      return;
-    }
-    Watch *w = g_new (Watch, 1);
-    *w = (Watch){ c, query_param (c->path, "Prefix"), g_ascii_strtoull (from, NULL, 10),
-                  fakes.now + (gint64) atoi (hold) * 1000 };
-    g_ptr_array_add (fakes.watches, w);
-    notify_watches ();
-  } else if (g_str_has_prefix (c->path, "/leases")) {
+  else if (g_str_has_prefix (c->path, "/follow"))
+    handle_follow (c);
+  else if (g_str_has_prefix (c->path, "/leases")) {
     guint64 id = g_ascii_strtoull (c->path + strlen ("/leases") + (c->path[7] == '/'), NULL, 10);
     guint ms = (guint) json_integer_value (json_object_get (c->body, "LifeMs"));
     if (id && !g_hash_table_contains (fakes.leases, &id)) {
