Known failure: polls starve while other requests use up a node's request limit

A flood of 200 cancellations a second of unknown jobs keeps the limit of each node used up (60 requests a second for three nodes): no answer about accepted jobs for 75 s. The reads of ended jobs wait in the class that is served only while no other call waits, and the shared read of the live jobs waits behind up to 1.7 s of calls.

--- a/tests/test_polls.c
+++ b/tests/test_polls.c
@@ -128,6 +128,34 @@
   g_test_trap_assert_stderr ("*invariant polls-served does not hold*");
 }
 
+/* Other requests than polls that keep the nodes' limits of requests used up. */
+static void
+flood_with_aborts (double seconds, guint per_second)
+{
+  double end = sim_now () + seconds;
+  for (guint i = 0; sim_now () < end; i++) {
+    g_autofree char *path = g_strdup_printf ("/api/jobs/wk-8%05u/abort", i % 100000);
+    sim_request_async (i % default_options.nodes, "POST", path, NULL);
+    sim_run (1.0 / per_second);
+  }
+}
+
+static void
+test_starved_by_other_requests (void)
+{
+  SimOptions options = options_with_rate (60);
+  start_cluster (&options);
+  for (guint i = 0; i < 60; i++) {
+    g_autofree char *id = job_id (i + 1), *team = g_strdup_printf ("team%u", i % 3);
+    sim_submit (id, team, "normal", 1, 1, 25, 600);
+  }
+  sim_run (30);
+  sim_faults_over ();
+  flood_with_aborts (CALM_S + 40, 200);
+  g_assert_cmpstr (sim_violations (), ==, "");
+  sim_stop ();
+}
+
 /* Starts enough polls at once for the nodes to answer them from a list of the live jobs. */
 static void
 wait_for_broken_pages (void)
@@ -166,6 +194,7 @@
   g_test_add_func ("/polls/list-longer-after-pauses", test_list_longer_after_pauses);
   g_test_add_func ("/polls/list-overtaken-by-changes", test_list_overtaken_by_changes);
   g_test_add_func ("/polls/unserved-polls-unnoticed", test_unserved_polls_unnoticed);
+  g_test_add_func ("/polls/starved-by-other-requests", test_starved_by_other_requests);
   g_test_add_func ("/polls/broken-page-taken-for-end", test_broken_page_taken_for_end);
   return g_test_run ();
 }
