Soak: thousands of live jobs, the longest gap of a job, restarts after an outage

--live-jobs N adds N live jobs that nobody asks about and limits the requests to the state service, so that a list of all of them takes longer than a poll may wait; each run prints the longest time that an accepted job went without an answer after the last fault. New kind at the end of the list: state-out-then-restarts.

--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -321,7 +321,9 @@
     g_autofree char *copy_key = g_strdup_printf ("job/wk-%u", 900000 + i);
     g_autofree char *copy_id = g_strdup (copy_key + strlen ("job/"));
     json_t *value = json_deep_copy (fakes_stored_value (key));
-    json_object_set_new (json_object_get (value, "Spec"), "Id", json_string (copy_id));
+    json_t *spec = json_object_get (value, "Spec");
+    json_object_set_new (spec, "Id", json_string (copy_id));
+    json_object_set_new (spec, "Harbor", json_string ("zone-without-machines"));
     fakes.revision++;
     write_key (copy_key, value, 0);
     json_decref (value);
@@ -1716,11 +1718,27 @@
 
 static void send_extra_requests (UserJob *user_job);
 
+/* Notes that a request for the job got a response. */
+static void
+note_response_time (UserJob *user_job)
+{
+  if (fakes.faults_over_at && user_job->accepted)
+    fakes.longest_gap_us = MAX (fakes.longest_gap_us,
+                                fakes.now - MAX (user_job->last_response_at, fakes.faults_over_at));
+  user_job->last_response_at = fakes.now;
+}
+
+double
+sim_longest_gap (void)
+{
+  return fakes.longest_gap_us / 1e6;
+}
+
 static void
 note_state (UserJob *user_job, const char *state, gint64 sent_at)
 {
   gboolean final = is_finished (user_job);
-  user_job->last_response_at = fakes.now;
+  note_response_time (user_job);
   if (final && sent_at < user_job->finished_at)
     return; /* sent before the final response arrived, which has overtaken this one */
   if (final && !g_str_equal (user_job->reported_state, state))
@@ -1791,8 +1809,8 @@
 note_accepted (UserJob *user_job)
 {
   gboolean first = !user_job->accepted;
+  note_response_time (user_job);
   user_job->accepted = TRUE;
-  user_job->last_response_at = fakes.now;
   if (!first)
     return;
   user_job->accepted_at = fakes.now;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -61,6 +61,7 @@
   /* users */
   GHashTable *jobs; /* id -> User */
   GString *violations;
+  gint64 longest_gap_us; /* of sim_longest_gap() */
   gint64 faults_over_at; /* us since the start; 0: faults may still occur */
   guint tasks_started;
   guint response_counts[600]; /* responses to sim_request_async(), by status */
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -184,6 +184,9 @@
  * for 75 s, wait for 90 s although it could start (a machine has room and the team is within its
  * quota), or have started no task after 240 s. A later call postpones the checks. */
 void sim_faults_over (void);
+/* Returns the longest time in seconds since sim_faults_over() between two responses about the same
+ * accepted job. */
+double sim_longest_gap (void);
 /* Returns whether the liveness check, 30 s after sim_faults_over(), is complete: every live node
  * was asked whether it is ready, and every shard was checked for a live owner. */
 gboolean sim_liveness_checked (void);
@@ -211,7 +214,7 @@
 /* Sets a key of the state service to a JSON value, without a request from a node. */
 void sim_state_put (const char *key, const char *value);
 /* Stores that many copies of a live job under ids from "wk-900000" on, as if they had been
- * submitted. No user asks about them. */
+ * submitted for a zone that has no machines. No user asks about them. */
 void sim_copy_live_job (const char *id, guint copies);
 void sim_state_remove (const char *key);
 gboolean sim_state_has (const char *key);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -21,6 +21,9 @@
 #define FLAP_INTERVAL_S 2.5
 #define MIN_FLAPS_S 9.0 /* longer than a node's lease */
 #define LONG_PAUSE_EXTRA_S 2.0
+#define MIN_RELIST_OUTAGE_S 4.0 /* after which the controllers list all live jobs again */
+/* With --live-jobs: requests a second that the state service serves, few for so many jobs. */
+#define LIVE_JOBS_STATE_RPS 100.0
 
 typedef struct {
   guint kind; /* index in `kinds` */
@@ -33,9 +36,9 @@
 } Fault;
 
 static struct {
-  gint seed, seconds, workers, nodes, runs, jobs, net, kinds;
+  gint seed, seconds, workers, nodes, runs, jobs, net, kinds, live_jobs;
   char *program;
-} options = { 1, 90, 60, 3, 1, 4, -1, 0, NULL };
+} options = { 1, 90, 60, 3, 1, 4, -1, 0, 0, NULL };
 
 static GRand *schedule_random, *user_random;
 static guint submitted;
@@ -175,6 +178,17 @@
   sim_state_outage (on);
 }
 
+/* The state service fails for long enough to need new lists of all jobs, and when it is back all
+ * nodes are restarted. */
+static void
+state_outage_then_restarts (Fault *fault, gboolean on)
+{
+  fault->duration_s = MAX (fault->duration_s, MIN_RELIST_OUTAGE_S);
+  sim_state_outage (on);
+  for (guint i = 0; !on && i < fakes.options.nodes; i++)
+    kill_node_for (i, 0.5 + 0.5 * i);
+}
+
 static void
 delay_state (Fault *fault, gboolean on)
 {
@@ -400,6 +414,7 @@
   { "die", kill_machines },
   { "stop-beside-flaps", pause_during_state_flaps },
   { "stop-for-long", pause_node_for_long },
+  { "state-out-then-restarts", state_outage_then_restarts },
 };
 
 /* --- schedule ---------------------------------------------------------------------------- */
@@ -515,9 +530,22 @@
                        .boot_min_s = 0.5,
                        .boot_max_s = 3,
                        .team_limit = options.workers * 8 / 2.0,
+                       .state_rps = options.live_jobs ? LIVE_JOBS_STATE_RPS : 0,
                        .poll_after_change = TRUE };
 }
 
+/* Makes the list of live jobs long, once there is a first job. */
+static gboolean
+add_live_jobs (gpointer data)
+{
+  g_autofree char *first = job_id (1), *key = g_strconcat ("job/", first, NULL);
+  if (sim_state_has (key))
+    sim_copy_live_job (first, (guint) options.live_jobs);
+  else
+    schedule_after (0.02, add_live_jobs, NULL);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 wait_for_recovery (void)
 {
@@ -540,6 +568,8 @@
   backend_start ((guint) options.net, options.program, dir, (guint32) options.seed, &o);
   GPtrArray *faults = draw_schedule (options.seconds - RECOVERY_S);
   schedule_after (WARMUP_S / 2, submit_job, NULL);
+  if (options.live_jobs)
+    schedule_after (WARMUP_S / 2, add_live_jobs, NULL);
   sim_run (options.seconds - RECOVERY_S / 2); /* the last faults are over by then, or nearly so */
   sim_faults_over ();
   wait_for_recovery ();
@@ -548,9 +578,11 @@
   if (sim_tasks_started () < MIN_STARTS_PER_S * options.seconds)
     record_violation ("only %u tasks were started", sim_tasks_started ());
   gboolean ok = *sim_violations () == 0;
-  printf ("seed %d: %s, %u jobs, %u tasks started, %u machines rented, %.0f s, logs in %s\n",
-          options.seed, ok ? "passed" : "FAILED", submitted, sim_tasks_started (),
-          fakes.next_machine, sim_now (), dir);
+  printf (
+      "seed %d: %s, %u jobs, %u tasks started, %u machines rented, %.0f s, longest gap of a job "
+      "%.1f s, logs in %s\n",
+      options.seed, ok ? "passed" : "FAILED", submitted, sim_tasks_started (), fakes.next_machine,
+      sim_now (), sim_longest_gap (), dir);
   if (!ok) {
     printf ("%s", sim_violations ());
     print_schedule (faults);
@@ -604,11 +636,12 @@
   g_autofree char *workers = g_strdup_printf ("%d", options.workers);
   g_autofree char *nodes = g_strdup_printf ("%d", options.nodes);
   g_autofree char *kinds_text = g_strdup_printf ("%d", options.kinds);
+  g_autofree char *live_jobs = g_strdup_printf ("%d", options.live_jobs);
   g_autoptr (GError) error = NULL;
   GSubprocess *process = g_subprocess_new (
       G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE, &error, runs->executable,
       "--seed", seed, "--net", net, "--seconds", seconds, "--workers", workers, "--nodes", nodes,
-      "--kinds", kinds_text, "--program", options.program, NULL);
+      "--kinds", kinds_text, "--live-jobs", live_jobs, "--program", options.program, NULL);
   if (!process)
     g_error ("%s", error->message);
   runs->running++;
@@ -648,6 +681,8 @@
     { "kinds", 0, 0, G_OPTION_ARG_INT, &options.kinds,
       "Use only the first N kinds of faults, as in schedules from before later kinds were added",
       "N" },
+    { "live-jobs", 0, 0, G_OPTION_ARG_INT, &options.live_jobs,
+      "Add N live jobs, and limit the requests to the state service", "N" },
     { "net", 0, 0, G_OPTION_ARG_INT, &options.net, "Do a single run on 127.NET.0.0/16", "NET" },
     { "program", 0, 0, G_OPTION_ARG_FILENAME, &options.program, "The keelrouter program (required)",
       "FILE" },
@@ -660,7 +695,8 @@
   if (!g_option_context_parse (context, &argc, &argv, &error) || !options.program ||
       options.seconds < 60 || options.workers < 1 || options.nodes < 1 ||
       options.nodes > SIM_MAX_NODES || options.kinds < 1 ||
-      options.kinds > (gint) G_N_ELEMENTS (kinds) || options.jobs < 1 || options.runs < 1) {
+      options.kinds > (gint) G_N_ELEMENTS (kinds) || options.jobs < 1 || options.runs < 1 ||
+      options.live_jobs < 0) {
     fprintf (stderr, "soak: %s\n", error ? error->message : "see --help; --program is required");
     return 2;
   }
