--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -650,6 +650,12 @@
   fakes.break_pages = n;
 }
 
+guint
+sim_job_pages_read (guint node)
+{
+  return fakes.job_pages_read[node];
+}
+
 guint
 sim_job_pages_left_to_break (void)
 {
@@ -683,7 +689,8 @@
                   *page = query_param (c->path, "Page");
   const GPtrArray *keys = sorted_keys ();
   guint limit = page ? MIN ((guint) atoi (page), LIST_MAX_KEYS) : LIST_MAX_KEYS;
-  gboolean broken = fakes.break_pages && after && g_str_equal (prefix, "job/");
+  gboolean later_job_page = after && g_str_equal (prefix, "job/");
+  gboolean broken = fakes.break_pages && later_job_page;
   gboolean restarts = broken && fakes.page_fault == SIM_PAGE_REPEATED;
   const char *start = after && !restarts ? after : prefix;
   g_assert_nonnull (start);
@@ -703,6 +710,8 @@
     respond_with_broken_page (c, items);
     return;
   }
+  if (later_job_page && c->from[0] == 'n')
+    fakes.job_pages_read[atoi (c->from + 1)]++;
   gboolean more = i < keys->len && g_str_has_prefix (keys->pdata[i], prefix);
   fakes_respond (c, 200,
                  json_pack ("{so sb sI}", "Items", items, "More", more, "Ledger",
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -42,6 +42,7 @@
   guint drop_commit_responses;
   SimPageFault page_fault; /* of the next break_pages pages */
   guint break_pages;
+  guint job_pages_read[SIM_MAX_NODES]; /* of sim_job_pages_read() */
   char *hold_prefix; /* sim_hold_commits(): prefix of a key that the commit puts */
   guint hold_commits;
   double hold_commits_s;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -87,6 +87,9 @@
 } SimPageFault;
 /* The next n pages of lists of the live jobs, first pages aside, are wrong in that way. */
 void sim_break_job_pages (SimPageFault fault, guint n);
+/* Returns the number of pages of lists of the live jobs that the node has read, first pages aside.
+ */
+guint sim_job_pages_read (guint node);
 /* Returns how many of these pages are still to come. */
 guint sim_job_pages_left_to_break (void);
 /* Responses take up to that much longer. */
--- a/tests/test_polls.c
+++ b/tests/test_polls.c
@@ -98,13 +98,26 @@
   check_calm ();
 }
 
+/* Runs until the node is in the middle of a list of the live jobs: while answers are slow, polls
+ * are not read one by one. */
+static void
+wait_for_list (guint node)
+{
+  guint before = sim_job_pages_read (node);
+  sim_state_delay (0.4);
+  for (guint i = 0; i < 600 && sim_job_pages_read (node) == before; i++)
+    sim_run (0.05);
+  sim_state_delay (0);
+  g_assert_cmpuint (sim_job_pages_read (node), >, before);
+}
+
 /* The time for which the process is stalled is none in which polls could be served. */
 static void
 test_stalled_process_alarms (void)
 {
   start_long_list ();
   state_outage (4);
-  sim_run (1.5);
+  wait_for_list (0);
   sim_node_pause (0, TRUE);
   sim_run (40);
   sim_node_pause (0, FALSE);
@@ -117,7 +130,7 @@
 {
   start_long_list ();
   state_outage (4);
-  sim_run (0.5);
+  wait_for_list (0);
   for (guint i = 0; i < 10001; i++)
     sim_state_put ("other/key", "1");
   check_calm ();
