--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,7 +1,7 @@
 /* A wave of reclaimed spot machines while a job that is bound to one zone has work left. */
 #include "mezani.h"
 
-#define WAVE_SHARE 0.4 /* of the spot machines; the site files have 0.21 to 0.6 */
+#define WAVE_SHARE 0.6 /* of the spot machines, rounded down; the site files have 0.21 to 0.6 */
 #define WAVE_OVER_S 5.0
 #define WATCH_S 40.0 /* after the wave */
 
