A machine that the list does not show has a known zone, or none that a job is bound to

Cause: a machine that is in the records and in its owner's summary, but not in the leader's machine list, got its type from the summary, which had no zone. kr_placement_allowed compared the job's zone with NULL. The list drops a reclaimed machine before its owner calls it silent, and a new leader's list may lack machines that already run tasks.

The three new tests, /unlisted-machines/reclaimed, /unlisted-machines/new-leader and /allocation/machine-of-unknown-zone, crashed before in the same place.

Fix: the summary tells the zone beside the type (a new field), and a type or zone that is not known, as from an earlier version, is allowed only by jobs that allow all. So both halves of the identity come from one source, and what is missing cannot be compared.

--- a/src/allocation.h
+++ b/src/allocation.h
@@ -21,7 +21,7 @@
 typedef struct {
   char *id;
   const KrMachineType *type; /* NULL: unknown */
-  const char *zone;          /* borrowed */
+  const char *zone;          /* borrowed; NULL: unknown */
   gint shard;                /* -1: not assigned yet */
   gboolean spot, up;
   gboolean unavailable; /* failed, being returned, or overdue in booting: not counted as supply */
--- a/src/placement.c
+++ b/src/placement.c
@@ -25,8 +25,11 @@
 gboolean
 kr_placement_allowed (const KrJobSpec *spec, const char *type, const char *zone, gboolean spot)
 {
-  return (!spec->types || g_strv_contains ((const char *const *) spec->types, type)) &&
-         (!spec->zone || g_str_equal (spec->zone, zone)) && (!spot || spec->spot_allowed);
+  if (spec->types && (!type || !g_strv_contains ((const char *const *) spec->types, type)))
+    return FALSE;
+  if (spec->zone && g_strcmp0 (spec->zone, zone) != 0)
+    return FALSE;
+  return !spot || spec->spot_allowed;
 }
 
 gboolean
--- a/src/placement.h
+++ b/src/placement.h
@@ -17,7 +17,9 @@
 /* Whether a task of the job fits on an empty machine of the type, and the type is one that the job
  * allows and is offered in the job's zone. */
 gboolean kr_placement_fits_type (const KrJobSpec *spec, const KrMachineType *type);
-/* Whether the job allows machines of this type and zone, spot or on-demand. */
+/* Whether the job allows machines of this type and zone, spot or on-demand. `type` and `zone` may
+ * be NULL if they are not known: then only a job that allows every type or zone allows the machine.
+ */
 gboolean kr_placement_allowed (const KrJobSpec *spec, const char *type, const char *zone,
                                gboolean spot);
 /* Whether one more task may start in the zone: a job may require that all its tasks be in one zone,
--- a/src/provisioner.c
+++ b/src/provisioner.c
@@ -776,11 +776,13 @@
   const KrListedMachine *listed = find_machine (context->provisioner, id);
   json_t *reported = g_hash_table_lookup (context->machines, id);
   const char *type = listed ? listed->type : json_string_value (json_object_get (reported, "Type"));
+  /* Earlier versions do not send the zone. */
+  const char *zone = listed ? listed->zone : json_string_value (json_object_get (reported, "Zone"));
   KrSupply *supply = g_new0 (KrSupply, 1);
   supply->id = g_strdup (id);
   supply->shard = (gint) record->shard;
   supply->type = type ? kr_node_machine_type (context->provisioner->node, type) : NULL;
-  supply->zone = listed ? listed->zone : NULL;
+  supply->zone = zone;
   supply->spot = listed ? listed->spot : json_is_true (json_object_get (reported, "Spot"));
   supply->idle_s = reported ? json_number_value (json_object_get (reported, "Idle")) : -1;
   supply->drain_s = json_number_value (json_object_get (reported, "Rest"));
--- a/src/shard-dispatch.c
+++ b/src/shard-dispatch.c
@@ -899,9 +899,9 @@
       machine->attempts->len || !machine->has_reported || lost || shard->phase != SHARD_OPEN
           ? -1
           : (double) (now - machine->idle_since) / G_USEC_PER_SEC;
-  return json_pack ("{ss ss* sb sb sf sf sb sI}", "Id", machine->id, "Type", machine->type, "Spot",
-                    machine->spot, "Up", has_been_up (machine), "Idle", idle, "Rest",
-                    estimated_drain_s (shard, machine, now), "Going",
+  return json_pack ("{ss ss* ss* sb sb sf sf sb sI}", "Id", machine->id, "Type", machine->type,
+                    "Zone", machine->zone, "Spot", machine->spot, "Up", has_been_up (machine),
+                    "Idle", idle, "Rest", estimated_drain_s (shard, machine, now), "Going",
                     machine->drain || machine->deleting || machine->reclaim_at != 0 || lost, "To",
                     (json_int_t) machine->move_to);
 }
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -860,7 +860,7 @@
 
 /* A user's job and what the checker knows about it. */
 typedef struct {
-  char *id, *team;
+  char *id, *team, *zone; /* zone: the only allowed one; NULL: any */
   SimPlacement placement;
   guint tasks;
   double cpus, run_s;
@@ -916,6 +916,8 @@
   GHashTableIter it;
   gpointer value;
   guint in_zone = 0, all = 0;
+  if (user_job && user_job->zone && !g_str_equal (user_job->zone, m->zone))
+    record_violation ("wrong_place: a task of job %s starts in zone %s", user_job->id, m->zone);
   if (!user_job || user_job->placement == SIM_ANYWHERE)
     return;
   g_hash_table_iter_init (&it, fakes.running_tasks);
@@ -1272,6 +1274,12 @@
   fakes.delayed_command_share = share;
 }
 
+static double
+list_lag_s (void)
+{
+  return fakes.options.list_lag_s > 0 ? fakes.options.list_lag_s : 2;
+}
+
 static void
 add_machine (const char *zone)
 {
@@ -1547,8 +1555,8 @@
     g_autoptr (GList) ids = g_list_sort (g_hash_table_get_keys (fakes.machines), compare_strings);
     for (GList *l = ids; l; l = l->next) {
       Machine *m = g_hash_table_lookup (fakes.machines, l->data);
-      /* The list lags by two seconds for new machines: they are missing until then. */
-      if (!m->dead && fakes.now - m->rented_at > 2000000)
+      /* The list lags for new machines: they are missing until then. */
+      if (!m->dead && fakes.now - m->rented_at > list_lag_s () * 1e6)
         json_array_append_new (machines,
                                json_pack ("{ss ss ss ss sb ss sf}", "Id", m->id, "Endpoint",
                                           m->address, "Hull", "t8", "Harbor", m->zone, "Driftwood",
@@ -1668,6 +1676,7 @@
     in_zone = count_tasks (user_job, m->zone, NULL);
     fits |= m->up && !m->dead &&
             cpus_in_use (m, NULL) + user_job->cpus <= fakes.options.machine_cpus + 1e-6 &&
+            (!user_job->zone || g_str_equal (user_job->zone, m->zone)) &&
             (user_job->placement != SIM_ONE_ZONE || in_zone == on_machines) &&
             (user_job->placement != SIM_SPREAD || in_zone < zone_max);
   }
@@ -1931,9 +1940,10 @@
   return FALSE;
 }
 
+/* zone: the only allowed one, or NULL. */
 static void
 add_user_job (const char *id, const char *team, const char *priority, guint tasks, double cpus,
-              double run_s, double deadline_s, SimPlacement placement)
+              double run_s, double deadline_s, SimPlacement placement, const char *zone)
 {
   UserJob *user_job = g_new0 (UserJob, 1);
   user_job->id = g_strdup (id);
@@ -1942,13 +1952,14 @@
   user_job->cpus = cpus;
   user_job->run_s = run_s;
   user_job->placement = placement;
+  user_job->zone = g_strdup (zone);
   user_job->reported_state = g_strdup ("");
   user_job->submitted_at = fakes.now;
   user_job->completed = g_malloc0 (tasks);
   user_job->body = json_pack (
-      "{ss ss ss ss ss sI sf sf sf ss sf sn sn sb sb sb sf sf sf sf}", "Id", id, "Lane", "l",
+      "{ss ss ss ss ss sI sf sf sf ss sf sn ss? sb sb sb sf sf sf sf}", "Id", id, "Lane", "l",
       "Crew", team, "Form", "array", "Rank", priority, "Shifts", (json_int_t) tasks, "Cores", cpus,
-      "Accelerators", 0.0, "MemGb", 1.0, "Cargo", "img", "PullGb", 0.0, "Hulls", "Harbor",
+      "Accelerators", 0.0, "MemGb", 1.0, "Cargo", "img", "PullGb", 0.0, "Hulls", "Harbor", zone,
       "OneZone", placement == SIM_ONE_ZONE, "Apart", placement == SIM_SPREAD, "Driftwood", 1,
       "SailS", run_s, "MooringS", 0.0, "StowS", 0.0, "TideS", deadline_s);
   g_hash_table_insert (fakes.jobs, user_job->id, user_job);
@@ -1959,14 +1970,21 @@
 sim_submit (const char *id, const char *team, const char *priority, guint tasks, double cpus,
             double run_s, double deadline_s)
 {
-  add_user_job (id, team, priority, tasks, cpus, run_s, deadline_s, SIM_ANYWHERE);
+  add_user_job (id, team, priority, tasks, cpus, run_s, deadline_s, SIM_ANYWHERE, NULL);
 }
 
 void
 sim_submit_placed (const char *id, const char *team, guint tasks, double cpus, double run_s,
                    SimPlacement placement)
 {
-  add_user_job (id, team, "normal", tasks, cpus, run_s, 600, placement);
+  add_user_job (id, team, "normal", tasks, cpus, run_s, 600, placement, NULL);
+}
+
+void
+sim_submit_in_zone (const char *id, const char *team, guint tasks, double cpus, double run_s,
+                    const char *zone)
+{
+  add_user_job (id, team, "normal", tasks, cpus, run_s, 600, SIM_ANYWHERE, zone);
 }
 
 void
@@ -2111,7 +2129,8 @@
       fakes.options.cancel_s, "state", "rps",
       fakes.options.state_rps > 0 ? fakes.options.state_rps : 150.0, "write_rps",
       fakes.options.write_rps, "value_kb", fakes.options.value_kb, "txn_ops", 12, "cloud", "rps",
-      3.0, "list_lag_s", 2.0, "resources", "core_share", 0.1, "ram_mb", 60.0, "sockets", 900);
+      3.0, "list_lag_s", list_lag_s (), "resources", "core_share", 0.1, "ram_mb", 60.0, "sockets",
+      900);
 }
 
 /* --- start and stop ------------------------------------------------------------------------- */
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -34,6 +34,7 @@
   guint zones;                   /* named "z0", "z1", ...; 0: one */
   double run_time_jitter;        /* a task's run time varies by up to this fraction */
   double boot_min_s, boot_max_s; /* range of the machines' boot times; 0: 6 to 15 s */
+  double list_lag_s; /* time until a new machine is in the cloud's machine list; 0: 2 s */
   /* Whenever a job is accepted or finished, its user polls and resubmits it at every node within
    * 20 ms. */
   gboolean poll_after_change;
@@ -169,6 +170,9 @@
 /* As sim_submit(), with a placement rule. */
 void sim_submit_placed (const char *id, const char *team, guint tasks, double cpus, double run_s,
                         SimPlacement placement);
+/* As sim_submit_placed(), with the only zone that the job allows. */
+void sim_submit_in_zone (const char *id, const char *team, guint tasks, double cpus, double run_s,
+                         const char *zone);
 /* Cancels the job: its user repeats the request until the cancellation is confirmed, and at random
  * polls or submits the job again in between. */
 void sim_cancel (const char *id);
--- a/tests/test_allocation.c
+++ b/tests/test_allocation.c
@@ -85,6 +85,33 @@
   g_assert_cmpfloat (idle->unused, ==, 1);
 }
 
+/* Guards against a leader that crashes because a machine's zone is not known. */
+static void
+test_machine_of_unknown_zone (void)
+{
+  const KrMachineType type = {
+    .name = (char *) "t", .zones = (char *[]){ (char *) "z", NULL }, .cpus = 8, .mem_gb = 64
+  };
+  g_autoptr (GPtrArray) demands = g_ptr_array_new_with_free_func (kr_demand_free);
+  g_autoptr (GPtrArray) supplies = g_ptr_array_new_with_free_func (kr_supply_free);
+  KrDemand *bound = demand_new (0, 1, 4, TRUE), *unbound = demand_new (0, 1, 3, TRUE);
+  KrSupply *machine = supply_new ("a", &type, 0, TRUE);
+  bound->requirements->zone = g_strdup ("z");
+  machine->zone = NULL;
+  g_ptr_array_add (demands, bound);
+  g_ptr_array_add (demands, unbound);
+  g_ptr_array_add (supplies, machine);
+  kr_allocation_match (demands, supplies, FALSE);
+  g_assert_cmpfloat (bound->unmet_slots, ==, 4);
+  g_assert_cmpfloat (unbound->unmet_slots, ==, 0);
+  machine->zone = "z";
+  kr_allocation_match (demands, supplies, FALSE);
+  g_assert_cmpfloat (bound->unmet_slots, ==, 0);
+  g_assert_true (kr_placement_allowed (unbound->requirements, NULL, NULL, TRUE));
+  unbound->requirements->types = g_strdupv ((char *[]){ (char *) "t", NULL });
+  g_assert_false (kr_placement_allowed (unbound->requirements, NULL, "z", TRUE));
+}
+
 /* Urgent work comes first, then what the goals of other work require; the rest goes to work that
  * could run but is not required yet. Only what the goals require counts for renting. */
 static void
@@ -127,6 +154,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/allocation/max-min", test_max_min);
   g_test_add_func ("/allocation/match", test_match);
+  g_test_add_func ("/allocation/machine-of-unknown-zone", test_machine_of_unknown_zone);
   g_test_add_func ("/allocation/shard-targets", test_shard_targets);
   return g_test_run ();
 }
--- /dev/null
+++ b/tests/test_unlisted_machines.c
@@ -0,0 +1,80 @@
+/* Machines that are in the records and in a summary of their owner, but not in the leader's machine
+ * list: the cloud has taken them, or a new leader's list is older than they are. */
+#include "fixture.h"
+
+static SimOptions
+options_with_two_zones (void)
+{
+  SimOptions options = default_options;
+  options.zones = 2;
+  return options;
+}
+
+static void
+run_until_tasks_run (guint tasks)
+{
+  while (sim_tasks_running (NULL) < tasks && sim_now () < 60)
+    sim_run (1);
+  g_assert_cmpuint (sim_tasks_running (NULL), >=, tasks);
+}
+
+static void
+reclaimed_machines (void)
+{
+  const SimOptions options = options_with_two_zones ();
+  start_cluster (&options);
+  sim_submit_in_zone ("wk-000001", "team0", 120, 1, 40, "z1");
+  run_until_tasks_run (options.max_machines * options.machine_cpus);
+  g_auto (GStrv) machines = sim_machine_names ("z1");
+  for (guint i = 0; machines[i]; i += 2) {
+    sim_machine_kill (machines[i]);
+    sim_run (1.2);
+  }
+  finish_and_check (400);
+}
+
+/* Guards against a leader that crashes after the cloud has taken machines without a notice, while a
+ * job is bound to a zone. */
+static void
+test_reclaimed_machines (void)
+{
+  with_seeds (reclaimed_machines);
+}
+
+static void
+new_leader (void)
+{
+  SimOptions options = options_with_two_zones ();
+  options.boot_min_s = 0.2;
+  options.boot_max_s = 1;
+  options.list_lag_s = 15;
+  options.max_machines = 40;
+  start_cluster (&options);
+  for (guint i = 0; i < options.nodes; i++) {
+    g_autofree char *id = g_strdup_printf ("wk-00000%u", i);
+    g_autofree char *team = g_strdup_printf ("team%u", i);
+    sim_submit_in_zone (id, team, 30, 1, 40, "z1");
+  }
+  run_until_tasks_run (80);
+  guint machines = sim_machine_count ();
+  crash_and_restart (0, 10);
+  g_assert_cmpuint (sim_machine_count (), <=, machines);
+  finish_and_check (400);
+}
+
+/* Guards against a leader whose first machine lists lack machines that already run tasks, while
+ * jobs are bound to a zone: it must neither crash nor rent machines in their place. */
+static void
+test_new_leader (void)
+{
+  with_seeds (new_leader);
+}
+
+int
+main (int argc, char **argv)
+{
+  fixture_init (&argc, &argv);
+  g_test_add_func ("/unlisted-machines/reclaimed", test_reclaimed_machines);
+  g_test_add_func ("/unlisted-machines/new-leader", test_new_leader);
+  return g_test_run ();
+}
