Entries of a summary are checked where it arrives: a module of its own reads and writes the message

What callers saw: nothing so far.

Cause: the leader took values out of the JSON message wherever it needed them, and each such place had to check them; three did not.

Fix: shard-summary parses the message once, when it arrives, into typed demands and machines. An entry that is invalid is ignored and counted in a log line; a value that may be missing is "not known". The owner's side writes the message with the same module, so each field's name stands in one file; the message is as before (round-trip test).

--- a/src/provisioner.c
+++ b/src/provisioner.c
@@ -5,6 +5,7 @@
 #include "http-client.h"
 #include "log.h"
 #include "rebalance.h"
+#include "shard-summary.h"
 #include "shard.h"
 #include <math.h>
 #include <string.h>
@@ -24,20 +25,20 @@
 } Pool;
 
 typedef struct {
-  json_t *value;      /* the shard's summary; NULL: none yet */
-  gint64 received_at; /* monotonic us */
-} Summary;
+  KrShardSummary *value; /* NULL: none yet */
+  gint64 received_at;    /* monotonic us */
+} LastSummary;
 
 struct KrProvisioner {
   KrNode *node;
   GCancellable *cancel;
-  GHashTable *listed;    /* id -> KrListedMachine in the newest machine list */
-  GHashTable *unlisted;  /* id -> KrListedMachine that was rented or reported, not listed yet */
-  GHashTable *removed;   /* id -> gint64*: monotonic us at which it was removed from the records */
-  GHashTable *pools;     /* "type zone spot" -> Pool */
-  Summary *summaries;    /* the last summary of each shard */
-  json_t **directives;   /* for each shard, the directives for its owner; NULL: none */
-  guint request_counter; /* rental requests of this process; part of their names */
+  GHashTable *listed;     /* id -> KrListedMachine in the newest machine list */
+  GHashTable *unlisted;   /* id -> KrListedMachine that was rented or reported, not listed yet */
+  GHashTable *removed;    /* id -> gint64*: monotonic us at which it was removed from the records */
+  GHashTable *pools;      /* "type zone spot" -> Pool */
+  LastSummary *summaries; /* of each shard */
+  json_t **directives;    /* for each shard, the directives for its owner; NULL: none */
+  guint request_counter;  /* rental requests of this process; part of their names */
   gboolean list_in_flight, types_in_flight, assign_in_flight; /* requests without an answer */
   gboolean has_list;                                          /* a machine list has been read */
   /* The machine records were relisted since this node became the leader, and since its last record
@@ -150,39 +151,53 @@
 }
 
 /* --- summaries and directives -------------------------------------------------------- */
-/* Stores a summary sent by `node` if that node owns the shard. Summaries of former owners are
+/* Returns NULL if the message is malformed. */
+static KrShardSummary *
+parse_summary (KrProvisioner *provisioner, json_t *message)
+{
+  KrShardSummary *summary =
+      kr_shard_summary_parse (message, provisioner->node->settings->shard_count);
+  if (!summary)
+    kr_info ("peers: ignored a malformed shard summary");
+  else if (summary->ignored)
+    kr_info ("peers: ignored %u malformed entries in the summary of shard %u", summary->ignored,
+             summary->shard);
+  return summary;
+}
+
+/* Keeps a summary sent by `node` if that node owns the shard. Summaries of former owners are
  * ignored: a node that reaches its peers but not the state service keeps sending summaries of
  * shards that other nodes have taken over. In these summaries, the machines stop reporting one
- * after the other. */
+ * after the other. Takes over `summary`. */
 static void
-store_summary (KrProvisioner *provisioner, json_t *summary, const char *node)
+keep_summary (KrProvisioner *provisioner, KrShardSummary *summary, const char *node)
 {
-  json_t *shard_json = json_object_get (summary, "Part");
-  guint shard = (guint) json_integer_value (shard_json);
-  if (!json_is_integer (shard_json) || shard >= provisioner->node->settings->shard_count ||
-      !json_is_array (json_object_get (summary, "Needs"))) {
-    kr_info ("peers: ignored a malformed shard summary");
+  g_autoptr (KrShardSummary) unused = summary;
+  LastSummary *last = &provisioner->summaries[summary->shard];
+  const KrHolder *holder = kr_membership_holder (provisioner->node->membership, summary->shard);
+  if (g_strcmp0 (holder->node, node) != 0)
     return;
-  }
-  if (g_strcmp0 (kr_membership_holder (provisioner->node->membership, shard)->node, node) != 0)
-    return;
-  json_decref (provisioner->summaries[shard].value);
-  provisioner->summaries[shard].value = json_incref (summary);
-  provisioner->summaries[shard].received_at = kr_now ();
+  g_clear_pointer (&last->value, kr_shard_summary_free);
+  last->value = g_steal_pointer (&unused);
+  last->received_at = kr_now ();
 }
 
 void
-kr_provisioner_note_summary (KrProvisioner *provisioner, guint shard, json_t *summary)
+kr_provisioner_note_summary (KrProvisioner *provisioner, guint shard, json_t *message)
 {
-  double age = kr_wall_clock_s () - json_number_value (json_object_get (summary, "At"));
   /* Listing the keys may return a summary stored during an earlier partition. A summary received
    * directly from the owner is more complete. */
-  if (age < KR_STORED_SUMMARY_MAX_AGE_S &&
-      kr_membership_is_leader (provisioner->node->membership) &&
-      kr_now () - provisioner->summaries[shard].received_at >
+  if (!kr_membership_is_leader (provisioner->node->membership) ||
+      kr_now () - provisioner->summaries[shard].received_at <=
           kr_seconds_to_us (KR_LEADER_SILENCE_S))
-    store_summary (provisioner, summary,
-                   kr_membership_holder (provisioner->node->membership, shard)->node);
+    return;
+  KrShardSummary *summary = parse_summary (provisioner, message);
+  if (summary && summary->shard == shard &&
+      kr_wall_clock_s () - summary->stored_at < KR_STORED_SUMMARY_MAX_AGE_S)
+    keep_summary (provisioner, summary,
+                  kr_membership_holder (provisioner->node->membership, shard)->node);
+  else if (summary)
+    kr_shard_summary_free (summary);
 }
 
 gint64
@@ -273,11 +288,15 @@
 {
   SummaryPoll *poll = data;
   KrProvisioner *provisioner = poll->provisioner;
-  json_t *summary;
+  json_t *message;
   size_t i;
   if (status == 200)
-    json_array_foreach (json_object_get (body, "Parts"), i, summary)
-        store_summary (provisioner, summary, poll->node);
+    json_array_foreach (json_object_get (body, "Parts"), i, message)
+    {
+      KrShardSummary *summary = parse_summary (provisioner, message);
+      if (summary)
+        keep_summary (provisioner, summary, poll->node);
+    }
   json_t *backlog = json_object_get (body, "Backlog");
   if (status == 200 && provisioner->reconcile_at == poll->round && json_is_number (backlog))
     provisioner->backlogs[poll->index] = json_number_value (backlog);
@@ -727,36 +746,9 @@
 }
 
 /* --- the leader's round -------------------------------------------------------------- */
-static KrDemand *
-demand_parse (json_t *json, guint shard)
-{
-  KrDemand *demand = g_new0 (KrDemand, 1);
-  json_t *types = json_object_get (json, "Types"), *name;
-  size_t i;
-  demand->shard = shard;
-  demand->requirements = g_new0 (KrJobSpec, 1);
-  if (json_is_array (types)) {
-    demand->requirements->types = g_new0 (char *, json_array_size (types) + 1);
-    json_array_foreach (types, i, name) demand->requirements->types[i] =
-        g_strdup (json_string_value (name));
-  }
-  demand->requirements->zone = g_strdup (json_string_value (json_object_get (json, "Zone")));
-  demand->requirements->spot_allowed = json_is_true (json_object_get (json, "Spot"));
-  demand->requirements->cpus = json_number_value (json_object_get (json, "Cpus"));
-  demand->requirements->gpus = json_number_value (json_object_get (json, "Gpus"));
-  demand->requirements->mem_gb = json_number_value (json_object_get (json, "Mem"));
-  demand->goal_slots = json_number_value (json_object_get (json, "Slots"));
-  /* Earlier versions do not send the following fields. */
-  demand->starved_slots = json_number_value (json_object_get (json, "First"));
-  json_t *most = json_object_get (json, "Most");
-  demand->max_slots = json_is_number (most) ? json_number_value (most) : demand->goal_slots;
-  demand->urgent = json_is_true (json_object_get (json, "Urgent"));
-  return demand;
-}
-
 typedef struct {
   KrProvisioner *provisioner;
-  GHashTable *machines; /* id -> json_t: the machine's entry in a summary */
+  GHashTable *machines; /* id -> KrMachineSummary */
   GPtrArray *supplies;
 } CollectContext;
 
@@ -774,43 +766,41 @@
 {
   const CollectContext *context = data;
   const KrListedMachine *listed = find_machine (context->provisioner, id);
-  json_t *reported = g_hash_table_lookup (context->machines, id);
-  const char *type = listed ? listed->type : json_string_value (json_object_get (reported, "Type"));
-  /* Earlier versions do not send the zone. */
-  const char *zone = listed ? listed->zone : json_string_value (json_object_get (reported, "Zone"));
+  const KrMachineSummary *reported = g_hash_table_lookup (context->machines, id);
+  const char *type = listed ? listed->type : reported ? reported->type : NULL;
   KrSupply *supply = g_new0 (KrSupply, 1);
   supply->id = g_strdup (id);
   supply->shard = (gint) record->shard;
   supply->type = type ? kr_node_machine_type (context->provisioner->node, type) : NULL;
-  supply->zone = zone;
-  supply->spot = listed ? listed->spot : json_is_true (json_object_get (reported, "Spot"));
-  supply->idle_s = reported ? json_number_value (json_object_get (reported, "Idle")) : -1;
-  supply->drain_s = json_number_value (json_object_get (reported, "Rest"));
-  supply->target_shard =
-      reported ? (gint) json_integer_value (json_object_get (reported, "To")) : -1;
-  supply->up = !reported || json_is_true (json_object_get (reported, "Up"));
-  supply->unavailable = json_is_true (json_object_get (reported, "Going")) ||
+  supply->zone = listed ? listed->zone : reported ? reported->zone : NULL;
+  supply->spot = listed ? listed->spot : reported && reported->spot;
+  supply->idle_s = reported ? reported->idle_s : -1;
+  supply->drain_s = reported ? reported->drain_s : 0;
+  supply->target_shard = reported ? reported->target_shard : -1;
+  supply->up = !reported || reported->up;
+  supply->unavailable = (reported && reported->leaving) ||
                         (listed && (listed->state == KR_MACHINE_FAILED ||
                                     (!supply->up && is_boot_overdue (listed, supply->type))));
   g_ptr_array_add (context->supplies, supply);
 }
 
+/* Adds the demands of the last summaries, which keep them, and the recorded machines as supply. */
 static void
 collect_demands_and_supplies (KrProvisioner *provisioner, GPtrArray *demands, GPtrArray *supplies,
                               gint64 now)
 {
   g_autoptr (GHashTable) machines = g_hash_table_new (g_str_hash, g_str_equal);
-  json_t *entry;
-  size_t i;
 
   for (guint shard = 0; shard < provisioner->node->settings->shard_count; shard++) {
-    Summary *summary = &provisioner->summaries[shard];
-    if (!summary->value || now - summary->received_at > kr_seconds_to_us (KR_SUMMARY_MAX_AGE_S))
+    const LastSummary *last = &provisioner->summaries[shard];
+    if (!last->value || now - last->received_at > kr_seconds_to_us (KR_SUMMARY_MAX_AGE_S))
       continue;
-    json_array_foreach (json_object_get (summary->value, "Needs"), i, entry)
-        g_ptr_array_add (demands, demand_parse (entry, shard));
-    json_array_foreach (json_object_get (summary->value, "Berths"), i, entry) g_hash_table_insert (
-        machines, (gpointer) json_string_value (json_object_get (entry, "Id")), entry);
+    for (guint i = 0; i < last->value->demands->len; i++)
+      g_ptr_array_add (demands, last->value->demands->pdata[i]);
+    for (guint i = 0; i < last->value->machines->len; i++) {
+      KrMachineSummary *machine = &g_array_index (last->value->machines, KrMachineSummary, i);
+      g_hash_table_insert (machines, (gpointer) machine->id, machine);
+    }
   }
   const CollectContext context = { provisioner, machines, supplies };
   kr_machine_records_foreach_all (provisioner->node->machine_records, collect_machine,
@@ -820,7 +810,8 @@
 static gboolean
 has_pending (KrProvisioner *provisioner, guint shard)
 {
-  return json_is_true (json_object_get (provisioner->summaries[shard].value, "Waiting"));
+  const KrShardSummary *summary = provisioner->summaries[shard].value;
+  return summary && summary->has_pending;
 }
 
 static void
@@ -883,7 +874,7 @@
 {
   gint64 now = kr_now ();
   guint shard_count = provisioner->node->settings->shard_count;
-  g_autoptr (GPtrArray) demands = g_ptr_array_new_with_free_func (kr_demand_free);
+  g_autoptr (GPtrArray) demands = g_ptr_array_new ();
   g_autoptr (GPtrArray) supplies = g_ptr_array_new_with_free_func (kr_supply_free);
   g_autofree double *current_cpus = g_new0 (double, shard_count),
                     *targets = g_new0 (double, shard_count);
@@ -1026,7 +1017,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_listed_machine_free);
   provisioner->removed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   provisioner->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
-  provisioner->summaries = g_new0 (Summary, node->settings->shard_count);
+  provisioner->summaries = g_new0 (LastSummary, node->settings->shard_count);
   provisioner->directives = g_new0 (json_t *, node->settings->shard_count);
   provisioner->backlogs = g_new0 (double, node->settings->peers->len + 1);
   provisioner->last_polled_at = kr_now ();
--- a/src/provisioner.h
+++ b/src/provisioner.h
@@ -20,7 +20,7 @@
 /* Processes a summary that a shard's owner stored in the state service because no leader had asked
  * for it. Only the leader uses it, and only if it is not older than KR_STORED_SUMMARY_MAX_AGE_S and
  * the leader has received no other summary of the shard for KR_LEADER_SILENCE_S. */
-void kr_provisioner_note_summary (KrProvisioner *provisioner, guint shard, json_t *summary);
+void kr_provisioner_note_summary (KrProvisioner *provisioner, guint shard, json_t *message);
 /* Returns the time (monotonic us) at which a leader last asked this node for its summaries, or at
  * which the provisioner was created. */
 gint64 kr_provisioner_last_polled (KrProvisioner *provisioner);
--- a/src/shard-dispatch.c
+++ b/src/shard-dispatch.c
@@ -7,6 +7,7 @@
 #include "log.h"
 #include "placement.h"
 #include "ranking.h"
+#include "shard-summary.h"
 #include <math.h>
 
 /* --- scheduling ---------------------------------------------------------------------- */
@@ -827,19 +828,7 @@
   return kr_ranking_wanted_slots (&input);
 }
 
-static json_t *
-types_json (const KrJobSpec *spec)
-{
-  if (!spec->types)
-    return json_null ();
-  json_t *types = json_array ();
-  for (char **t = spec->types; *t; t++)
-    json_array_append_new (types, json_string (*t));
-  return types;
-}
-
-/* Returns the live jobs' demand: `First` slots go before all others', `Slots` are needed to meet
- * the goals, `Most` are useful if there is capacity for all. */
+/* Returns the live jobs' demand, as the leader gets it. */
 static json_t *
 demands_json (KrShard *shard, gint64 now, gboolean *has_pending)
 {
@@ -850,7 +839,7 @@
 
   for (guint i = 0; i < shard->live_jobs->len; i++) {
     const KrLiveJob *live_job = shard->live_jobs->pdata[i];
-    const KrJobSpec *spec = live_job->job->spec;
+    KrJobSpec *spec = live_job->job->spec;
     if (live_job->job->cancelled || !live_job->team)
       continue;
     double all = startable_tasks (live_job->job, now);
@@ -861,13 +850,12 @@
     if (most + live_job->estimate_input.running <= 0)
       continue;
     double first = unstarted_for (live_job, KR_STARVATION_MACHINE_S) ? MIN (want, 1) : 0;
-    json_array_append_new (demands, json_pack ("{so ss* sb sf sf sf sf sf sf sb}", "Types",
-                                               types_json (spec), "Zone", spec->zone, "Spot",
-                                               spec->spot_allowed, "Cpus", spec->cpus, "Gpus",
-                                               spec->gpus, "Mem", spec->mem_gb, "First", first,
-                                               "Slots", want + live_job->estimate_input.running,
-                                               "Most", most + live_job->estimate_input.running,
-                                               "Urgent", spec->priority >= KR_PRIORITY_URGENT));
+    const KrDemand demand = { .requirements = spec,
+                              .starved_slots = first,
+                              .goal_slots = want + live_job->estimate_input.running,
+                              .max_slots = most + live_job->estimate_input.running,
+                              .urgent = spec->priority >= KR_PRIORITY_URGENT };
+    json_array_append_new (demands, kr_demand_to_json (&demand));
   }
   return demands;
 }
@@ -899,11 +887,18 @@
       machine->attempts->len || !machine->has_reported || lost || shard->phase != SHARD_OPEN
           ? -1
           : (double) (now - machine->idle_since) / G_USEC_PER_SEC;
-  return json_pack ("{ss ss* ss* sb sb sf sf sb sI}", "Id", machine->id, "Type", machine->type,
-                    "Zone", machine->zone, "Spot", machine->spot, "Up", has_been_up (machine),
-                    "Idle", idle, "Rest", estimated_drain_s (shard, machine, now), "Going",
-                    machine->drain || machine->deleting || machine->reclaim_at != 0 || lost, "To",
-                    (json_int_t) machine->move_to);
+  const KrMachineSummary summary = {
+    .id = machine->id,
+    .type = machine->type,
+    .zone = machine->zone,
+    .spot = machine->spot,
+    .up = has_been_up (machine),
+    .leaving = machine->drain || machine->deleting || machine->reclaim_at != 0 || lost,
+    .idle_s = idle,
+    .drain_s = estimated_drain_s (shard, machine, now),
+    .target_shard = machine->move_to,
+  };
+  return kr_machine_summary_to_json (&summary);
 }
 
 json_t *
@@ -920,6 +915,5 @@
   g_hash_table_iter_init (&it, shard->machines);
   while (kr_shard_next_machine (shard, &it, &machine))
     json_array_append_new (machines, machine_json (shard, machine, now));
-  return json_pack ("{sI sb so so}", "Part", (json_int_t) shard->index, "Waiting", has_pending,
-                    "Needs", demands, "Berths", machines);
+  return kr_shard_summary_to_json (shard->index, has_pending, demands, machines);
 }
--- a/src/shard-record.c
+++ b/src/shard-record.c
@@ -4,6 +4,7 @@
 #include "invariant.h"
 #include "log.h"
 #include "shard-private.h"
+#include "shard-summary.h"
 #include "provisioner.h"
 
 /* A write of the record in flight. */
@@ -187,14 +188,11 @@
       kr_state_spare_writes (shard->node->state_client) == 0)
     return;
   shard->next_summary_at = now + KR_STORED_SUMMARY_INTERVAL_MS * G_GINT64_CONSTANT (1000);
-  json_t *summary = kr_shard_summary (shard), *demands = json_object_get (summary, "Needs");
+  json_t *summary = kr_shard_summary (shard);
   gsize demands_max =
       (gsize) (shard->node->settings->state_value_kb * 1024 - KR_VALUE_SLACK_BYTES) /
       KR_DEMAND_BYTES;
-  json_object_del (summary, "Berths"); /* the machine records hold these */
-  json_object_set_new (summary, "At", json_real (kr_wall_clock_s ()));
-  while (json_array_size (demands) > demands_max)
-    json_array_remove (demands, json_array_size (demands) - 1);
+  kr_shard_summary_make_stored (summary, demands_max, kr_wall_clock_s ());
   g_autofree char *key = kr_membership_summary_key (shard->index);
   KrTxn *txn = kr_shard_owner_txn (shard);
   kr_txn_put (txn, key, summary, 0);
--- a/src/shard.h
+++ b/src/shard.h
@@ -68,8 +68,8 @@
 /* Returns the number of machines visited so far by walks over all of them; tests check it. */
 guint64 kr_shard_machine_visits (KrShard *shard);
 
-/* Returns the summary for the leader: {"Part","Waiting","Needs":[...],"Berths":[...]}. The caller
- * frees it with json_decref(). */
+/* Returns the message with the summary for the leader (see shard-summary.h). The caller frees it
+ * with json_decref(). */
 json_t *kr_shard_summary (KrShard *shard);
 /* Marks a machine to be moved to the shard `to`; this shard's own index removes the mark. */
 void kr_shard_mark_for_move (KrShard *shard, const char *id, guint to);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -53,6 +53,7 @@
   guint max_commands;             /* the highest number in flight to one address */
   guint drop_range_reads[SIM_MAX_NODES];
   gboolean drop_peer_requests[SIM_MAX_NODES];
+  json_t *replaced_summaries[SIM_MAX_NODES]; /* of sim_replace_summaries(); NULL: none */
 } sim;
 
 static int
@@ -234,6 +235,13 @@
   sim.drop_peer_requests[i] = on;
 }
 
+void
+sim_replace_summaries (guint node, const char *body)
+{
+  json_decref (sim.replaced_summaries[node]);
+  sim.replaced_summaries[node] = body ? json_loads (body, 0, NULL) : NULL;
+}
+
 void
 sim_drop_range_reads (guint node, guint n)
 {
@@ -515,6 +523,11 @@
 void
 kr_request_reply (KrRequest *r, guint status, json_t *body, guint retry_after_s)
 {
+  json_t *replaced = sim.current_node >= 0 ? sim.replaced_summaries[sim.current_node] : NULL;
+  if (replaced && g_str_equal (r->call->path, "/summaries")) {
+    json_decref (body);
+    body = json_incref (replaced);
+  }
   fakes_respond (r->call, status, body ? body : json_object ());
   g_free (r);
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -59,6 +59,8 @@
 void sim_node_pause (guint i, gboolean on);
 /* Drops the requests to the node's internal address. Its own requests get through. */
 void sim_node_drop_peer_requests (guint i, gboolean on);
+/* The node answers its peers' requests for summaries with that JSON text; NULL: with its own. */
+void sim_replace_summaries (guint node, const char *body);
 /* Sets the state of the link in one direction. SIM_LINK_UP also delivers the messages on hold. */
 void sim_set_link (const char *from, const char *to, SimLinkState state);
 /* Sets both directions. */
