Renting is a module of its own: pools, their backoff and the requests leave provisioner.c

A move without change of behaviour: provisioner.c had 1,033 lines and several jobs; rental.c has the pools and the requests to the cloud, and tells the provisioner of each machine that was rented and of each request that ended.

--- a/src/provisioner.c
+++ b/src/provisioner.c
@@ -5,24 +5,9 @@
 #include "http-client.h"
 #include "log.h"
 #include "rebalance.h"
+#include "rental.h"
 #include "shard-summary.h"
 #include "shard.h"
-#include <math.h>
-#include <string.h>
-
-/* The machines of one type in one zone, either spot or on-demand. */
-typedef struct {
-  KrProvisioner *provisioner;
-  char *type, *zone;
-  gboolean spot, request_in_flight;
-  /* Name of the current rental request. It is kept until the outcome is known; the request is
-   * retried under the same name, so that the cloud carries it out only once. */
-  char *request_name;
-  guint requested;        /* machines that the request asks for */
-  gint64 last_request_at; /* monotonic us of the last request */
-  gint64 backoff_until;   /* monotonic us; backoff after a refused or partly filled request */
-  double backoff_ms;      /* backoff after the next such request */
-} Pool;
 
 typedef struct {
   KrShardSummary *value; /* NULL: none yet */
@@ -32,13 +17,12 @@
 struct KrProvisioner {
   KrNode *node;
   GCancellable *cancel;
-  GHashTable *listed;     /* id -> KrListedMachine in the newest machine list */
-  GHashTable *unlisted;   /* id -> KrListedMachine that was rented or reported, not listed yet */
-  GHashTable *removed;    /* id -> gint64*: monotonic us at which it was removed from the records */
-  GHashTable *pools;      /* "type zone spot" -> Pool */
+  GHashTable *listed;   /* id -> KrListedMachine in the newest machine list */
+  GHashTable *unlisted; /* id -> KrListedMachine that was rented or reported, not listed yet */
+  GHashTable *removed;  /* id -> gint64*: monotonic us at which it was removed from the records */
+  KrRental *rental;
   LastSummary *summaries; /* of each shard */
   json_t **directives;    /* for each shard, the directives for its owner; NULL: none */
-  guint request_counter;  /* rental requests of this process; part of their names */
   gboolean list_in_flight, types_in_flight, assign_in_flight; /* requests without an answer */
   gboolean has_list;                                          /* a machine list has been read */
   /* The machine records were relisted since this node became the leader, and since its last record
@@ -62,16 +46,6 @@
   guint timer;
 };
 
-static void
-pool_free (gpointer p)
-{
-  Pool *pool = p;
-  g_free (pool->type);
-  g_free (pool->zone);
-  g_free (pool->request_name);
-  g_free (pool);
-}
-
 static KrListedMachine *
 listed_machine_new (const char *id, const char *type, const char *zone, gboolean spot)
 {
@@ -89,22 +63,6 @@
   return kr_now () - *(gint64 *) removed_at > kr_seconds_to_us (KR_REMOVED_MACHINE_MEMORY_S);
 }
 
-/* Shortens the backoff of all pools after a machine was removed: its pool, which the lists no
- * longer show, may have a free machine again. Otherwise, when hundreds of machines are reclaimed at
- * once, no pool would be asked for up to a minute. */
-static void
-reopen_pools (KrProvisioner *provisioner)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, provisioner->pools);
-  while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    Pool *pool = value;
-    gint64 earliest = pool->last_request_at + KR_POOL_REOPEN_MIN_MS * G_GINT64_CONSTANT (1000);
-    pool->backoff_until = MIN (pool->backoff_until, MAX (earliest, kr_now ()));
-  }
-}
-
 /* --- machine records ----------------------------------------------------------------- */
 void
 kr_provisioner_machine_removed (KrProvisioner *provisioner, const char *id)
@@ -113,7 +71,7 @@
   *removed_at = kr_now ();
   g_hash_table_replace (provisioner->removed, g_strdup (id), removed_at);
   g_hash_table_remove (provisioner->unlisted, id);
-  reopen_pools (provisioner);
+  kr_rental_reopen_pools (provisioner->rental);
 }
 
 void
@@ -556,195 +514,6 @@
                    provisioner->cancel, assign_done, assignment);
 }
 
-/* --- renting ------------------------------------------------------------------------- */
-static Pool *
-find_pool (KrProvisioner *provisioner, const char *type, const char *zone, gboolean spot)
-{
-  g_autofree char *key = g_strdup_printf ("%s %s %d", type, zone, spot);
-  Pool *pool = g_hash_table_lookup (provisioner->pools, key);
-  if (!pool) {
-    pool = g_new0 (Pool, 1);
-    pool->provisioner = provisioner;
-    pool->type = g_strdup (type);
-    pool->zone = g_strdup (zone);
-    pool->spot = spot;
-    pool->backoff_ms = KR_POOL_BACKOFF_MS;
-    g_hash_table_insert (provisioner->pools, g_steal_pointer (&key), pool);
-  }
-  return pool;
-}
-
-static void
-rent_done (guint status, json_t *body, gpointer data)
-{
-  Pool *pool = data;
-  KrProvisioner *provisioner = pool->provisioner;
-  gint64 now = kr_now ();
-  g_auto (GStrv) ids = status == 200 ? kr_wire_rental_machines (body) : NULL;
-  guint rented_count = ids ? g_strv_length (ids) : 0;
-
-  pool->request_in_flight = FALSE;
-  if (status != 200 && status != 503 && status != 400)
-    return; /* unknown outcome: the same request is retried in the next round */
-  for (guint i = 0; i < rented_count; i++)
-    if (!kr_machine_records_find (provisioner->node->machine_records, ids[i])) {
-      KrListedMachine *listed = listed_machine_new (ids[i], pool->type, pool->zone, pool->spot);
-      g_hash_table_insert (provisioner->unlisted, listed->id, listed);
-    }
-  kr_info ("provisioner: rented %u of %u %s %s machines in %s%s%s", rented_count, pool->requested,
-           pool->spot ? "spot" : "on-demand", pool->type, pool->zone,
-           rented_count ? ", first " : "", rented_count ? ids[0] : "");
-  if (rented_count < pool->requested) {
-    pool->backoff_until = now + (gint64) (pool->backoff_ms * 1000);
-    pool->backoff_ms = MIN (pool->backoff_ms * 2, KR_POOL_BACKOFF_MAX_MS);
-  } else
-    pool->backoff_ms = KR_POOL_BACKOFF_MS;
-  g_clear_pointer (&pool->request_name, g_free);
-  /* More machines may be needed, from this pool or, while it is in backoff, from others. */
-  provisioner->rent_due_at = now + KR_RENT_INTERVAL_MS * G_GINT64_CONSTANT (1000);
-}
-
-static void
-send_rent_request (KrProvisioner *provisioner, Pool *pool, guint requested)
-{
-  if (!pool->request_name) {
-    /* The name must be unique across all nodes. The leader's fencing token belongs to one term of
-     * leadership only. */
-    pool->request_name =
-        g_strdup_printf ("kr-%" G_GUINT64_FORMAT "-%u",
-                         kr_membership_leader (provisioner->node->membership)->revision,
-                         ++provisioner->request_counter);
-    pool->requested = MIN (requested, KR_RENT_BATCH_MAX);
-  }
-  pool->request_in_flight = TRUE;
-  pool->last_request_at = kr_now ();
-  kr_cloud_rent (provisioner->node->cloud_client, pool->request_name, pool->type, pool->zone,
-                 pool->spot, pool->requested, provisioner->cancel, rent_done, pool);
-}
-
-typedef struct {
-  const KrMachineType *type;
-  gboolean spot;
-  double price; /* per CPU */
-} Offer;
-
-static int
-compare_price (gconstpointer a, gconstpointer b)
-{
-  double d = ((const Offer *) a)->price - ((const Offer *) b)->price;
-  return d < 0 ? -1 : d > 0;
-}
-
-/* Retries requests with an unknown outcome under their original names. */
-static void
-retry_unknown_requests (KrProvisioner *provisioner)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, provisioner->pools);
-  while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    Pool *pool = value;
-    if (pool->request_name && !pool->request_in_flight)
-      send_rent_request (provisioner, pool, pool->requested);
-  }
-}
-
-/* Returns all rentable combinations of a type with spot or on-demand, those with the lowest
- * price per CPU first. */
-static GArray *
-offers_by_price (const GPtrArray *types)
-{
-  GArray *offers = g_array_new (FALSE, FALSE, sizeof (Offer));
-  for (guint i = 0; i < types->len; i++) {
-    const KrMachineType *type = types->pdata[i];
-    Offer spot = { type, TRUE, type->spot_price / MAX (type->cpus, 1) };
-    Offer on_demand = { type, FALSE, type->price / MAX (type->cpus, 1) };
-    if (type->spot_price > 0)
-      g_array_append_val (offers, spot);
-    g_array_append_val (offers, on_demand);
-  }
-  g_array_sort (offers, compare_price);
-  return offers;
-}
-
-static gboolean
-any_spot_pool_open (KrProvisioner *provisioner, gint64 now)
-{
-  GHashTableIter iter;
-  gpointer value;
-  gboolean open = FALSE;
-  g_hash_table_iter_init (&iter, provisioner->pools);
-  while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    const Pool *pool = value;
-    open |= pool->spot && (pool->request_in_flight || now >= pool->backoff_until);
-  }
-  return open;
-}
-
-static GPtrArray *
-open_pools (KrProvisioner *provisioner, const Offer *offer, gint64 now)
-{
-  GPtrArray *open = g_ptr_array_new ();
-  for (char **zone = offer->type->zones; *zone; zone++) {
-    Pool *pool = find_pool (provisioner, offer->type->name, *zone, offer->spot);
-    if (!pool->request_in_flight && !pool->request_name && now >= pool->backoff_until)
-      g_ptr_array_add (open, pool);
-  }
-  return open;
-}
-
-static gboolean
-offer_serves (const Offer *offer, const Pool *pool, const KrDemand *demand, gboolean spot_open)
-{
-  /* Demand that allows spot machines gets on-demand machines only while all spot pools are in
-   * backoff and have no request in flight. */
-  if (demand->unmet_slots <= 1e-9 ||
-      (!offer->spot && demand->requirements->spot_allowed && spot_open))
-    return FALSE;
-  return kr_placement_allowed (demand->requirements, offer->type->name, pool->zone, offer->spot) &&
-         kr_placement_fits_type (demand->requirements, offer->type);
-}
-
-/* Rents machines for the unmet demand from one pool. The demand is divided evenly among the `pools`
- * open pools that remain, this one included; demand for a certain zone is not divided. */
-static void
-rent_from_pool (KrProvisioner *provisioner, const Offer *offer, Pool *pool, guint pools,
-                GPtrArray *demands, gboolean spot_open)
-{
-  double machines = 0;
-  g_autofree double *taken = g_new0 (double, demands->len);
-  for (guint i = 0; i < demands->len; i++) {
-    const KrDemand *demand = demands->pdata[i];
-    if (!offer_serves (offer, pool, demand, spot_open))
-      continue;
-    taken[i] = demand->requirements->zone ? demand->unmet_slots : demand->unmet_slots / pools;
-    machines += taken[i] * kr_placement_machine_share (demand->requirements, offer->type);
-  }
-  /* Demand beyond one request's size is left to the other pools: a thousand machines from a single
-   * pool, 50 per request, would arrive late. */
-  double fraction = machines > 0 ? MIN (1, KR_RENT_BATCH_MAX / machines) : 0;
-  for (guint i = 0; i < demands->len; i++)
-    ((KrDemand *) demands->pdata[i])->unmet_slots -= taken[i] * fraction;
-  if (machines > KR_RENT_MIN_MACHINES)
-    send_rent_request (provisioner, pool, (guint) ceil (machines));
-}
-
-/* Rents machines for demand that no existing or ordered machine can serve, from the cheapest open
- * pools first, with one request per pool. */
-static void
-rent_unmet (KrProvisioner *provisioner, GPtrArray *demands, gint64 now)
-{
-  retry_unknown_requests (provisioner);
-  g_autoptr (GArray) offers = offers_by_price (provisioner->node->machine_types);
-  gboolean spot_open = any_spot_pool_open (provisioner, now);
-  for (guint i = 0; i < offers->len; i++) {
-    const Offer *offer = &g_array_index (offers, Offer, i);
-    g_autoptr (GPtrArray) open = open_pools (provisioner, offer, now);
-    for (guint k = 0; k < open->len; k++)
-      rent_from_pool (provisioner, offer, open->pdata[k], open->len - k, demands, spot_open);
-  }
-}
-
 /* --- the leader's round -------------------------------------------------------------- */
 typedef struct {
   KrProvisioner *provisioner;
@@ -916,7 +685,7 @@
   if (full)
     return_unneeded (provisioner, demands, supplies);
   kr_allocation_match (demands, supplies, FALSE);
-  rent_unmet (provisioner, demands, now);
+  kr_rental_rent_unmet (provisioner->rental, demands);
   send_directives (provisioner);
 }
 
@@ -1005,6 +774,26 @@
   return G_SOURCE_CONTINUE;
 }
 
+static void
+machine_rented (const char *id, const KrPool *pool, gpointer data)
+{
+  KrProvisioner *provisioner = data;
+  if (kr_machine_records_find (provisioner->node->machine_records, id))
+    return;
+  KrListedMachine *listed = listed_machine_new (id, pool->type, pool->zone, pool->spot);
+  g_hash_table_insert (provisioner->unlisted, listed->id, listed);
+}
+
+/* More machines may be needed, from this pool or, while it is in backoff, from others. */
+static void
+rental_ended (gpointer data)
+{
+  KrProvisioner *provisioner = data;
+  provisioner->rent_due_at = kr_now () + KR_RENT_INTERVAL_MS * G_GINT64_CONSTANT (1000);
+}
+
+static const KrRentalEvents rental_events = { machine_rented, rental_ended };
+
 KrProvisioner *
 kr_provisioner_new (KrNode *node)
 {
@@ -1016,7 +805,7 @@
   provisioner->unlisted =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kr_listed_machine_free);
   provisioner->removed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  provisioner->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
+  provisioner->rental = kr_rental_new (node, provisioner->cancel, &rental_events, provisioner);
   provisioner->summaries = g_new0 (LastSummary, node->settings->shard_count);
   provisioner->directives = g_new0 (json_t *, node->settings->shard_count);
   provisioner->backlogs = g_new0 (double, node->settings->peers->len + 1);
--- /dev/null
+++ b/src/rental.c
@@ -0,0 +1,246 @@
+#include "rental.h"
+#include "clock.h"
+#include "constants.h"
+#include "log.h"
+#include <math.h>
+
+/* A pool and the request to it. */
+typedef struct {
+  KrPool id;
+  KrRental *rental;
+  gboolean request_in_flight;
+  /* Name of the current rental request. It is kept until the outcome is known; the request is
+   * retried under the same name, so that the cloud carries it out only once. */
+  char *request_name;
+  guint requested;        /* machines that the request asks for */
+  gint64 last_request_at; /* monotonic us of the last request */
+  gint64 backoff_until;   /* monotonic us; backoff after a refused or partly filled request */
+  double backoff_ms;      /* backoff after the next such request */
+} PoolState;
+
+struct KrRental {
+  KrNode *node;
+  GCancellable *cancel; /* borrowed */
+  const KrRentalEvents *events;
+  gpointer data;
+  GHashTable *pools;     /* "type zone spot" -> PoolState */
+  guint request_counter; /* requests of this process; part of their names */
+};
+
+static void
+pool_free (gpointer p)
+{
+  PoolState *pool = p;
+  g_free (pool->id.type);
+  g_free (pool->id.zone);
+  g_free (pool->request_name);
+  g_free (pool);
+}
+
+void
+kr_rental_reopen_pools (KrRental *rental)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, rental->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    PoolState *pool = value;
+    gint64 earliest = pool->last_request_at + KR_POOL_REOPEN_MIN_MS * G_GINT64_CONSTANT (1000);
+    pool->backoff_until = MIN (pool->backoff_until, MAX (earliest, kr_now ()));
+  }
+}
+
+static PoolState *
+find_pool (KrRental *rental, const char *type, const char *zone, gboolean spot)
+{
+  g_autofree char *key = g_strdup_printf ("%s %s %d", type, zone, spot);
+  PoolState *pool = g_hash_table_lookup (rental->pools, key);
+  if (!pool) {
+    pool = g_new0 (PoolState, 1);
+    pool->rental = rental;
+    pool->id.type = g_strdup (type);
+    pool->id.zone = g_strdup (zone);
+    pool->id.spot = spot;
+    pool->backoff_ms = KR_POOL_BACKOFF_MS;
+    g_hash_table_insert (rental->pools, g_steal_pointer (&key), pool);
+  }
+  return pool;
+}
+
+static void
+rent_done (guint status, json_t *body, gpointer data)
+{
+  PoolState *pool = data;
+  KrRental *rental = pool->rental;
+  gint64 now = kr_now ();
+  g_auto (GStrv) ids = status == 200 ? kr_wire_rental_machines (body) : NULL;
+  guint rented_count = ids ? g_strv_length (ids) : 0;
+
+  pool->request_in_flight = FALSE;
+  if (status != 200 && status != 503 && status != 400)
+    return; /* unknown outcome: the same request is retried in the next round */
+  for (guint i = 0; i < rented_count; i++)
+    rental->events->machine_rented (ids[i], &pool->id, rental->data);
+  kr_info ("provisioner: rented %u of %u %s %s machines in %s%s%s", rented_count, pool->requested,
+           pool->id.spot ? "spot" : "on-demand", pool->id.type, pool->id.zone,
+           rented_count ? ", first " : "", rented_count ? ids[0] : "");
+  if (rented_count < pool->requested) {
+    pool->backoff_until = now + (gint64) (pool->backoff_ms * 1000);
+    pool->backoff_ms = MIN (pool->backoff_ms * 2, KR_POOL_BACKOFF_MAX_MS);
+  } else
+    pool->backoff_ms = KR_POOL_BACKOFF_MS;
+  g_clear_pointer (&pool->request_name, g_free);
+  rental->events->request_ended (rental->data);
+}
+
+static void
+send_rent_request (KrRental *rental, PoolState *pool, guint requested)
+{
+  if (!pool->request_name) {
+    /* The name must be unique across all nodes. The leader's fencing token belongs to one term of
+     * leadership only. */
+    pool->request_name = g_strdup_printf ("kr-%" G_GUINT64_FORMAT "-%u",
+                                          kr_membership_leader (rental->node->membership)->revision,
+                                          ++rental->request_counter);
+    pool->requested = MIN (requested, KR_RENT_BATCH_MAX);
+  }
+  pool->request_in_flight = TRUE;
+  pool->last_request_at = kr_now ();
+  kr_cloud_rent (rental->node->cloud_client, pool->request_name, pool->id.type, pool->id.zone,
+                 pool->id.spot, pool->requested, rental->cancel, rent_done, pool);
+}
+
+typedef struct {
+  const KrMachineType *type;
+  gboolean spot;
+  double price; /* per CPU */
+} Offer;
+
+static int
+compare_price (gconstpointer a, gconstpointer b)
+{
+  double d = ((const Offer *) a)->price - ((const Offer *) b)->price;
+  return d < 0 ? -1 : d > 0;
+}
+
+/* Retries requests with an unknown outcome under their original names. */
+static void
+retry_unknown_requests (KrRental *rental)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, rental->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    PoolState *pool = value;
+    if (pool->request_name && !pool->request_in_flight)
+      send_rent_request (rental, pool, pool->requested);
+  }
+}
+
+/* Returns all rentable combinations of a type with spot or on-demand, those with the lowest
+ * price per CPU first. */
+static GArray *
+offers_by_price (const GPtrArray *types)
+{
+  GArray *offers = g_array_new (FALSE, FALSE, sizeof (Offer));
+  for (guint i = 0; i < types->len; i++) {
+    const KrMachineType *type = types->pdata[i];
+    Offer spot = { type, TRUE, type->spot_price / MAX (type->cpus, 1) };
+    Offer on_demand = { type, FALSE, type->price / MAX (type->cpus, 1) };
+    if (type->spot_price > 0)
+      g_array_append_val (offers, spot);
+    g_array_append_val (offers, on_demand);
+  }
+  g_array_sort (offers, compare_price);
+  return offers;
+}
+
+static gboolean
+any_spot_pool_open (KrRental *rental, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  gboolean open = FALSE;
+  g_hash_table_iter_init (&iter, rental->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const PoolState *pool = value;
+    open |= pool->id.spot && (pool->request_in_flight || now >= pool->backoff_until);
+  }
+  return open;
+}
+
+static GPtrArray *
+open_pools (KrRental *rental, const Offer *offer, gint64 now)
+{
+  GPtrArray *open = g_ptr_array_new ();
+  for (char **zone = offer->type->zones; *zone; zone++) {
+    PoolState *pool = find_pool (rental, offer->type->name, *zone, offer->spot);
+    if (!pool->request_in_flight && !pool->request_name && now >= pool->backoff_until)
+      g_ptr_array_add (open, pool);
+  }
+  return open;
+}
+
+static gboolean
+offer_serves (const Offer *offer, const PoolState *pool, const KrDemand *demand, gboolean spot_open)
+{
+  /* Demand that allows spot machines gets on-demand machines only while all spot pools are in
+   * backoff and have no request in flight. */
+  if (demand->unmet_slots <= 1e-9 ||
+      (!offer->spot && demand->requirements->spot_allowed && spot_open))
+    return FALSE;
+  return kr_placement_allowed (demand->requirements, offer->type->name, pool->id.zone,
+                               offer->spot) &&
+         kr_placement_fits_type (demand->requirements, offer->type);
+}
+
+/* Rents machines for the unmet demand from one pool. The demand is divided evenly among the `pools`
+ * open pools that remain, this one included; demand for a certain zone is not divided. */
+static void
+rent_from_pool (KrRental *rental, const Offer *offer, PoolState *pool, guint pools,
+                GPtrArray *demands, gboolean spot_open)
+{
+  double machines = 0;
+  g_autofree double *taken = g_new0 (double, demands->len);
+  for (guint i = 0; i < demands->len; i++) {
+    const KrDemand *demand = demands->pdata[i];
+    if (!offer_serves (offer, pool, demand, spot_open))
+      continue;
+    taken[i] = demand->requirements->zone ? demand->unmet_slots : demand->unmet_slots / pools;
+    machines += taken[i] * kr_placement_machine_share (demand->requirements, offer->type);
+  }
+  /* Demand beyond one request's size is left to the other pools: a thousand machines from a single
+   * pool, 50 per request, would arrive late. */
+  double fraction = machines > 0 ? MIN (1, KR_RENT_BATCH_MAX / machines) : 0;
+  for (guint i = 0; i < demands->len; i++)
+    ((KrDemand *) demands->pdata[i])->unmet_slots -= taken[i] * fraction;
+  if (machines > KR_RENT_MIN_MACHINES)
+    send_rent_request (rental, pool, (guint) ceil (machines));
+}
+
+void
+kr_rental_rent_unmet (KrRental *rental, GPtrArray *demands)
+{
+  gint64 now = kr_now ();
+  retry_unknown_requests (rental);
+  g_autoptr (GArray) offers = offers_by_price (rental->node->machine_types);
+  gboolean spot_open = any_spot_pool_open (rental, now);
+  for (guint i = 0; i < offers->len; i++) {
+    const Offer *offer = &g_array_index (offers, Offer, i);
+    g_autoptr (GPtrArray) open = open_pools (rental, offer, now);
+    for (guint k = 0; k < open->len; k++)
+      rent_from_pool (rental, offer, open->pdata[k], open->len - k, demands, spot_open);
+  }
+}
+
+KrRental *
+kr_rental_new (KrNode *node, GCancellable *cancel, const KrRentalEvents *events, gpointer data)
+{
+  KrRental *rental = g_new0 (KrRental, 1);
+  rental->node = node;
+  rental->cancel = cancel;
+  rental->events = events;
+  rental->data = data;
+  rental->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
+  return rental;
+}
