Each refused request leaves a log line and a count by reason

The operators' records of a sound job that was refused as malformed show a status 400 and nothing else: neither the controller's log nor any counter tells what it refused and why. Now each 400 and 422 is logged with the interface, the job if it is known, the field or the position of the syntax error and the body's length, at most 20 lines in 10 s, with text from outside escaped and cut; /health of the peers' address has the counts by reason. No behaviour changes for callers.

--- a/src/api.c
+++ b/src/api.c
@@ -50,21 +50,39 @@
     kr_api_reply_unavailable (call, KR_UNANSWERED_KEY_UNREAD);
 }
 
-/* Returns why the job can never run, or NULL. */
-static const char *
-rejection_reason (KrApi *api, const KrJobSpec *spec)
+/* Returns whether the job can never run, and why. */
+static gboolean
+is_impossible (KrApi *api, const KrJobSpec *spec, KrRefusalReason *reason)
 {
   const KrTeam *team = kr_settings_team (api->node->settings, spec->team);
   gboolean fits = FALSE;
-  if (!team)
-    return "unknown team";
+  if (!team) {
+    *reason = KR_REFUSAL_UNKNOWN_TEAM;
+    return TRUE;
+  }
   for (guint i = 0; i < api->node->machine_types->len; i++)
     fits |= kr_placement_fits_type (spec, api->node->machine_types->pdata[i]);
-  if (!fits)
-    return "a task fits no allowed machine type";
-  if (!kr_placement_job_within_quota (team, spec))
-    return "the job needs more than the team's limit";
-  return NULL;
+  *reason = fits ? KR_REFUSAL_OVER_TEAM_LIMIT : KR_REFUSAL_NO_FITTING_TYPE;
+  return !fits || !kr_placement_job_within_quota (team, spec);
+}
+
+/* Answers 400. */
+static void
+reply_malformed (KrApi *api, KrRequest *request, const char *field)
+{
+  const char *id = kr_wire_job_id (kr_request_json (request));
+  kr_node_note_malformed (api->node, request, "submission", id, field);
+  kr_request_reply (request, 400, kr_wire_error (field), 0);
+}
+
+/* Answers 422. */
+static void
+reply_impossible (KrApi *api, KrRequest *request, const KrJobSpec *spec, KrRefusalReason reason)
+{
+  const char *detail = reason == KR_REFUSAL_NO_FITTING_TYPE ? NULL : spec->team;
+  kr_refusal_log_note (api->node->refusals, &(KrRefusal){ reason, "submission", spec->id, detail,
+                                                          kr_request_body_bytes (request) });
+  kr_request_reply (request, 422, kr_wire_error (kr_refusal_reason_text (reason)), 0);
 }
 
 void
@@ -72,18 +90,18 @@
 {
   g_autoptr (GError) error = NULL;
   g_autoptr (KrJobSpec) spec = kr_wire_spec_parse (kr_request_json (request), &error);
-  const char *reason;
+  KrRefusalReason reason;
   KrStateClient *state = api->node->state_client;
 
   if (!spec)
-    kr_request_reply (request, 400, kr_wire_error (error->message), 0);
+    reply_malformed (api, request, error->message);
   else if (kr_api_reply_from_cache (api, request, spec->id, FALSE))
     return;
   else if (!api->node->machine_types)
     kr_request_reply (request, 503, kr_wire_error ("machine types are not yet known"),
                       KR_RETRY_AFTER_S);
-  else if ((reason = rejection_reason (api, spec)))
-    kr_request_reply (request, 422, kr_wire_error (reason), 0);
+  else if (is_impossible (api, spec, &reason))
+    reply_impossible (api, request, spec, reason);
   else if (kr_api_is_overloaded (api, KR_ROUTE_SUBMIT))
     kr_api_refuse (request);
   else if (kr_state_write_wait (state) > KR_USER_WRITE_WAIT_MAX_S)
--- a/src/constants.h
+++ b/src/constants.h
@@ -34,6 +34,11 @@
 /* Polls that wait for the live jobs must not go unserved for this time while the state service
  * answers. */
 #define KR_VIEW_UNSERVED_MAX_S 30.0
+/* Refused requests that get a log line of their own in each KR_REFUSAL_LOG_INTERVAL_S. */
+#define KR_REFUSALS_LOGGED_MAX 20
+#define KR_REFUSAL_LOG_INTERVAL_S 10.0
+/* Length of a text from outside in the line about a refused request. */
+#define KR_REFUSAL_TEXT_MAX_BYTES 120
 /* Retry-After of 429 and 503 answers to users: the shortest delay that they honour. */
 #define KR_RETRY_AFTER_S 1
 /* Time-out of a call to the state service. Calls usually take 10 ms, sometimes several hundred. */
--- a/src/http-server.c
+++ b/src/http-server.c
@@ -23,6 +23,8 @@
   SoupServerMessage *message;
   char *path;
   json_t *json;
+  char *json_error; /* why `json` is NULL */
+  gsize body_bytes;
   gboolean disconnected; /* the connection was closed before the answer */
 };
 
@@ -34,6 +36,21 @@
   ((KrRequest *) data)->disconnected = TRUE;
 }
 
+static void
+parse_body (KrRequest *request, SoupMessageBody *body)
+{
+  json_error_t error;
+  request->body_bytes = (gsize) body->length;
+  if (body->length == 0 || body->length > KR_BODY_MAX_BYTES) {
+    request->json_error = g_strdup ("no body");
+    return;
+  }
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
+  request->json = json_loadb (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), 0, &error);
+  if (!request->json)
+    request->json_error = g_strdup_printf ("byte %d: %s", error.position, error.text);
+}
+
 static void
 handle_request (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *query,
                 gpointer data)
@@ -45,10 +62,7 @@
   KrRequest *request = g_new0 (KrRequest, 1);
   request->message = g_object_ref (message);
   request->path = g_strdup (path);
-  if (body->length > 0 && body->length <= KR_BODY_MAX_BYTES) {
-    g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
-    request->json = json_loadb (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), 0, NULL);
-  }
+  parse_body (request, body);
   g_signal_connect (message, "finished", G_CALLBACK (request_finished), request);
   soup_server_message_pause (message);
   server->handler (request, server->data);
@@ -237,6 +251,18 @@
   return request->json;
 }
 
+const char *
+kr_request_json_error (KrRequest *request)
+{
+  return request->json_error;
+}
+
+gsize
+kr_request_body_bytes (KrRequest *request)
+{
+  return request->body_bytes;
+}
+
 gboolean
 kr_request_disconnected (KrRequest *request)
 {
@@ -264,5 +290,6 @@
   json_decref (request->json);
   g_object_unref (request->message);
   g_free (request->path);
+  g_free (request->json_error);
   g_free (request);
 }
--- a/src/http-server.h
+++ b/src/http-server.h
@@ -32,6 +32,10 @@
 const char *kr_request_query (KrRequest *request); /* the text after "?", or NULL */
 /* Returns the body, which belongs to the request, or NULL if it is not a JSON object or array. */
 json_t *kr_request_json (KrRequest *request);
+/* Returns why there is no JSON body and where the syntax error is, or NULL. Belongs to the request.
+ */
+const char *kr_request_json_error (KrRequest *request);
+gsize kr_request_body_bytes (KrRequest *request);
 /* Whether the client has closed the connection, so that an answer cannot reach it. */
 gboolean kr_request_disconnected (KrRequest *request);
 /* Answers the request and frees it. Takes over `body`; NULL stands for an empty object. With
--- a/src/node.c
+++ b/src/node.c
@@ -175,12 +175,24 @@
 }
 
 /* --- requests ------------------------------------------------------------------------ */
+void
+kr_node_note_malformed (KrNode *node, KrRequest *request, const char *interface, const char *id,
+                        const char *field)
+{
+  const char *syntax_error = kr_request_json_error (request);
+  kr_refusal_log_note (node->refusals,
+                       &(KrRefusal){ syntax_error ? KR_REFUSAL_NOT_JSON : KR_REFUSAL_INVALID_FIELD,
+                                     interface, id, syntax_error ? syntax_error : field,
+                                     kr_request_body_bytes (request) });
+}
+
 static void
 handle_report (KrNode *node, KrRequest *request)
 {
   g_autoptr (KrReport) report =
       kr_request_json (request) ? kr_wire_report_parse (kr_request_json (request)) : NULL;
   if (!report) {
+    kr_node_note_malformed (node, request, "report", NULL, "not a report");
     kr_request_reply (request, 400, kr_wire_error ("not a report"), 0);
     return;
   }
@@ -277,6 +289,8 @@
 serve_peer (KrRequest *request, gpointer data)
 {
   KrNode *node = data;
+  if (kr_request_json_error (request) && kr_request_body_bytes (request))
+    kr_node_note_malformed (node, request, kr_request_path (request), NULL, NULL);
   if (g_str_equal (kr_request_path (request), KR_PEER_SUMMARIES))
     kr_request_reply (request, 200, kr_provisioner_build_summaries (node->provisioner), 0);
   else if (g_str_equal (kr_request_path (request), KR_PEER_BUDGET))
@@ -295,12 +309,12 @@
     kr_request_reply (request, kr_takeover_handle_request (node, kr_request_json (request)), NULL,
                       0);
   else if (g_str_equal (kr_request_path (request), KR_PEER_HEALTH))
-    kr_request_reply (request, 200,
-                      json_pack ("{sf si so}", "Silence",
-                                 kr_state_seconds_since_answer (node->state_client), "LostCalls",
-                                 (int) kr_http_client_lost_calls (), "Polls",
-                                 kr_api_health (node->api)),
-                      0);
+    kr_request_reply (
+        request, 200,
+        json_pack ("{sf si so so}", "Silence", kr_state_seconds_since_answer (node->state_client),
+                   "LostCalls", (int) kr_http_client_lost_calls (), "Polls",
+                   kr_api_health (node->api), "Refused", kr_refusal_log_to_json (node->refusals)),
+        0);
   else
     kr_request_reply (request, 404, NULL, 0);
 }
@@ -364,6 +378,7 @@
                                     node->membership, node->cancel, on_peer_silence, node);
   node->provisioner = kr_provisioner_new (node);
   node->api = kr_api_new (node);
+  node->refusals = kr_refusal_log_new ();
   node->public_server =
       kr_http_server_new (settings->client_listen, client_connections, KR_CONN_IDLE_S, node->cancel,
                           serve_public, node, error);
@@ -401,5 +416,6 @@
   kr_api_free (node->api);
   kr_membership_free (node->membership);
   kr_machine_records_free (node->machine_records);
+  kr_refusal_log_free (node->refusals);
   g_main_loop_unref (node->loop);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -4,6 +4,7 @@
 #include "failure-detector.h"
 #include "http-server.h"
 #include "membership.h"
+#include "refusal-log.h"
 #include "settings.h"
 #include "state-watch.h"
 
@@ -26,6 +27,7 @@
   GPtrArray *machine_types; /* KrMachineType; NULL: not known yet */
   KrProvisioner *provisioner;
   KrApi *api;
+  KrRefusalLog *refusals;
   KrHttpServer *public_server, *peer_server;
   const char *not_ready_reason; /* as logged last; NULL: the node is ready for requests */
   gboolean state_unreachable;   /* the state service answers a peer, but not this node */
@@ -48,6 +50,10 @@
 /* Returns the number of writes on this node that wait for the rate limit, including those for the
  * ends of jobs. */
 double kr_node_queued_writes (KrNode *node);
+/* Counts and logs a request that is answered by 400. `field`: the field that is missing or invalid
+ * if the body is JSON. `id`: of the job or the machine, NULL if unknown. */
+void kr_node_note_malformed (KrNode *node, KrRequest *request, const char *interface,
+                             const char *id, const char *field);
 /* Returns the limit of concurrent connections to workers. */
 guint kr_node_worker_connections (const KrSettings *settings);
 const KrMachineType *kr_node_machine_type (KrNode *node, const char *name); /* NULL: unknown */
--- a/src/wire.c
+++ b/src/wire.c
@@ -54,6 +54,12 @@
   g_free (spec);
 }
 
+const char *
+kr_wire_job_id (json_t *body)
+{
+  return get_string (body, "Id");
+}
+
 gboolean
 kr_wire_is_job_id (const char *id)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -42,6 +42,8 @@
 /* Returns NULL and sets `error`, which names the field, if the job is invalid. */
 KrJobSpec *kr_wire_spec_parse (json_t *body, GError **error);
 json_t *kr_wire_spec_build (const KrJobSpec *spec);
+/* Returns the job id in a submission, or NULL. It belongs to `body`. */
+const char *kr_wire_job_id (json_t *body);
 /* Whether `id` has the form of a job id, "wk-" and digits. */
 gboolean kr_wire_is_job_id (const char *id);
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -514,6 +514,18 @@
   return r->call->body;
 }
 
+const char *
+kr_request_json_error (KrRequest *r)
+{
+  return r->call->body ? NULL : "no body";
+}
+
+gsize
+kr_request_body_bytes (KrRequest *r)
+{
+  return r->call->body ? json_dumpb (r->call->body, NULL, 0, JSON_COMPACT) : 0;
+}
+
 gboolean
 kr_request_disconnected (KrRequest *r)
 {
