Failing test: a sound body is refused for what stands in a field that nobody reads

The recorded submission (462 bytes, rebuilt to the byte) is refused by a single controller: "byte 397: too big integer near ''".

--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -142,6 +142,36 @@
   g_assert_cmpuint (post ("{}", 2, NULL), ==, 200);
 }
 
+/* Guards against a sound submission that is refused for what stands in a field that nobody reads.
+ */
+static void
+test_unknown_fields_of_any_value (void)
+{
+  static const char *const values[] = { "18446744073709551615",
+                                        "-9223372036854775809",
+                                        "123456789012345678901234567890",
+                                        "1e999",
+                                        "\"\\u0000\"",
+                                        "\"\\ud800\"",
+                                        "{\"\\u0000\":1,\"a\":1,\"a\":2}",
+                                        "{\"größe\":\"日本語 ✓\",\"n\":18446744073709551615,"
+                                        "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}" };
+  for (guint i = 0; i < G_N_ELEMENTS (values); i++) {
+    g_autofree char *body = g_strdup_printf ("{\"Id\":\"wk-1\",\"x\":%s}", values[i]);
+    g_test_message ("%s", body);
+    g_assert_cmpuint (post (body, strlen (body), NULL), ==, 200);
+  }
+}
+
+static void
+test_deep_unknown_field (void)
+{
+  const gsize depth = KR_BODY_MAX_BYTES / 2 - 8;
+  g_autofree char *open = g_strnfill (depth, '['), *close = g_strnfill (depth, ']');
+  g_autofree char *body = g_strdup_printf ("{\"x\":%s%s}", open, close);
+  g_assert_cmpuint (post (body, strlen (body), NULL), ==, 200);
+}
+
 /* --- reset --------------------------------------------------------------------------------- */
 /* Connects and resets the connection at once. It is reset already when the server accepts it from
  * its backlog. */
@@ -258,6 +288,8 @@
   g_test_add_func ("/http/large", test_large);
   g_test_add_func ("/http/chunked", test_chunked);
   g_test_add_func ("/http/garbage", test_garbage);
+  g_test_add_func ("/http/unknown-fields-of-any-value", test_unknown_fields_of_any_value);
+  g_test_add_func ("/http/deep-unknown-field", test_deep_unknown_field);
   g_test_add_func ("/http/reset-before-accept", test_reset_before_accept);
   g_test_add_func ("/http/many-calls", test_many_calls);
   return g_test_run ();
