JSON is accepted as RFC 8259 allows it, with unsigned integers of 64 bits

What callers saw: a sound submission was refused with 400 as malformed, on any node, every time, and was lost, since users do not retry a 400. It held in a field that no controller reads.

Cause: the limits of the JSON library were taken for those of the protocol. jansson has signed integers and refuses the whole text for a larger one, wherever it stands; the same for a real beyond a double, U+0000 or half of a surrogate pair in a string, and 2,048 levels of nesting. The class: a check that comes before the field is looked at. The same flaw in the other direction: revisions, tokens, sessions and attempts from 2^63 on, which the protocol allows, came out of the codec as 0 or were written as negative numbers.

Why this works: json-codec reads the text with YAJL, which hands over numbers as text, has no limit of depth and does not recurse, and builds jansson's values: a whole number from 0 to 2^64 - 1 is an integer in every spelling, its bits unsigned; any other number is a real; what is nested deeper than 32 levels is checked and not kept, so that neither stack nor memory grows with it. The same module writes the text. Every interface uses it, in both directions: users, workers, cloud, state service, peers, stored values. A target of no shard in a summary is null now, not -1.

The tests that feed text to the simulation use the codec, as a node does.

--- a/src/constants.h
+++ b/src/constants.h
@@ -34,6 +34,8 @@
 /* Polls that wait for the live jobs must not go unserved for this time while the state service
  * answers. */
 #define KR_VIEW_UNSERVED_MAX_S 30.0
+/* Nesting of JSON that is kept. No message of the protocol needs more than eight levels. */
+#define KR_JSON_DEPTH_MAX 32
 /* Refused requests that get a log line of their own in each KR_REFUSAL_LOG_INTERVAL_S. */
 #define KR_REFUSALS_LOGGED_MAX 20
 #define KR_REFUSAL_LOG_INTERVAL_S 10.0
--- a/src/failure-detector.c
+++ b/src/failure-detector.c
@@ -200,7 +200,7 @@
   if (status && peer->probing)
     end_probe (peer);
   if (json_is_number (silence_s))
-    peer->detector->on_peer_silence (json_number_value (silence_s), peer->detector->data);
+    peer->detector->on_peer_silence (kr_json_number (silence_s), peer->detector->data);
 }
 
 static void
--- a/src/http-client.c
+++ b/src/http-client.c
@@ -204,6 +204,18 @@
   send_queued (call->client);
 }
 
+/* Returns NULL if the response is not JSON. */
+static json_t *
+decode_body (const Call *call, GBytes *bytes)
+{
+  g_autofree char *error = NULL;
+  json_t *body = kr_json_decode (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), &error);
+  if (!body)
+    kr_debug ("http: the response to %s is not JSON: %s",
+              g_uri_get_path (soup_message_get_uri (call->message)), error);
+  return body;
+}
+
 static void
 send_finished (GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -216,8 +228,7 @@
 
   call_end_reported (call);
   if (bytes && g_bytes_get_size (bytes) > 0)
-    body = json_loadb (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), JSON_DECODE_ANY,
-                       NULL);
+    body = decode_body (call, bytes);
   else if (error)
     kr_debug ("http: call %s failed: %s", g_uri_get_path (soup_message_get_uri (call->message)),
               error->message);
@@ -256,8 +267,8 @@
 static void
 set_body (SoupMessage *message, json_t *body)
 {
-  char *text = json_dumps (body, JSON_COMPACT);
-  g_autoptr (GBytes) bytes = g_bytes_new_with_free_func (text, strlen (text), free, text);
+  char *text = kr_json_encode (body);
+  g_autoptr (GBytes) bytes = g_bytes_new_take (text, strlen (text));
   soup_message_set_request_body_from_bytes (message, "application/json", bytes);
 }
 
--- a/src/http-client.h
+++ b/src/http-client.h
@@ -1,8 +1,8 @@
 /* An HTTP client on libsoup for calls with JSON bodies. Each call has a time-out, and the number of
  * concurrent calls is limited. The client knows no field of the protocol. */
 #pragma once
+#include "json-codec.h"
 #include <gio/gio.h>
-#include <jansson.h>
 
 typedef struct KrHttpClient KrHttpClient;
 /* `status`: 0 if there was no response, so that the outcome is unknown. `body`: NULL if the
--- a/src/http-server.c
+++ b/src/http-server.c
@@ -39,16 +39,14 @@
 static void
 parse_body (KrRequest *request, SoupMessageBody *body)
 {
-  json_error_t error;
   request->body_bytes = (gsize) body->length;
   if (body->length == 0 || body->length > KR_BODY_MAX_BYTES) {
     request->json_error = g_strdup ("no body");
     return;
   }
   g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
-  request->json = json_loadb (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), 0, &error);
-  if (!request->json)
-    request->json_error = g_strdup_printf ("byte %d: %s", error.position, error.text);
+  request->json = kr_json_decode (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes),
+                                  &request->json_error);
 }
 
 static void
@@ -273,16 +271,15 @@
 kr_request_reply (KrRequest *request, guint status, json_t *body, guint retry_after_s)
 {
   if (!request->disconnected) {
-    char *text = body ? json_dumps (body, JSON_COMPACT) : g_strdup ("{}");
+    char *text = body ? kr_json_encode (body) : g_strdup ("{}");
     if (retry_after_s) {
       g_autofree char *seconds = g_strdup_printf ("%u", retry_after_s);
       soup_message_headers_replace (soup_server_message_get_response_headers (request->message),
                                     "Retry-After", seconds);
     }
     soup_server_message_set_status (request->message, status, NULL);
-    soup_server_message_set_response (request->message, "application/json", SOUP_MEMORY_COPY, text,
+    soup_server_message_set_response (request->message, "application/json", SOUP_MEMORY_TAKE, text,
                                       strlen (text));
-    free (text);
     soup_server_message_unpause (request->message);
   }
   g_signal_handlers_disconnect_by_data (request->message, request);
--- a/src/http-server.h
+++ b/src/http-server.h
@@ -1,8 +1,8 @@
 /* An HTTP server on libsoup, which limits the number of connections, their idle time and the size
  * of request bodies. The server knows no field of the protocol. */
 #pragma once
+#include "json-codec.h"
 #include <gio/gio.h>
-#include <jansson.h>
 
 typedef struct KrHttpServer KrHttpServer;
 typedef struct KrRequest KrRequest;
@@ -30,7 +30,7 @@
 const char *kr_request_method (KrRequest *request);
 const char *kr_request_path (KrRequest *request);  /* without the query */
 const char *kr_request_query (KrRequest *request); /* the text after "?", or NULL */
-/* Returns the body, which belongs to the request, or NULL if it is not a JSON object or array. */
+/* Returns the body, which belongs to the request, or NULL if it is not JSON. */
 json_t *kr_request_json (KrRequest *request);
 /* Returns why there is no JSON body and where the syntax error is, or NULL. Belongs to the request.
  */
--- a/src/job.c
+++ b/src/job.c
@@ -112,12 +112,12 @@
   KrJobSpec *spec = kr_wire_spec_parse (json_object_get (value, "Spec"), NULL);
   if (!spec)
     return NULL;
-  KrJob *job = kr_job_new (spec, json_number_value (json_object_get (value, "At")),
-                           (guint) json_integer_value (json_object_get (value, "Part")));
+  KrJob *job = kr_job_new (spec, kr_json_number (json_object_get (value, "At")),
+                           (guint) kr_json_uint (json_object_get (value, "Part")));
   job->revision = revision;
   job->cancelled = json_is_true (json_object_get (value, "Cancelled"));
-  job->timed_sum_s = json_number_value (json_object_get (value, "Sum"));
-  job->timed_count = (guint) json_integer_value (json_object_get (value, "Count"));
+  job->timed_sum_s = kr_json_number (json_object_get (value, "Sum"));
+  job->timed_count = (guint) kr_json_uint (json_object_get (value, "Count"));
   kr_job_chunk_merge (job, 0, json_object_get (value, "Done"));
   job->chunks_missing = kr_job_chunk_count (job) - 1;
   return job;
@@ -133,7 +133,7 @@
 kr_job_parse_status (json_t *value, KrJobState *state, guint *done, guint *running)
 {
   const char *end = json_string_value (json_object_get (value, "End"));
-  *done = (guint) json_integer_value (json_object_get (value, "N"));
+  *done = (guint) kr_json_uint (json_object_get (value, "N"));
   *running = 0;
   if (end) {
     *state = g_str_equal (end, kr_wire_job_state (KR_JOB_DONE)) ? KR_JOB_DONE : KR_JOB_CANCELLED;
@@ -141,7 +141,7 @@
   }
   if (!json_is_object (json_object_get (value, "Spec")))
     return FALSE;
-  *running = (guint) json_integer_value (json_object_get (value, "R"));
+  *running = (guint) kr_json_uint (json_object_get (value, "R"));
   *state = json_is_true (json_object_get (value, "Cancelled")) ? KR_JOB_CANCELLED
            : *running                                          ? KR_JOB_RUNNING
                                                                : KR_JOB_PENDING;
@@ -151,7 +151,7 @@
 guint
 kr_job_parse_shard (json_t *value)
 {
-  return (guint) json_integer_value (json_object_get (value, "Part"));
+  return (guint) kr_json_uint (json_object_get (value, "Part"));
 }
 
 json_t *
@@ -167,7 +167,7 @@
 kr_job_parse_cancellation (json_t *value, guint *shard, guint64 *owner)
 {
   *shard = kr_job_parse_shard (value);
-  *owner = (guint64) json_integer_value (json_object_get (value, "CancelledUnder"));
+  *owner = kr_json_uint (json_object_get (value, "CancelledUnder"));
   return json_is_object (json_object_get (value, "Spec")) &&
          json_is_true (json_object_get (value, "Cancelled"));
 }
--- a/src/membership.c
+++ b/src/membership.c
@@ -75,8 +75,7 @@
 guint64
 kr_membership_presence_lease (json_t *presence)
 {
-  json_int_t lease = json_integer_value (json_object_get (presence, "Lease"));
-  return lease > 0 ? (guint64) lease : 0;
+  return kr_json_uint (json_object_get (presence, "Lease"));
 }
 
 char *
@@ -187,7 +186,7 @@
   if (node) {
     holder->node = g_strdup (node);
     holder->incarnation = g_strdup (json_string_value (json_object_get (value, "Inc")));
-    holder->replaced_revision = (guint64) json_integer_value (json_object_get (value, "From"));
+    holder->replaced_revision = kr_json_uint (json_object_get (value, "From"));
   } else
     holder->free_since = kr_now ();
   if (!was_held && held_by_this_node (membership, holder))
--- a/src/node.c
+++ b/src/node.c
@@ -299,7 +299,7 @@
         NULL, 0);
   else if (g_str_equal (kr_request_path (request), KR_PEER_DIRECTIVES)) {
     json_t *body = kr_request_json (request);
-    guint64 leader = (guint64) json_integer_value (json_object_get (body, "Leader"));
+    guint64 leader = kr_json_uint (json_object_get (body, "Leader"));
     gboolean applied = kr_provisioner_apply_directives (node->provisioner,
                                                         json_object_get (body, "Wishes"), leader);
     kr_request_reply (request, applied ? 200 : 409, NULL, 0);
--- a/src/provisioner.c
+++ b/src/provisioner.c
@@ -194,11 +194,11 @@
 kr_provisioner_handle_write_budget (KrProvisioner *provisioner, json_t *body)
 {
   json_t *writes = json_object_get (body, "Writes"), *leader = json_object_get (body, "Leader");
-  if (!json_is_number (writes) || !json_is_integer (leader) || !(json_number_value (writes) > 0))
+  if (!json_is_number (writes) || !json_is_integer (leader) || !(kr_json_number (writes) > 0))
     return 400;
-  if (is_superseded (provisioner, (guint64) json_integer_value (leader)))
+  if (is_superseded (provisioner, kr_json_uint (leader)))
     return 409;
-  kr_node_set_write_rate (provisioner->node, json_number_value (writes));
+  kr_node_set_write_rate (provisioner->node, kr_json_number (writes));
   return 200;
 }
 
@@ -212,7 +212,7 @@
     return FALSE;
   json_array_foreach (directives, i, directive)
   {
-    guint shard_index = (guint) json_integer_value (json_object_get (directive, "Part"));
+    guint shard_index = (guint) kr_json_uint (json_object_get (directive, "Part"));
     KrShard *shard = shard_index < provisioner->node->settings->shard_count
                          ? provisioner->node->shards[shard_index]
                          : NULL;
@@ -223,7 +223,7 @@
     {
       const char *machine_id = json_string_value (id_json);
       if (machine_id && json_is_integer (to))
-        kr_shard_mark_for_move (shard, machine_id, (guint) json_integer_value (to));
+        kr_shard_mark_for_move (shard, machine_id, (guint) kr_json_uint (to));
       else if (machine_id)
         kr_shard_return_machine (shard, machine_id);
     }
@@ -257,7 +257,7 @@
     }
   json_t *backlog = json_object_get (body, "Backlog");
   if (status == 200 && provisioner->reconcile_at == poll->round && json_is_number (backlog))
-    provisioner->backlogs[poll->index] = json_number_value (backlog);
+    provisioner->backlogs[poll->index] = kr_json_number (backlog);
   if (status == 200 && provisioner->reconcile_at == poll->round &&
       --provisioner->polls_pending == 0)
     reconcile (provisioner, TRUE); /* all nodes have answered */
@@ -304,7 +304,7 @@
   json_array_foreach (provisioner->directives[shard], i, entry)
   {
     json_t *entry_to = json_object_get (entry, "To");
-    if (entry_to ? json_integer_value (entry_to) == to : to < 0)
+    if (entry_to ? kr_json_uint (entry_to) == (guint64) to : to < 0)
       directive = entry;
   }
   if (!directive) {
--- a/src/shard-progress.c
+++ b/src/shard-progress.c
@@ -405,15 +405,14 @@
   json_t *shard_index = json_object_get (request, "Part"),
          *owner = json_object_get (request, "Owner"),
          *revision = json_object_get (request, "Revision");
-  if (!id || !json_is_integer (shard_index) || !json_is_integer (owner) ||
-      !json_is_integer (revision))
+  if (!id || !json_is_number (shard_index) || !kr_json_is_uint (owner) ||
+      !kr_json_is_uint (revision))
     return 400;
-  guint64 index = (guint64) json_integer_value (shard_index);
+  guint64 index = kr_json_uint_below (shard_index, node->settings->shard_count);
   if (index >= node->settings->shard_count || !node->shards[index])
     return cancel_http_status[KR_CANCEL_NOT_OWNER];
-  return cancel_http_status[kr_shard_cancel_job (node->shards[index], id,
-                                                 (guint64) json_integer_value (owner),
-                                                 (guint64) json_integer_value (revision))];
+  return cancel_http_status[kr_shard_cancel_job (node->shards[index], id, kr_json_uint (owner),
+                                                 kr_json_uint (revision))];
 }
 
 KrCancelStatus
@@ -474,7 +473,7 @@
     return;
   }
   json_t *stored_shard = json_object_get (item->value, "Part");
-  if (json_is_integer (stored_shard) && (guint) json_integer_value (stored_shard) != shard->index)
+  if (json_is_integer (stored_shard) && (guint) kr_json_uint (stored_shard) != shard->index)
     return;
   if (job) {
     job->revision = item->revision;
--- a/src/shard-summary.c
+++ b/src/shard-summary.c
@@ -9,7 +9,7 @@
 static double
 get_number (json_t *object, const char *field)
 {
-  return json_number_value (json_object_get (object, field));
+  return kr_json_number (json_object_get (object, field));
 }
 
 static gboolean
@@ -23,7 +23,7 @@
 get_amount (json_t *object, const char *field, double *amount)
 {
   json_t *value = json_object_get (object, field);
-  *amount = json_number_value (value);
+  *amount = kr_json_number (value);
   return !value || (json_is_number (value) && *amount >= 0);
 }
 
@@ -87,8 +87,8 @@
 static gint
 parse_target (json_t *target, guint shard_count)
 {
-  json_int_t shard = json_integer_value (target);
-  return json_is_integer (target) && shard >= 0 && shard < shard_count ? (gint) shard : -1;
+  guint64 shard = kr_json_uint_below (target, shard_count);
+  return shard < shard_count ? (gint) shard : -1;
 }
 
 static gboolean
@@ -102,7 +102,7 @@
     .spot = get_bool (entry, "Spot"),
     .up = get_bool (entry, "Up"),
     .leaving = get_bool (entry, "Going"),
-    .idle_s = json_is_number (idle) ? json_number_value (idle) : -1,
+    .idle_s = json_is_number (idle) ? kr_json_number (idle) : -1,
     .drain_s = get_number (entry, "Rest"),
     .target_shard = parse_target (json_object_get (entry, "To"), shard_count),
   };
@@ -112,14 +112,13 @@
 KrShardSummary *
 kr_shard_summary_parse (json_t *message, guint shard_count)
 {
-  json_t *shard = json_object_get (message, "Part"), *demands = json_object_get (message, "Needs"),
-         *entry;
+  guint64 shard = kr_json_uint_below (json_object_get (message, "Part"), shard_count);
+  json_t *demands = json_object_get (message, "Needs"), *entry;
   size_t i;
-  if (!json_is_integer (shard) || json_integer_value (shard) < 0 ||
-      json_integer_value (shard) >= shard_count || !json_is_array (demands))
+  if (shard >= shard_count || !json_is_array (demands))
     return NULL;
   KrShardSummary *summary = g_new0 (KrShardSummary, 1);
-  summary->shard = (guint) json_integer_value (shard);
+  summary->shard = (guint) shard;
   summary->has_pending = get_bool (message, "Waiting");
   summary->stored_at = get_number (message, "At");
   summary->message = json_incref (message);
@@ -178,10 +177,12 @@
 json_t *
 kr_machine_summary_to_json (const KrMachineSummary *machine)
 {
-  return json_pack ("{ss ss* ss* sb sb sf sf sb sI}", "Id", machine->id, "Type", machine->type,
+  json_t *target =
+      machine->target_shard < 0 ? json_null () : kr_json_uint_new ((guint64) machine->target_shard);
+  return json_pack ("{ss ss* ss* sb sb sf sf sb so}", "Id", machine->id, "Type", machine->type,
                     "Zone", machine->zone, "Spot", machine->spot, "Up", machine->up, "Idle",
                     machine->idle_s, "Rest", machine->drain_s, "Going", machine->leaving, "To",
-                    (json_int_t) machine->target_shard);
+                    target);
 }
 
 json_t *
--- a/src/shard-takeover.c
+++ b/src/shard-takeover.c
@@ -270,13 +270,13 @@
   const char *owner = json_string_value (json_object_get (request, "Owner"));
   json_t *shard = json_object_get (request, "Part"), *token = json_object_get (request, "Token");
   if (!owner || !kr_settings_peer (node->settings, owner) || !json_is_integer (shard) ||
-      !json_is_integer (token) || json_integer_value (token) <= 0)
+      !json_is_integer (token) || kr_json_uint (token) == 0)
     return 400;
-  guint64 index = (guint64) json_integer_value (shard);
+  guint64 index = kr_json_uint (shard);
   if (index >= node->settings->shard_count)
     return 400;
-  gboolean stopped = kr_membership_observe_owner (node->membership, (guint) index, owner,
-                                                  (guint64) json_integer_value (token));
+  gboolean stopped =
+      kr_membership_observe_owner (node->membership, (guint) index, owner, kr_json_uint (token));
   return stopped && !node->shards[index] ? 200 : 409;
 }
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -20,14 +20,13 @@
 static guint64
 get_uint (json_t *o, const char *field)
 {
-  json_t *v = json_object_get (o, field);
-  return json_is_integer (v) && json_integer_value (v) >= 0 ? (guint64) json_integer_value (v) : 0;
+  return kr_json_uint (json_object_get (o, field));
 }
 
 static double
 get_number (json_t *o, const char *field)
 {
-  return json_number_value (json_object_get (o, field));
+  return kr_json_number (json_object_get (o, field));
 }
 
 static gboolean
@@ -109,7 +108,7 @@
 require_number (json_t *o, const char *field, double minimum, double maximum, GError **error)
 {
   json_t *v = json_object_get (o, field);
-  double x = json_number_value (v);
+  double x = kr_json_number (v);
   if (!json_is_number (v) || !(x >= minimum && x <= maximum))
     set_field_error (error, field);
   return x;
--- a/src/wire.h
+++ b/src/wire.h
@@ -1,9 +1,9 @@
 /* The HTTP/JSON codec of the protocols with users, workers, the cloud and the state service: the
  * only module with their paths and field names. */
 #pragma once
+#include "json-codec.h"
 #include "settings.h"
 #include <glib.h>
-#include <jansson.h>
 
 /* --- users --------------------------------------------------------------------------- */
 typedef enum {
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -306,7 +306,7 @@
 void
 sim_state_put (const char *key, const char *value)
 {
-  json_t *v = json_loads (value, JSON_DECODE_ANY, NULL);
+  json_t *v = kr_json_decode (value, strlen (value), NULL);
   fakes.revision++;
   write_key (key, v, 0);
   json_decref (v);
@@ -2060,8 +2060,9 @@
 {
   g_autofree char *address = sim_node_address (node, port);
   SyncResponse response = { FALSE, 0 };
-  fakes_call ("user", method, address, path, body ? json_loads (body, 0, NULL) : NULL, 5,
-              sync_responded, &response);
+  fakes_call ("user", method, address, path,
+              body ? kr_json_decode (body, strlen (body), NULL) : NULL, 5, sync_responded,
+              &response);
   while (!response.done)
     sim_run (0.01);
   return response.status;
@@ -2077,8 +2078,8 @@
 sim_request_async (guint node, const char *method, const char *path, const char *body)
 {
   g_autofree char *address = sim_node_address (node, SIM_CLIENT_PORT);
-  fakes_call ("user", method, address, path, body ? json_loads (body, 0, NULL) : NULL, 5,
-              count_response, NULL);
+  fakes_call ("user", method, address, path,
+              body ? kr_json_decode (body, strlen (body), NULL) : NULL, 5, count_response, NULL);
 }
 
 guint
@@ -2139,6 +2140,7 @@
 {
   memset (&fakes, 0, sizeof fakes);
   fakes.options = *options;
+  fakes.revision = fakes.next_lease = options->first_revision;
   fakes.rng = g_rand_new_with_seed (seed);
   g_random_set_seed (seed);
   fakes.running_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -141,10 +141,10 @@
                            "img", "PullGb", 0.5, "Hulls", "Harbor", "OneZone", 0, "Apart", 0,
                            "Driftwood", 1, "SailS", 1.0, "MooringS", 0.0, "StowS", 0.0, "TideS");
   if (field && value)
-    json_object_set_new (job, field, json_loads (value, JSON_DECODE_ANY, NULL));
+    json_object_set_new (job, field, kr_json_decode (value, strlen (value), NULL));
   else if (field)
     json_object_del (job, field);
-  char *text = json_dumps (job, JSON_COMPACT);
+  char *text = kr_json_encode (job);
   json_decref (job);
   return text;
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -239,7 +239,7 @@
 sim_replace_summaries (guint node, const char *body)
 {
   json_decref (sim.replaced_summaries[node]);
-  sim.replaced_summaries[node] = body ? json_loads (body, 0, NULL) : NULL;
+  sim.replaced_summaries[node] = body ? kr_json_decode (body, strlen (body), NULL) : NULL;
 }
 
 void
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -38,6 +38,7 @@
   /* Whenever a job is accepted or finished, its user polls and resubmits it at every node within
    * 20 ms. */
   gboolean poll_after_change;
+  guint64 first_revision; /* the state service's revision and its leases' ids start after it */
 } SimOptions;
 
 /* Starts the fakes and all nodes. */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -84,7 +84,7 @@
                 { "OneZone", "1" },      { "Driftwood", "null" }, { "SailS", "null" },
                 { "TideS", "\"soon\"" }, { "MooringS", "-1" } };
   g_autofree char *text = g_strdelimit (g_strdup (base), "'", '"');
-  json_t *spec_json = json_loads (text, 0, NULL);
+  json_t *spec_json = kr_json_decode (text, strlen (text), NULL);
   g_autoptr (GError) error = NULL;
   g_autoptr (KrJobSpec) spec = kr_wire_spec_parse (spec_json, &error);
   g_assert_no_error (error);
@@ -97,7 +97,7 @@
     json_t *bad_spec = json_deep_copy (spec_json);
     g_autoptr (GError) error_of_case = NULL;
     json_object_set_new (bad_spec, cases[i].field,
-                         json_loads (cases[i].value, JSON_DECODE_ANY, NULL));
+                         kr_json_decode (cases[i].value, strlen (cases[i].value), NULL));
     g_assert_null (kr_wire_spec_parse (bad_spec, &error_of_case));
     g_assert_nonnull (strstr (error_of_case->message, cases[i].field));
     json_decref (bad_spec);
--- a/tests/test_shard_summary.c
+++ b/tests/test_shard_summary.c
@@ -42,7 +42,7 @@
 static KrShardSummary *
 parse (const char *text)
 {
-  json_t *message = json_loads (text, 0, NULL);
+  json_t *message = kr_json_decode (text, strlen (text), NULL);
   KrShardSummary *summary = kr_shard_summary_parse (message, 3);
   json_decref (message);
   return summary;
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -618,7 +618,7 @@
 former_owners (const KrSettings *settings, const char *text)
 {
   KrOwnerHistory history = { 0 };
-  json_t *value = json_loads (text, 0, NULL);
+  json_t *value = kr_json_decode (text, strlen (text), NULL);
   kr_owner_history_update (&history, value, 7, settings);
   json_decref (value);
   g_autoptr (GPtrArray) names = kr_owner_history_former_owners (&history);
