A request has a deadline as a whole, and slow senders make room for others

What callers saw: with as many clients as a controller has places, each of which sends a byte of a body now and then, no question was answered, for as long as they liked.

Cause: the only limit of a connection was its idle time, which starts anew with each byte, and a connection kept its place however little of a request had arrived. When all places were taken the server stopped accepting, until one of them ended by itself. The class: a bound on a part (one wait for bytes) in place of the whole (a request).

Now a connection must send its request, head and body, within 10 s, twice what any client waits for its answer; when no place is left, the connection that has waited longest for its whole request is closed, if it has for 250 ms. Users and workers share a port, so this holds for both: who sends whole requests always finds a place. A module of its own, server-connections, keeps them.

--- a/src/constants.h
+++ b/src/constants.h
@@ -8,6 +8,14 @@
 #define KR_BODY_MAX_BYTES 65536
 /* Idle HTTP connections, e.g. of users and workers, are closed after this time. */
 #define KR_CONN_IDLE_S 40
+/* Time within which a new connection must have sent its request, head and body. No client waits for
+ * an answer for as long: users give up after 5 s, workers after 4 s. */
+#define KR_REQUEST_READ_MAX_S 10.0
+/* Interval between looks for connections past that time. */
+#define KR_REQUEST_CHECK_MS 1000
+/* When no place is left, a connection may be closed that has sent no whole request after this time.
+ */
+#define KR_REQUEST_READ_MIN_MS 250
 /* Share of the setting `sockets` for connections of users and workers, all of whom may connect to
  * one node. */
 #define KR_CLIENT_SOCKET_SHARE 0.7
--- a/src/http-server.c
+++ b/src/http-server.c
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "constants.h"
 #include "rate-limiter.h"
+#include "server-connections.h"
 #include "log.h"
 #include <libsoup/soup.h>
 #include <string.h>
@@ -12,7 +13,9 @@
   GCancellable *cancel;
   KrHttpHandler handler;
   gpointer data;
-  guint connections, max_connections, idle_s;
+  KrServerConnections *connections;
+  guint idle_s;
+  guint check_timer, room_timer;
   gboolean accept_paused; /* until a connection is closed */
   gint64 paused_since;    /* monotonic us; valid while accept_paused */
   guint64 accept_pauses;
@@ -29,6 +32,7 @@
 };
 
 static void accept_next (KrHttpServer *server);
+static void make_room (KrHttpServer *server);
 
 static void
 request_finished (SoupServerMessage *message, gpointer data)
@@ -49,6 +53,14 @@
                                   &request->json_error);
 }
 
+static void
+note_request_read (SoupServerMessage *message)
+{
+  GSocket *socket = soup_server_message_get_socket (message);
+  if (socket)
+    kr_server_connections_request_read (socket);
+}
+
 static void
 handle_request (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *query,
                 gpointer data)
@@ -57,6 +69,7 @@
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   if (!soup_message_body_get_accumulate (body))
     return; /* answered already by reject_too_large */
+  note_request_read (message);
   KrRequest *request = g_new0 (KrRequest, 1);
   request->message = g_object_ref (message);
   request->path = g_strdup (path);
@@ -104,11 +117,10 @@
 }
 
 static void
-connection_closed (gpointer data, GObject *connection)
+place_freed (gpointer data, gpointer unused)
 {
   KrHttpServer *server = data;
-  server->connections--;
-  if (server->accept_paused && server->connections < server->max_connections) {
+  if (server->accept_paused && !kr_server_connections_are_full (server->connections)) {
     server->accept_paused = FALSE;
     server->paused_us += kr_now () - server->paused_since;
     accept_next (server);
@@ -135,8 +147,7 @@
     return;
   }
   g_socket_set_timeout (g_socket_connection_get_socket (connection), server->idle_s);
-  server->connections++;
-  g_object_weak_ref (G_OBJECT (connection), connection_closed, server);
+  kr_server_connections_add (server->connections, connection);
   if (!soup_server_accept_iostream (server->soup, G_IO_STREAM (connection), local, remote, &error))
     kr_debug ("http: a connection was refused: %s", error->message);
 }
@@ -158,19 +169,46 @@
   accept_next (server);
 }
 
+static gboolean
+retry_make_room (gpointer data)
+{
+  KrHttpServer *server = data;
+  server->room_timer = 0;
+  if (server->accept_paused)
+    make_room (server);
+  return G_SOURCE_REMOVE;
+}
+
+/* Closes a connection without a whole request, or looks again when one has had its time. */
+static void
+make_room (KrHttpServer *server)
+{
+  if (!kr_server_connections_make_room (server->connections) && !server->room_timer)
+    server->room_timer = kr_timer_add (KR_REQUEST_READ_MIN_MS, retry_make_room, server);
+}
+
 /* Limits the number of connections. While all are in use, further ones wait in the kernel's short
- * backlog, so that the load balancer turns to other nodes. */
+ * backlog, so that the load balancer turns to other nodes, and those without a whole request make
+ * room. */
 static void
 accept_next (KrHttpServer *server)
 {
-  if (server->connections >= server->max_connections) {
+  if (kr_server_connections_are_full (server->connections)) {
     server->accept_paused = TRUE;
     server->paused_since = kr_now ();
     server->accept_pauses++;
+    make_room (server);
   } else
     g_socket_listener_accept_async (server->listener, server->cancel, accept_done, server);
 }
 
+static gboolean
+check_connections (gpointer data)
+{
+  kr_server_connections_close_late (((KrHttpServer *) data)->connections);
+  return G_SOURCE_CONTINUE;
+}
+
 KrHttpServer *
 kr_http_server_new (const char *address, guint conns, guint idle_s, GCancellable *cancel,
                     KrHttpHandler handler, gpointer data, GError **error)
@@ -197,8 +235,9 @@
   server->cancel = kr_cancellable_new_child (cancel);
   server->handler = handler;
   server->data = data;
-  server->max_connections = conns;
+  server->connections = kr_server_connections_new (conns, place_freed, server);
   server->idle_s = idle_s;
+  server->check_timer = kr_timer_add (KR_REQUEST_CHECK_MS, check_connections, server);
   accept_next (server);
   return server;
 }
@@ -207,6 +246,8 @@
 kr_http_server_free (KrHttpServer *server)
 {
   g_cancellable_cancel (server->cancel);
+  kr_timer_clear (&server->check_timer);
+  kr_timer_clear (&server->room_timer);
   g_socket_listener_close (server->listener);
   soup_server_disconnect (server->soup);
   g_object_unref (server->soup);
@@ -221,8 +262,10 @@
 {
   gint64 paused_us =
       server->paused_us + (server->accept_paused ? kr_now () - server->paused_since : 0);
-  return (KrHttpServerStats){ server->connections, server->max_connections, server->accept_pauses,
-                              (double) paused_us / G_USEC_PER_SEC };
+  KrServerConnectionsStats connections = kr_server_connections_stats (server->connections);
+  return (KrHttpServerStats){ connections.open,        connections.limit,
+                              server->accept_pauses,   (double) paused_us / G_USEC_PER_SEC,
+                              connections.closed_late, connections.closed_for_room };
 }
 
 const char *
--- a/src/http-server.h
+++ b/src/http-server.h
@@ -11,7 +11,8 @@
 typedef void (*KrHttpHandler) (KrRequest *request, gpointer data);
 
 /* Listens on `address` ("IP address:port") for at most `conns` connections, each of which is closed
- * after `idle_s` seconds without traffic. Returns NULL and sets `error` if the server cannot listen
+ * after `idle_s` seconds without traffic, or if it has not sent a whole request in
+ * KR_REQUEST_READ_MAX_S. Returns NULL and sets `error` if the server cannot listen
  * there. */
 KrHttpServer *kr_http_server_new (const char *address, guint conns, guint idle_s,
                                   GCancellable *cancel, KrHttpHandler handler, gpointer data,
@@ -24,6 +25,9 @@
   guint open, limit;
   guint64 accept_pauses;  /* times that all connections were in use, since the start */
   double accept_paused_s; /* time for which they were, since the start */
+  /* Connections without a whole request that were closed, since the start: past the deadline, and
+   * to make room. */
+  guint64 closed_late, closed_for_room;
 } KrHttpServerStats;
 KrHttpServerStats kr_http_server_stats (const KrHttpServer *server);
 
