The leader keeps no freed id of a machine that reported before its rental was answered

What operators saw: nothing yet; the address sanitizer shows a read of freed memory in the leader (kr_provisioner_unassigned_reported), which may end it.

Cause: machines are kept in tables whose key is the id within the value. machine_rented inserted a machine that was there already, from its report: g_hash_table_insert keeps the old key and frees the old value, and the key with it. It needs an assignment that is held up until the answer arrives, by an outage of the state service for instance.

One function, put_listed_machine, now adds to these tables, and replaces the key too. /unlisted-machines/rental-answered-late failed before (heap-use-after-free). /unlisted-machines/rental-and-deletion-carried-out-late held before: rentals and deletions of a leader that has ended, carried out 20 s late, leave no machine that nobody knows.

--- a/src/provisioner.c
+++ b/src/provisioner.c
@@ -86,6 +86,14 @@
   provisioner->records_relisted = kr_membership_is_leader (provisioner->node->membership);
 }
 
+/* Adds the machine, in place of an earlier one of the same id. `machines` has the id within its
+ * value as key, so the key must be replaced together with the value. Takes over `listed`. */
+static void
+put_listed_machine (GHashTable *machines, KrListedMachine *listed)
+{
+  g_hash_table_replace (machines, listed->id, listed);
+}
+
 void
 kr_provisioner_unassigned_reported (KrProvisioner *provisioner, const KrReport *report)
 {
@@ -97,7 +105,7 @@
     KrListedMachine *listed =
         listed_machine_new (report->machine, report->type, report->zone, report->spot);
     listed->state = KR_MACHINE_RUNNING;
-    g_hash_table_insert (provisioner->unlisted, listed->id, listed);
+    put_listed_machine (provisioner->unlisted, listed);
   }
 }
 
@@ -718,7 +726,7 @@
   g_ptr_array_set_free_func (machines, NULL);
   for (guint i = 0; i < machines->len; i++) {
     KrListedMachine *listed = machines->pdata[i];
-    g_hash_table_replace (provisioner->listed, listed->id, listed);
+    put_listed_machine (provisioner->listed, listed);
     g_hash_table_remove (provisioner->unlisted, listed->id);
   }
   for (guint shard = 0; shard < provisioner->node->settings->shard_count; shard++)
@@ -781,7 +789,7 @@
   if (kr_machine_records_find (provisioner->node->machine_records, id))
     return;
   KrListedMachine *listed = listed_machine_new (id, pool->type, pool->zone, pool->spot);
-  g_hash_table_insert (provisioner->unlisted, listed->id, listed);
+  put_listed_machine (provisioner->unlisted, listed);
 }
 
 /* More machines may be needed, from this pool or, while it is in backoff, from others. */
--- a/tests/test_unlisted_machines.c
+++ b/tests/test_unlisted_machines.c
@@ -70,11 +70,69 @@
   with_seeds (new_leader);
 }
 
+static void
+rental_answered_late (void)
+{
+  SimOptions options = default_options;
+  options.boot_min_s = 0.2;
+  options.boot_max_s = 0.6;
+  start_cluster (&options);
+  sim_set_link ("cloud", "n0", SIM_LINK_HOLD);
+  sim_submit ("wk-000001", "team0", "normal", 30, 1, 20, 600);
+  while (sim_machine_count () == 0 && sim_now () < 60)
+    sim_run (0.1);
+  sim_state_outage (TRUE);
+  sim_run (1.3);
+  sim_set_link ("cloud", "n0", SIM_LINK_UP);
+  sim_run (1);
+  sim_state_outage (FALSE);
+  finish_and_check (400);
+}
+
+/* Guards against a leader that reads freed memory after a machine has reported before the answer to
+ * its rental arrives. */
+static void
+test_rental_answered_late (void)
+{
+  with_seeds (rental_answered_late);
+}
+
+static void
+deletion_carried_out_late (void)
+{
+  SimOptions options = default_options;
+  options.boot_min_s = 0.2;
+  options.boot_max_s = 0.6;
+  start_cluster (&options);
+  submit_jobs (20, 20);
+  run_until_tasks_run (20);
+  sim_set_link ("n0", "cloud", SIM_LINK_HOLD);
+  crash_and_restart (0, 0.5);
+  sim_submit ("wk-000004", "team0", "normal", 30, 1, 20, 600);
+  sim_run (20);
+  sim_set_link ("n0", "cloud", SIM_LINK_UP);
+  run_until_finished (400);
+  sim_run (90);
+  assert_all_machines_released ();
+  finish_and_check (10);
+}
+
+/* Guards against machines that no controller knows of: rentals and deletions of a leader that has
+ * ended are carried out 20 s later. */
+static void
+test_rental_and_deletion_carried_out_late (void)
+{
+  with_seeds (deletion_carried_out_late);
+}
+
 int
 main (int argc, char **argv)
 {
   fixture_init (&argc, &argv);
   g_test_add_func ("/unlisted-machines/reclaimed", test_reclaimed_machines);
   g_test_add_func ("/unlisted-machines/new-leader", test_new_leader);
+  g_test_add_func ("/unlisted-machines/rental-answered-late", test_rental_answered_late);
+  g_test_add_func ("/unlisted-machines/rental-and-deletion-carried-out-late",
+                   test_rental_and_deletion_carried_out_late);
   return g_test_run ();
 }
