A job's texts, types and id have the protocol's bounds, and what is stored fits

What callers saw: a sound job was refused with 400 for a limit that only this program has: texts of more than 128 bytes, 64 machine types, ids of 64 bytes.

Now a text is bounded by what the state service stores (value_kb, and 32 KiB so that a transaction stays below 64 KiB); beyond that 422 at once, with its reason in the log, as the job can never be stored. An id may be as long as its keys may be. Two places took a length for granted that such texts break, which could have made a write that is refused for its size: a batch of progress (2 KB a job's fields) and a stored summary (256 bytes a demand); both go by the real lengths.

--- a/src/api.c
+++ b/src/api.c
@@ -85,6 +85,31 @@
   kr_request_reply (request, 422, kr_wire_error (kr_refusal_reason_text (reason)), 0);
 }
 
+/* Takes over `spec`. */
+static void
+store_job (KrApi *api, KrRequest *request, KrJobSpec *spec)
+{
+  const KrSettings *settings = api->node->settings;
+  g_autofree char *key = kr_job_key (spec->id), *final_key = kr_job_final_key (spec->id);
+  guint shard = kr_settings_shard_of_team (settings, spec->team);
+  g_autoptr (KrJob) job = kr_job_new (spec, kr_wall_clock_s (), shard);
+  json_t *value = kr_job_encode (job, job->done, 0);
+  if (!kr_job_fits_store (job, value, settings->state_value_kb)) {
+    reply_impossible (api, request, spec, KR_REFUSAL_TOO_LARGE_TO_STORE);
+    json_decref (value);
+    return;
+  }
+  KrApiCall *call =
+      kr_api_call_new (api, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_DEADLINE_MS);
+  KrTxn *txn = kr_txn_new ();
+  kr_txn_expect_revision (txn, key, 0);
+  kr_txn_expect_revision (txn, final_key, 0);
+  kr_txn_put (txn, key, value, 0);
+  kr_api_call_count (call);
+  kr_state_commit (api->node->state_client, txn, KR_QUEUE_NORMAL, KR_STATE_TIMEOUT_MS, api->cancel,
+                   submit_committed, call);
+}
+
 void
 kr_api_submit (KrApi *api, KrRequest *request)
 {
@@ -107,20 +132,8 @@
   else if (kr_state_write_wait (state) > KR_USER_WRITE_WAIT_MAX_S)
     kr_request_reply (request, 429, kr_wire_error ("too many writes"),
                       (guint) ceil (kr_state_write_wait (state)));
-  else {
-    KrApiCall *call =
-        kr_api_call_new (api, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_DEADLINE_MS);
-    g_autofree char *key = kr_job_key (spec->id), *final_key = kr_job_final_key (spec->id);
-    KrTxn *txn = kr_txn_new ();
-    guint shard = kr_settings_shard_of_team (api->node->settings, spec->team);
-    g_autoptr (KrJob) job = kr_job_new (g_steal_pointer (&spec), kr_wall_clock_s (), shard);
-    kr_txn_expect_revision (txn, key, 0);
-    kr_txn_expect_revision (txn, final_key, 0);
-    kr_txn_put (txn, key, kr_job_encode (job, job->done, 0), 0);
-    kr_api_call_count (call);
-    kr_state_commit (state, txn, KR_QUEUE_NORMAL, KR_STATE_TIMEOUT_MS, api->cancel,
-                     submit_committed, call);
-  }
+  else
+    store_job (api, request, g_steal_pointer (&spec));
 }
 
 /* --- abort --------------------------------------------------------------------------- */
--- a/src/constants.h
+++ b/src/constants.h
@@ -150,8 +150,15 @@
 #define KR_PROBE_INTERVAL_MS 10000
 /* Interval of lease renewals: four tries within the lease. */
 #define KR_NODE_RENEW_MS 1500
-/* Part of a stored value that is kept for a job's fields, beside the bitmap of its done tasks. */
+/* Length of a job's id: the longest key with it, "done/ID/CHUNK", has at most 200 bytes. */
+#define KR_JOB_ID_MAX_BYTES 188
+/* Part of a stored value that is kept for a job's numbers and field names. */
 #define KR_VALUE_JOB_FIELDS_BYTES 2048
+/* Length of a job's value, where the state service allows more: a transaction with it and with the
+ * chunks of its bitmap stays below 64 KiB. */
+#define KR_JOB_VALUE_MAX_BYTES 32768
+/* Length of a character of a string in JSON, at most: \u0001. */
+#define KR_JSON_CHARACTER_MAX_BYTES 6
 /* Tasks in a chunk of that bitmap. A chunk takes 4 KB in base64. */
 #define KR_DONE_CHUNK_BITS 24000
 /* Size limit of a batch of writes. It stays well below the 64 KiB of the protocol. */
@@ -363,8 +370,6 @@
 #define KR_STORED_SUMMARY_MAX_AGE_S 10.0
 /* Minimum interval between two stored summaries of the same shard. */
 #define KR_STORED_SUMMARY_INTERVAL_MS 2000
-/* Size of one demand in JSON, with room to spare. */
-#define KR_DEMAND_BYTES 256
 /* Interval of rentals: 50 machines a call, from pools of up to 1,000 machines. */
 #define KR_RENT_INTERVAL_MS 250
 /* Interval at which busy machines are rebalanced. Idle ones are rebalanced in each round. */
--- a/src/job.c
+++ b/src/job.c
@@ -34,6 +34,35 @@
   return (job->spec->tasks + 7) / 8;
 }
 
+/* Returns the greatest length of the text in JSON; 0 for NULL. */
+static gsize
+json_max_bytes (const char *text)
+{
+  return text ? strlen (text) * KR_JSON_CHARACTER_MAX_BYTES : 0;
+}
+
+gsize
+kr_job_stored_max_bytes (const KrJob *job)
+{
+  const KrJobSpec *spec = job->spec;
+  gsize bytes = KR_VALUE_JOB_FIELDS_BYTES + kr_job_bitmap_bytes (job) * 4 / 3;
+  bytes += json_max_bytes (spec->id) + json_max_bytes (spec->job_class) +
+           json_max_bytes (spec->team) + json_max_bytes (spec->image) + json_max_bytes (spec->zone);
+  for (char **type = spec->types; type && *type; type++)
+    bytes += json_max_bytes (*type) + strlen (",\"\"");
+  return bytes;
+}
+
+gboolean
+kr_job_fits_store (const KrJob *job, json_t *value, double value_kb)
+{
+  gsize limit = (gsize) MIN (value_kb * 1024, KR_JOB_VALUE_MAX_BYTES) - KR_VALUE_SLACK_BYTES;
+  if (kr_job_stored_max_bytes (job) <= limit)
+    return TRUE;
+  g_autofree char *text = kr_json_encode (value);
+  return strlen (text) <= limit;
+}
+
 char *
 kr_job_key (const char *id)
 {
--- a/src/job.h
+++ b/src/job.h
@@ -89,3 +89,7 @@
 void kr_job_clear_failures (KrJob *job);
 /* Returns the size of a bitmap with one bit per task. */
 gsize kr_job_bitmap_bytes (const KrJob *job);
+/* Returns an upper bound of the length of the job's stored values, in bytes. */
+gsize kr_job_stored_max_bytes (const KrJob *job);
+/* Whether the job's encoded value will stay within `value_kb`, the state service's limit in KiB. */
+gboolean kr_job_fits_store (const KrJob *job, json_t *value, double value_kb);
--- a/src/refusal-log.c
+++ b/src/refusal-log.c
@@ -22,6 +22,8 @@
   [KR_REFUSAL_NO_FITTING_TYPE] = { 422, "a task fits no allowed machine type", "NoFittingType" },
   [KR_REFUSAL_OVER_TEAM_LIMIT] = { 422, "the job needs more than the team's limit",
                                    "OverTeamLimit" },
+  [KR_REFUSAL_TOO_LARGE_TO_STORE] = { 422, "the job's texts are too long to be stored",
+                                      "TooLargeToStore" },
 };
 
 KrRefusalLog *
--- a/src/shard-progress.c
+++ b/src/shard-progress.c
@@ -279,7 +279,7 @@
   for (guint i = 0; i < jobs->len; i++) {
     KrJob *job = jobs->pdata[i];
     guint ops = finals ? final_write_count (job) : kr_job_chunk_count (job);
-    gsize size = kr_job_bitmap_bytes (job) * 4 / 3 + KR_VALUE_JOB_FIELDS_BYTES;
+    gsize size = kr_job_stored_max_bytes (job);
     if (batch->items->len &&
         (kr_txn_write_count (txn) + ops > writes_max || bytes + size > KR_COMMIT_MAX_BYTES))
       break;
--- a/src/shard-record.c
+++ b/src/shard-record.c
@@ -189,10 +189,9 @@
     return;
   shard->next_summary_at = now + KR_STORED_SUMMARY_INTERVAL_MS * G_GINT64_CONSTANT (1000);
   json_t *summary = kr_shard_summary (shard);
-  gsize demands_max =
-      (gsize) (shard->node->settings->state_value_kb * 1024 - KR_VALUE_SLACK_BYTES) /
-      KR_DEMAND_BYTES;
-  kr_shard_summary_make_stored (summary, demands_max, kr_wall_clock_s ());
+  gsize demands_max_bytes =
+      (gsize) (shard->node->settings->state_value_kb * 1024) - KR_VALUE_SLACK_BYTES;
+  kr_shard_summary_make_stored (summary, demands_max_bytes, kr_wall_clock_s ());
   g_autofree char *key = kr_membership_summary_key (shard->index);
   KrTxn *txn = kr_shard_owner_txn (shard);
   kr_txn_put (txn, key, summary, 0);
--- a/src/shard-summary.c
+++ b/src/shard-summary.c
@@ -1,4 +1,5 @@
 #include "shard-summary.h"
+#include <string.h>
 
 static const char *
 get_string (json_t *object, const char *field)
@@ -193,11 +194,21 @@
 }
 
 void
-kr_shard_summary_make_stored (json_t *message, gsize demands_max, double wall_clock_s)
+kr_shard_summary_make_stored (json_t *message, gsize demands_max_bytes, double wall_clock_s)
 {
-  json_t *demands = json_object_get (message, "Needs");
+  json_t *demands = json_object_get (message, "Needs"), *fitting = json_array (), *demand;
+  gsize bytes = 0;
+  size_t i;
+  json_array_foreach (demands, i, demand)
+  {
+    g_autofree char *text = kr_json_encode (demand);
+    gsize length = strlen (text) + strlen (",");
+    if (bytes + length > demands_max_bytes)
+      continue;
+    bytes += length;
+    json_array_append (fitting, demand);
+  }
+  json_object_set_new (message, "Needs", fitting);
   json_object_del (message, "Berths");
   json_object_set_new (message, "At", json_real (wall_clock_s));
-  while (json_array_size (demands) > demands_max)
-    json_array_remove (demands, json_array_size (demands) - 1);
 }
--- a/src/shard-summary.h
+++ b/src/shard-summary.h
@@ -38,5 +38,6 @@
 json_t *kr_shard_summary_to_json (guint shard, gboolean has_pending, json_t *demands,
                                   json_t *machines);
 /* Changes a message into the form that is stored in the state service: without the machines, which
- * the machine records hold, and with the first `demands_max` demands only. */
-void kr_shard_summary_make_stored (json_t *message, gsize demands_max, double wall_clock_s);
+ * the machine records hold, and without the demands that do not fit into `demands_max_bytes` of
+ * JSON beside those before them. */
+void kr_shard_summary_make_stored (json_t *message, gsize demands_max_bytes, double wall_clock_s);
--- a/src/wire.c
+++ b/src/wire.c
@@ -1,4 +1,5 @@
 #include "wire.h"
+#include "constants.h"
 #include <math.h>
 #include <string.h>
 
@@ -63,7 +64,8 @@
 kr_wire_is_job_id (const char *id)
 {
   gsize n = id ? strlen (id) : 0;
-  if (n <= strlen (JOB_ID_PREFIX) || n > 64 || !g_str_has_prefix (id, JOB_ID_PREFIX))
+  if (n <= strlen (JOB_ID_PREFIX) || n > KR_JOB_ID_MAX_BYTES ||
+      !g_str_has_prefix (id, JOB_ID_PREFIX))
     return FALSE;
   for (const char *p = id + strlen (JOB_ID_PREFIX); *p; p++)
     if (!g_ascii_isdigit (*p))
@@ -83,8 +85,7 @@
 static gboolean
 is_valid_string (const char *s)
 {
-  gsize n = s ? strlen (s) : 0;
-  return n > 0 && n <= 128 && g_utf8_validate (s, n, NULL);
+  return s && *s;
 }
 
 static char *
@@ -163,7 +164,7 @@
   if (!is_null (body, "Hulls")) {
     json_t *types = json_object_get (body, "Hulls"), *type;
     size_t i, n = json_array_size (types);
-    if (!json_is_array (types) || n == 0 || n > 64)
+    if (!json_is_array (types) || n == 0)
       set_field_error (&err, "Hulls");
     else {
       spec->types = g_new0 (char *, n + 1);
--- a/tests/test_held_messages.c
+++ b/tests/test_held_messages.c
@@ -127,6 +127,47 @@
   with_seeds (submit_again);
 }
 
+/* A string of that many characters, as a JSON value. */
+static char *
+long_string (gsize length)
+{
+  g_autofree char *text = g_strnfill (length, 'i');
+  return g_strdup_printf ("\"%s\"", text);
+}
+
+static guint
+submit_with (const char *field, const char *value)
+{
+  g_autofree char *body = job_json_with (field, value);
+  return sim_request (1, "POST", "/api/jobs", body);
+}
+
+/* Guards against a sound job that is refused for a limit that only the program has. */
+static void
+test_long_texts_are_accepted (void)
+{
+  const gsize stored_bytes = (gsize) (default_options.value_kb * 1024);
+  g_autofree char *id_digits = g_strnfill (185, '7');
+  g_autofree char *id = g_strdup_printf ("\"wk-%s\"", id_digits);
+  g_autofree char *image = long_string (stored_bytes - 1024),
+                  *too_long = long_string (stored_bytes);
+  g_autoptr (GString) types = g_string_new ("[\"t8\"");
+  for (guint i = 0; i < 1000; i++)
+    g_string_append_printf (types, ",\"type-%u\"", i);
+  g_string_append_c (types, ']');
+  start_cluster (&default_options);
+  g_assert_cmpuint (submit_with ("Cargo", image), ==, 201);
+  g_assert_cmpuint (submit_with ("Id", id), ==, 201);
+  sim_state_remove ("job/wk-7");
+  g_assert_cmpuint (submit_with ("Hulls", types->str), ==, 201);
+  sim_state_remove ("job/wk-7");
+  g_assert_cmpuint (submit_with ("Lane", "\"größe\\u0000\""), ==, 201);
+  sim_state_remove ("job/wk-7");
+  g_assert_cmpuint (submit_with ("Cargo", too_long), ==, 422);
+  g_assert_cmpstr (sim_violations (), ==, "");
+  sim_stop ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -135,5 +176,6 @@
   g_test_add_func ("/held-messages/starts-with-late-commands", test_starts_with_late_commands);
   g_test_add_func ("/submissions/again-in-another-spelling",
                    test_submitted_again_in_another_spelling);
+  g_test_add_func ("/submissions/long-texts-are-accepted", test_long_texts_are_accepted);
   return g_test_run ();
 }
--- a/tests/test_shard_summary.c
+++ b/tests/test_shard_summary.c
@@ -1,6 +1,8 @@
 /* The summaries that owners send to the leader, well-formed and malformed. */
+#include "constants.h"
 #include "fixture.h"
 #include "shard-summary.h"
+#include <string.h>
 
 /* Every node sends the leader a summary of its home shard with these entries, for some rounds. */
 static void
@@ -128,6 +130,26 @@
   json_decref (message);
 }
 
+/* Guards against a stored summary that is refused for its length. */
+static void
+test_stored_form_fits (void)
+{
+  g_autofree char *long_zone = g_strnfill (20000, 'z');
+  json_t *demands = json_array ();
+  for (guint i = 0; i < 3; i++) {
+    KrJobSpec requirements = { .zone = i == 1 ? long_zone : "z1", .cpus = 1 };
+    const KrDemand demand = { .requirements = &requirements, .goal_slots = 1, .max_slots = 1 };
+    json_array_append_new (demands, kr_demand_to_json (&demand));
+  }
+  json_t *message = kr_shard_summary_to_json (1, TRUE, demands, json_array ());
+  kr_shard_summary_make_stored (message, 1000, 5);
+  g_autofree char *text = kr_json_encode (message);
+  g_assert_cmpuint (strlen (text), <, 1000 + KR_VALUE_SLACK_BYTES);
+  g_autoptr (KrShardSummary) stored = kr_shard_summary_parse (message, 3);
+  g_assert_cmpuint (stored->demands->len, ==, 2);
+  json_decref (message);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -136,5 +158,6 @@
   g_test_add_func ("/shard-summary/malformed-message", test_malformed_message);
   g_test_add_func ("/shard-summary/missing-values", test_missing_values);
   g_test_add_func ("/shard-summary/round-trip", test_round_trip);
+  g_test_add_func ("/shard-summary/stored-form-fits", test_stored_form_fits);
   return g_test_run ();
 }
