A job's value under the key of another id is malformed

The shard's jobs are kept under the id within their value, and looked up by the id in the key of the state service. Two values of one job under two keys made the table free the id that it kept as its key: the same fault as with machines that reported before the answer to their rental. Only keelrouter writes these keys, so nothing was seen. /service/job-stored-under-another-id failed before (heap-use-after-free).

--- a/src/shard-progress.c
+++ b/src/shard-progress.c
@@ -482,6 +482,9 @@
     return;
   }
   job = kr_job_decode (item->value, item->revision);
+  /* The table's key is the id within the value. */
+  if (job && !g_str_equal (job->spec->id, id))
+    g_clear_pointer (&job, kr_job_free);
   if (!job) {
     kr_info ("state service: ignoring the malformed value of %s", item->key);
     return;
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -974,6 +974,23 @@
   finish_and_check (400);
 }
 
+/* Guards against reading a freed id: values of one job under several keys. */
+static void
+test_job_stored_under_another_id (void)
+{
+  start_cluster (&default_options);
+  submit_jobs (20, 15);
+  sim_run (10);
+  g_autofree char *spec = job_json_with (NULL, NULL);
+  g_autofree char *value = g_strdup_printf ("{\"Spec\":%s,\"Part\":0,\"At\":1}", spec);
+  for (guint i = 0; i < 4; i++) {
+    g_autofree char *key = g_strdup_printf ("job/wk-77777%u", i);
+    sim_state_put (key, value);
+    sim_run (1);
+  }
+  finish_and_check (400);
+}
+
 /* Two thousand machines come up and work, then all controllers crash at once and come back. The
  * shards must open within seconds, no task may start twice, and at the end every machine must be
  * returned. */
@@ -1114,6 +1131,7 @@
   g_test_add_func ("/service/fleet", test_fleet);
   g_test_add_func ("/service/duplicate-requests", test_duplicate_requests);
   g_test_add_func ("/service/malformed", test_malformed);
+  g_test_add_func ("/service/job-stored-under-another-id", test_job_stored_under_another_id);
   g_test_add_func ("/service/random-faults", test_random_faults);
   return g_test_run ();
 }
