A directive with a target of no shard is ignored

Since integers are unsigned, a target like -7 is no integer, and a directive whose target is none meant "return these machines". No sound node sends one; /service/malformed now asserts that the machine stays. Shards beyond the number of shards are no longer cut to 32 bits.

--- a/src/provisioner.c
+++ b/src/provisioner.c
@@ -213,6 +213,7 @@
 gboolean
 kr_provisioner_apply_directives (KrProvisioner *provisioner, json_t *directives, guint64 leader)
 {
+  const guint shard_count = provisioner->node->settings->shard_count;
   json_t *directive, *id_json;
   size_t i, k;
 
@@ -220,18 +221,17 @@
     return FALSE;
   json_array_foreach (directives, i, directive)
   {
-    guint shard_index = (guint) kr_json_uint (json_object_get (directive, "Part"));
-    KrShard *shard = shard_index < provisioner->node->settings->shard_count
-                         ? provisioner->node->shards[shard_index]
-                         : NULL;
+    guint64 index = kr_json_uint_below (json_object_get (directive, "Part"), shard_count);
     json_t *to = json_object_get (directive, "To");
-    if (!shard)
+    guint64 target = kr_json_uint_below (to, shard_count);
+    KrShard *shard = index < shard_count ? provisioner->node->shards[index] : NULL;
+    if (!shard || (to && target >= shard_count))
       continue;
     json_array_foreach (json_object_get (directive, "Ids"), k, id_json)
     {
       const char *machine_id = json_string_value (id_json);
-      if (machine_id && json_is_integer (to))
-        kr_shard_mark_for_move (shard, machine_id, (guint) kr_json_uint (to));
+      if (machine_id && to)
+        kr_shard_mark_for_move (shard, machine_id, (guint) target);
       else if (machine_id)
         kr_shard_return_machine (shard, machine_id);
     }
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -967,6 +967,8 @@
         ==, 200);
     g_assert_cmpuint (sim_peer_request (i, "POST", "/nothing", "{}"), ==, 404);
   }
+  sim_run (3);
+  g_assert_true (sim_machine_alive ("host-000000")); /* a target of no shard returns no machine */
   /* The record of an existing shard becomes an array: its machines must still be known. */
   sim_state_put ("c/berths/0/0", "[]");
   sim_run (3);
