Tests: unknown fields in every run, and workers back at once under another session

The users and workers of the simulated tests and of the soak add a field that the protocol does not know to two of three messages, by themselves, with a large integer, half of a surrogate pair, nesting or another object's names. /unlisted-machines/back-with-new-session held: a worker that is back at once without its tasks, under its next session, while old reports arrive and the leader ends.

--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -970,6 +970,25 @@
     record_violation ("started_cancelled: task %s/%u starts on %s", t->job, t->index, m->id);
 }
 
+/* Adds a field that the protocol does not know to two of three messages. `draw` is not one of the
+ * run's random numbers, whose order is part of a seed. */
+static json_t *
+with_unknown_field (json_t *message, guint draw)
+{
+  static const char *const values[] = { "18446744073709551615",
+                                        "-9223372036854775809",
+                                        "1e300",
+                                        "null",
+                                        "\"\\u0000\\ud800 日本語\"",
+                                        "[[],{},true,[[[[[]]]]]]",
+                                        "{\"größe\":\"✓\",\"Id\":\"wk-1\",\"Watch\":0}" };
+  const char *value = values[draw / 3 % G_N_ELEMENTS (values)];
+  if (draw % 3)
+    json_object_set_new (message, draw % 2 ? "x_labels" : "größe ✓",
+                         kr_json_decode (value, strlen (value), NULL));
+  return message;
+}
+
 static json_t *
 build_report (Machine *m)
 {
@@ -982,10 +1001,11 @@
       json_object_set_new (o, "Wreck", json_string (t->exit_reason));
     json_array_append_new (tasks, o);
   }
-  return json_pack ("{ss ss ss ss sb sI sI sI sn so}", "Berth", m->id, "Endpoint", m->address,
-                    "Hull", "t8", "Harbor", m->zone, "Driftwood", 1, "Watch",
-                    (json_int_t) m->session, "Log", (json_int_t) ++m->seq, "Helm",
-                    (json_int_t) m->token, "RecallS", "Shifts", tasks);
+  json_t *report =
+      json_pack ("{ss ss ss ss sb sI sI sI sn so}", "Berth", m->id, "Endpoint", m->address, "Hull",
+                 "t8", "Harbor", m->zone, "Driftwood", 1, "Watch", (json_int_t) m->session, "Log",
+                 (json_int_t) ++m->seq, "Helm", (json_int_t) m->token, "RecallS", "Shifts", tasks);
+  return with_unknown_field (report, (guint) m->seq);
 }
 
 static void
@@ -1156,6 +1176,16 @@
   m->report_delay_s = 0;
 }
 
+/* The worker forgets its tasks and reports under a new session. */
+static void
+begin_session (Machine *m)
+{
+  g_ptr_array_set_size (m->tasks, 0);
+  m->session++;
+  m->lease_renewed_at = fakes.now;
+  report_soon (m);
+}
+
 static gboolean
 update_machine (gpointer data)
 {
@@ -1171,12 +1201,8 @@
     m->session = 1;
     m->lease_renewed_at = m->next_report_at = fakes.now;
   }
-  if (fakes.now - m->lease_renewed_at > (gint64) (fakes.options.lease_s * 1e6)) {
-    g_ptr_array_set_size (m->tasks, 0);
-    m->session++;
-    m->lease_renewed_at = fakes.now;
-    report_soon (m);
-  }
+  if (fakes.now - m->lease_renewed_at > (gint64) (fakes.options.lease_s * 1e6))
+    begin_session (m);
   /* A paused machine's lease runs on: the check above ends its tasks once it has expired. */
   if (m->paused)
     return FALSE;
@@ -1328,6 +1354,12 @@
   ((Machine *) g_hash_table_lookup (fakes.machines, id))->paused = on;
 }
 
+void
+sim_machine_begin_session (const char *id)
+{
+  begin_session (g_hash_table_lookup (fakes.machines, id));
+}
+
 void
 sim_machine_stop_reports (const char *id, gboolean on)
 {
@@ -1962,6 +1994,7 @@
       "Accelerators", 0.0, "MemGb", 1.0, "Cargo", "img", "PullGb", 0.0, "Hulls", "Harbor", zone,
       "OneZone", placement == SIM_ONE_ZONE, "Apart", placement == SIM_SPREAD, "Driftwood", 1,
       "SailS", run_s, "MooringS", 0.0, "StowS", 0.0, "TideS", deadline_s);
+  with_unknown_field (user_job->body, g_str_hash (id));
   g_hash_table_insert (fakes.jobs, user_job->id, user_job);
   send_next_request (user_job);
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -514,6 +514,11 @@
   return r->call->body;
 }
 
+void
+kr_request_discard_json (KrRequest *r)
+{
+}
+
 const char *
 kr_request_json_error (KrRequest *r)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -125,6 +125,8 @@
 void sim_machine_slow_down (const char *id, double factor);
 /* Pauses the machine. Its clocks run on, and requests to it are delivered when it continues. */
 void sim_machine_pause (const char *id, gboolean on);
+/* The worker is back at once without its tasks, under its next session. */
+void sim_machine_begin_session (const char *id);
 /* The machine sends no reports. It still receives commands and responds to them. */
 void sim_machine_stop_reports (const char *id, gboolean on);
 /* The machine's next report takes that much longer to arrive. */
--- a/tests/test_unlisted_machines.c
+++ b/tests/test_unlisted_machines.c
@@ -125,6 +125,33 @@
   with_seeds (deletion_carried_out_late);
 }
 
+static void
+back_with_new_session (void)
+{
+  start_cluster (&default_options);
+  submit_jobs (40, 20);
+  run_until_tasks_run (20);
+  g_auto (GStrv) machines = sim_machine_names (NULL);
+  for (guint i = 0; machines[i]; i++) {
+    sim_delay_next_report (machines[i], 3);
+    sim_run (0.7);
+    if (sim_machine_alive (machines[i]))
+      sim_machine_begin_session (machines[i]);
+    if (i == 2)
+      crash_and_restart (0, 0.5);
+    sim_replay_old_reports ();
+  }
+  finish_and_check (400);
+}
+
+/* Guards against tasks that start twice, or are taken for running, after a worker came back within
+ * a second under another session, while reports of the session before still arrive. */
+static void
+test_back_with_new_session (void)
+{
+  with_seeds (back_with_new_session);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -134,5 +161,6 @@
   g_test_add_func ("/unlisted-machines/rental-answered-late", test_rental_answered_late);
   g_test_add_func ("/unlisted-machines/rental-and-deletion-carried-out-late",
                    test_rental_and_deletion_carried_out_late);
+  g_test_add_func ("/unlisted-machines/back-with-new-session", test_back_with_new_session);
   return g_test_run ();
 }
