The value of a submission's body is freed before its answer

A JSON value takes many times the memory of its text, up to some MB for 64 KiB of empty arrays, and a submission waits for the state service. A check of the long double's width at compile time: the codec relies on it for integers above 2^53 with a point or an exponent.

--- a/src/api.c
+++ b/src/api.c
@@ -99,6 +99,7 @@
     json_decref (value);
     return;
   }
+  kr_request_discard_json (request);
   KrApiCall *call =
       kr_api_call_new (api, request, KR_ROUTE_SUBMIT, spec->id, KR_USER_WRITE_DEADLINE_MS);
   KrTxn *txn = kr_txn_new ();
--- a/src/http-server.c
+++ b/src/http-server.c
@@ -292,6 +292,12 @@
   return request->json;
 }
 
+void
+kr_request_discard_json (KrRequest *request)
+{
+  g_clear_pointer (&request->json, json_decref);
+}
+
 const char *
 kr_request_json_error (KrRequest *request)
 {
--- a/src/http-server.h
+++ b/src/http-server.h
@@ -40,6 +40,9 @@
  */
 const char *kr_request_json_error (KrRequest *request);
 gsize kr_request_body_bytes (KrRequest *request);
+/* Frees the body. For requests whose answer comes later, as a value takes many times the memory of
+ * its text. */
+void kr_request_discard_json (KrRequest *request);
 /* Whether the client has closed the connection, so that an answer cannot reach it. */
 gboolean kr_request_disconnected (KrRequest *request);
 /* Answers the request and frees it. Takes over `body`; NULL stands for an empty object. With
--- a/src/json-codec.c
+++ b/src/json-codec.c
@@ -10,6 +10,7 @@
 #define CALLBACK_CONTINUE 1
 /* 2^64 */
 #define UINT_END 18446744073709551616.0L
+G_STATIC_ASSERT (LDBL_MANT_DIG >= 64);
 
 /* --- values -------------------------------------------------------------------------- */
 gboolean
