--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -147,15 +147,12 @@
 static void
 test_unknown_fields_of_any_value (void)
 {
-  static const char *const values[] = { "18446744073709551615",
-                                        "-9223372036854775809",
-                                        "123456789012345678901234567890",
-                                        "1e999",
-                                        "\"\\u0000\"",
-                                        "\"\\ud800\"",
-                                        "{\"\\u0000\":1,\"a\":1,\"a\":2}",
-                                        "{\"größe\":\"日本語 ✓\",\"n\":18446744073709551615,"
-                                        "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}" };
+  static const char recorded[] = "{\"größe\":\"日本語 ✓\",\"n\":18446744073709551615,"
+                                 "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}";
+  static const char *const values[] = {
+    "18446744073709551615", "-9223372036854775809", "123456789012345678901234567890",  "1e999",
+    "\"\\u0000\"",          "\"\\ud800\"",          "{\"\\u0000\":1,\"a\":1,\"a\":2}", recorded
+  };
   for (guint i = 0; i < G_N_ELEMENTS (values); i++) {
     g_autofree char *body = g_strdup_printf ("{\"Id\":\"wk-1\",\"x\":%s}", values[i]);
     g_test_message ("%s", body);
