--- a/review/standin-2/grid.h
+++ b/review/standin-2/grid.h
@@ -27,4 +27,8 @@
   .pull_s = 0.5,
   .memory_mb = 72,
   .sockets = 1500,
+  .objectives = "\n[[facts.objectives]]\nkind = \"finished\"\nclass = \"box-planning\"\nwithin_s = 80.0\nshare = 0.8\n"
+                "\n[[facts.objectives]]\nkind = \"deadline\"\nclass = \"allergen-labels\"\nshare = 0.9\ntimes = 1.0\n"
+                "\n[[facts.objectives]]\nkind = \"wait\"\nclass = \"allergen-labels\"\nwithin_s = 4.0\nshare = 0.88\n"
+                "\n[[facts.objectives]]\nkind = \"finished\"\nclass = \"menu-archive\"\nwithin_s = 180.0\nshare = 0.65\n",
 };
--- a/review/standin-2/mezani.h
+++ b/review/standin-2/mezani.h
@@ -22,4 +22,7 @@
   .pull_s = 1,
   .memory_mb = 56,
   .sockets = 900,
+  .objectives = "\n[[facts.objectives]]\nkind = \"deadline\"\nclass = \"menu-plan-nightly\"\nshare = 0.8\ntimes = 1.0\n"
+                "\n[[facts.objectives]]\nkind = \"deadline\"\nclass = \"allergy-recheck\"\nshare = 0.82\ntimes = 1.0\n"
+                "\n[[facts.objectives]]\nkind = \"wait\"\nclass = \"allergy-recheck\"\nwithin_s = 50.0\nshare = 0.82\n",
 };
--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -1359,6 +1359,7 @@
   for (guint i = 0; i < 8 && site.teams[i].name; i++)
     g_string_append_printf (t, "\n[[facts.teams]]\nname = \"%s\"\ncpus = %f\ncpus_max = %f\ngpus = 0.0\ngpus_max = 0.0\n",
                             site.teams[i].name, site.teams[i].cpus, site.teams[i].cpus_max);
+  g_string_append (t, site.objectives ? site.objectives : "");
   g_string_append_printf (t, "\n[facts.workers]\nreport_s = %f\nlease_s = %f\ngang_wait_s = 50.0\ngang_peer_s = 5.0\ncancel_s = %f\n",
                           site.report_s, site.lease_s, site.cancel_s);
   g_string_append_printf (t, "\n[facts.state]\nrps = %f\nwrite_rps = %f\nvalue_kb = %f\ntxn_ops = %u\n", site.state_rps,
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -33,6 +33,7 @@
   double pull_s;                           /* time of an image fetch */
   double memory_mb;
   guint sockets;
+  const char *objectives; /* tables of the settings file */
 } Site;
 
 typedef struct {
