--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -108,11 +108,15 @@
   return n ? json_loadb (data, n, JSON_DECODE_ANY, NULL) : NULL;
 }
 
+/* The controllers' addresses: a loopback address of this run alone, so that nobody takes a port between the search
+ * for it and the controller's start. */
+static char node_host[16];
+
 static guint
 free_port (void)
 {
   int fd = socket (AF_INET, SOCK_STREAM, 0);
-  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr.s_addr = inet_addr (node_host) };
   socklen_t n = sizeof a;
   if (bind (fd, (struct sockaddr *) &a, sizeof a) || getsockname (fd, (struct sockaddr *) &a, &n))
     exit (2);
@@ -326,7 +330,7 @@
   out->data = data;
   out->request = g_string_new (NULL);
   out->response = g_string_new (NULL);
-  g_string_printf (out->request, "%s %s HTTP/1.1\r\nHost: 127.0.0.1:%u\r\nConnection: close\r\n", method, path, port);
+  g_string_printf (out->request, "%s %s HTTP/1.1\r\nHost: %s:%u\r\nConnection: close\r\n", method, path, node_host, port);
   if (body)
     g_string_append_printf (out->request, "Content-Type: application/json\r\nContent-Length: %zu\r\n", strlen (text));
   else if (g_str_equal (method, "POST"))
@@ -335,7 +339,7 @@
   free (text);
   json_decref (body);
   out->timer = g_timeout_add ((guint) (timeout_s * 1000), out_timed_out, out);
-  g_socket_client_connect_to_host_async (client, "127.0.0.1", (guint16) port, out->cancel, out_connected, out);
+  g_socket_client_connect_to_host_async (client, node_host, (guint16) port, out->cancel, out_connected, out);
 }
 
 /* --- state service ------------------------------------------------------------------------------ */
@@ -1344,12 +1348,12 @@
   guint zone_count = 0;
   while (zone_count < 8 && site.zones[zone_count])
     zone_count++;
-  g_string_append_printf (t, "node_name = \"berth-%u\"\nzone = \"%s\"\nclient_listen = \"127.0.0.1:%u\"\ninternal_addr = \"127.0.0.1:%u\"\n",
-                          n, site.zones[n % zone_count], nodes[n].public_port, nodes[n].peer_port);
+  g_string_append_printf (t, "node_name = \"berth-%u\"\nzone = \"%s\"\nclient_listen = \"%s:%u\"\ninternal_addr = \"%s:%u\"\n",
+                          n, site.zones[n % zone_count], node_host, nodes[n].public_port, node_host, nodes[n].peer_port);
   for (guint i = 0; i < site.nodes; i++)
     if (i != n)
-      g_string_append_printf (t, "\n[[others]]\nnode_name = \"berth-%u\"\nzone = \"%s\"\npeer_addr = \"127.0.0.1:%u\"\n", i,
-                              site.zones[i % zone_count], nodes[i].peer_port);
+      g_string_append_printf (t, "\n[[others]]\nnode_name = \"berth-%u\"\nzone = \"%s\"\npeer_addr = \"%s:%u\"\n", i,
+                              site.zones[i % zone_count], node_host, nodes[i].peer_port);
   g_string_append_printf (t, "\n[external]\ncloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n", nodes[n].cloud_port,
                           nodes[n].state_port);
   g_string_append_printf (t, "\n[facts]\nsize = %u\nzones = [", site.nodes);
@@ -1649,6 +1653,8 @@
   request_tokens = site.state_rps;
   write_tokens = site.state_write_rps;
   cloud_tokens = 2 * site.cloud_rps;
+  guint32 run = (guint32) getpid ();
+  g_snprintf (node_host, sizeof node_host, "127.%u.%u.%u", 64 + (run >> 14) % 128, 1 + (run >> 7) % 128, 1 + run % 128);
   rng = g_rand_new_with_seed (57);
   dir = g_dir_make_tmp ("keelrouter-review-XXXXXX", NULL);
   machines = g_hash_table_new (g_str_hash, g_str_equal);
