Demand too small to divide among the pools is rented for

Cause: the unmet demand is divided among the open pools. A share below a twentieth of a machine asked the pool for nothing, and yet counted as served: a slot of an eighth of a machine in four zones left nothing after the last pool, in each round again. Demand of less than a twentieth of a machine as a whole was never rented for either, with machines or without.

Why this mends it: a share too small to rent for is not divided, demand counts as served only where a pool is asked, and a whole slot is always enough to ask. What stays below the bound is a part of a slot, which no task could use.

--- a/src/constants.h
+++ b/src/constants.h
@@ -383,7 +383,7 @@
 /* A job's demand is computed for this share of the time from its submission to its goal. The rest
  * is left for image pulls, reports and moves of machines. */
 #define KR_RENT_GOAL_SHARE 0.75
-/* No machine is rented for a demand below this fraction of a machine. */
+/* No machine is rented for a part of a slot below this fraction of a machine. */
 #define KR_RENT_MIN_MACHINES 0.05
 /* Machines in a rental, by the protocol. */
 #define KR_RENT_BATCH_MAX 50
--- a/src/rental.c
+++ b/src/rental.c
@@ -4,6 +4,9 @@
 #include "log.h"
 #include <math.h>
 
+/* Tolerance for rounding errors in numbers of slots. */
+#define SLOT_TOLERANCE 1e-6
+
 /* A pool and the request to it. */
 typedef struct {
   KrPool id;
@@ -194,28 +197,53 @@
          kr_placement_fits_type (demand->requirements, offer->type);
 }
 
-/* Rents machines for the unmet demand from one pool. The demand is divided evenly among the `pools`
- * open pools that remain, this one included; demand for a certain zone is not divided. */
-static void
-rent_from_pool (KrRental *rental, const Offer *offer, PoolState *pool, guint pools,
-                GPtrArray *demands, gboolean spot_open)
+/* Adds up the machines that the pool would be asked for if the demand were divided evenly among
+ * `pools` pools; demand for a certain zone is not divided. Stores the slots of each demand in
+ * `taken`. */
+static double
+share_of_pool (const Offer *offer, const PoolState *pool, guint pools, const GPtrArray *demands,
+               gboolean spot_open, double *taken)
 {
   double machines = 0;
-  g_autofree double *taken = g_new0 (double, demands->len);
   for (guint i = 0; i < demands->len; i++) {
     const KrDemand *demand = demands->pdata[i];
+    taken[i] = 0;
     if (!offer_serves (offer, pool, demand, spot_open))
       continue;
     taken[i] = demand->requirements->zone ? demand->unmet_slots : demand->unmet_slots / pools;
     machines += taken[i] * kr_placement_machine_share (demand->requirements, offer->type);
   }
+  return machines;
+}
+
+static gboolean
+has_whole_slot (const double *slots, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    if (slots[i] > 1 - SLOT_TOLERANCE)
+      return TRUE;
+  return FALSE;
+}
+
+/* Rents machines for the unmet demand from one pool. The demand is divided evenly among the `pools`
+ * open pools that remain, this one included, unless the share of a pool would be too small to rent
+ * a machine for it. Demand for which the pool is not asked remains unmet. */
+static void
+rent_from_pool (KrRental *rental, const Offer *offer, PoolState *pool, guint pools,
+                GPtrArray *demands, gboolean spot_open)
+{
+  g_autofree double *taken = g_new (double, MAX (1, demands->len));
+  double machines = share_of_pool (offer, pool, pools, demands, spot_open, taken);
+  if (machines <= KR_RENT_MIN_MACHINES)
+    machines = share_of_pool (offer, pool, 1, demands, spot_open, taken);
+  if (machines <= KR_RENT_MIN_MACHINES && !has_whole_slot (taken, demands->len))
+    return;
   /* Demand beyond one request's size is left to the other pools: a thousand machines from a single
    * pool, 50 per request, would arrive late. */
-  double fraction = machines > 0 ? MIN (1, KR_RENT_BATCH_MAX / machines) : 0;
+  double fraction = MIN (1, KR_RENT_BATCH_MAX / machines);
   for (guint i = 0; i < demands->len; i++)
     ((KrDemand *) demands->pdata[i])->unmet_slots -= taken[i] * fraction;
-  if (machines > KR_RENT_MIN_MACHINES)
-    send_rent_request (rental, pool, (guint) ceil (machines));
+  send_rent_request (rental, pool, (guint) ceil (machines));
 }
 
 void
--- /dev/null
+++ b/tests/test_rental.c
@@ -0,0 +1,80 @@
+/* Renting: work that waits while the cloud has machines for it, and no controller asks for one. */
+#include "fixture.h"
+
+/* Time in which a machine is rented, boots, and gets its first task. */
+#define FIRST_TASK_WITHIN_S 40
+/* Run time of a task that does not end during a test. */
+#define LONG_TASK_S 1000
+/* Time after which machines that nothing needs have been returned. */
+#define RETURNED_WITHIN_S 30
+
+static SimOptions
+options_with_zones (guint zones)
+{
+  SimOptions options = default_options;
+  options.zones = zones;
+  return options;
+}
+
+static void
+run_until_tasks_run (guint tasks, double within_s)
+{
+  double end = sim_now () + within_s;
+  while (sim_tasks_running (NULL) < tasks && sim_now () < end)
+    sim_run (0.5);
+  g_assert_cmpuint (sim_tasks_running (NULL), ==, tasks);
+}
+
+static void
+last_task_of_an_array (void)
+{
+  const SimOptions options = options_with_zones (4);
+  start_cluster (&options);
+  sim_submit ("wk-000001", "team0", "normal", options.machine_cpus + 1, 1, LONG_TASK_S, 600);
+  run_until_tasks_run (options.machine_cpus + 1, FIRST_TASK_WITHIN_S);
+  sim_run (RETURNED_WITHIN_S);
+  sim_machine_kill (sim_least_busy_machine ());
+  sim_run (2 * options.lease_s);
+  run_until_tasks_run (options.machine_cpus + 1, FIRST_TASK_WITHIN_S);
+  sim_run (RETURNED_WITHIN_S);
+  g_assert_cmpuint (sim_machine_count (), ==, 2);
+  g_assert_cmpstr (sim_violations (), ==, "");
+  sim_stop ();
+}
+
+/* Guards against the last task of an array that waits for good after its machine was taken: divided
+ * among the pools, its demand was too small for any of them. */
+static void
+test_last_task_of_an_array (void)
+{
+  with_seeds (last_task_of_an_array);
+}
+
+static void
+small_task (void)
+{
+  for (guint zones = 1; zones <= 4; zones += 3) {
+    const SimOptions options = options_with_zones (zones);
+    start_cluster (&options);
+    sim_submit ("wk-000001", "team0", "normal", 1, 0.01, 20, 600);
+    run_until_tasks_run (1, FIRST_TASK_WITHIN_S);
+    g_assert_cmpuint (sim_machine_count (), ==, 1);
+    finish_and_check (100);
+  }
+}
+
+/* Guards against a single small task for which an idle deployment rents no machine, or several. */
+static void
+test_small_task (void)
+{
+  with_seeds (small_task);
+}
+
+int
+main (int argc, char **argv)
+{
+  fixture_init (&argc, &argv);
+  g_test_add_func ("/rental/last-task-of-an-array", test_last_task_of_an_array);
+  g_test_add_func ("/rental/small-task", test_small_task);
+  return g_test_run ();
+}
