Restricted demand is served by machines that its shard has or gets

Without any fault, two teams bound to two zones could each get the machine in the other's zone and wait for good.

Cause: two decisions on one fact with different detail. The match lets room on any shard's machine serve any shard's demand, with zone, type and kind looked at; whether the machine gets to that shard is decided on sums of CPUs, without them. So the demand counted as served, nothing was rented, and nothing was moved.

Why this mends it: the match is the one place that decides. Demand that some machine cannot serve is restricted: it is served by machines of its own shard, or by whole free ones, which the match dedicates to that shard. A new machine is assigned to, a free one moved to, and a dedicated one kept by that shard, whatever the sums say; what is left is unmet, and rented. Room on a dedicated machine serves no other shard, as the machine cannot move there. Demand that every machine can serve goes by sums as before, so nothing changes on sites without restricted demand. A machine that serves anything is not dedicated elsewhere, which hinders oscillation.

--- a/src/allocation.h
+++ b/src/allocation.h
@@ -12,6 +12,7 @@
   double goal_slots;    /* slots needed to meet the goals of the jobs */
   double max_slots;     /* slots that could be used if there were capacity for all tasks */
   double unmet_slots;   /* out: slots that no machine can provide */
+  gboolean restricted;  /* out: some machine cannot serve it */
   gboolean urgent;
 } KrDemand;
 /* Frees a KrDemand; a GDestroyNotify. */
@@ -34,10 +35,21 @@
   double drain_s;       /* s until it is empty if no further task starts */
   gint target_shard;    /* shard that it moves to once it is empty; -1: none */
   double unused;        /* out: fraction of the machine that no demand needs, 0 to 1 */
+  /* out: it serves restricted demand of the shard `dedicated_to`, and must belong to that shard. */
+  gboolean dedicated;
+  guint dedicated_to;
 } KrSupply;
 /* Frees a KrSupply; a GDestroyNotify. */
 void kr_supply_free (gpointer data);
 
+/* Whether the machine counts as supply. */
+gboolean kr_supply_is_counted (const KrSupply *supply);
+/* Whether the machine can move without being drained: it is idle or still boots. */
+gboolean kr_supply_is_free (const KrSupply *supply);
+/* Returns the shard that the machine belongs to once a pending move is done, or -1. The move of a
+ * busy machine may still be revoked, and does not count. */
+gint kr_supply_shard (const KrSupply *supply);
+
 /* Returns the CPUs that `slots` slots of the demand occupy: for each slot, its share of a machine
  * (see kr_placement_machine_share()) of the first of `types` that fits, times the CPUs of that
  * type. Returns 0 if no type fits. */
@@ -48,9 +60,15 @@
 void kr_allocation_max_min (const double *demand, guint shard_count, double supply,
                             double *targets);
 
-/* Matches machines with demand. The machines of each shard serve its own demand first, the cheapest
- * machines first; unused capacity then serves other shards. With `use_max`, the demand is
- * `max_slots` instead of `goal_slots`. Sets `unmet_slots` and `unused`, and sorts `supplies`. */
+/* Matches machines with demand, the cheapest machines first: decides which demand is served by what
+ * there is. What is left unmet is to be rented. The machines of each shard serve its own demand
+ * first. Unused capacity then serves other shards:
+ * - demand that every machine can serve counts as served by any of it, since sums of CPUs decide
+ *   how many machines each shard gets (kr_allocation_shard_targets());
+ * - restricted demand is served by whole free machines only, which are then dedicated to its shard:
+ *   no sum says that the machine to move has to be of a certain type, zone or kind.
+ * With `use_max`, the demand is `max_slots` instead of `goal_slots`. Sets the fields marked "out".
+ */
 void kr_allocation_match (GPtrArray *demands, GPtrArray *supplies, gboolean use_max);
 
 /* Computes in `targets` (out) how many of the `supply` CPUs each shard should have. The demand is
--- a/src/provisioner.c
+++ b/src/provisioner.c
@@ -466,14 +466,14 @@
 /* Returns the shard with the largest deficit of CPUs. A shard that lacks at least as many CPUs as
  * the machine has, and whose owner is in the machine's zone, is preferred. */
 static guint
-shard_for_machine (KrProvisioner *provisioner, const KrListedMachine *listed, double cpus,
-                   const double *deficit)
+shard_for_machine (KrProvisioner *provisioner, const KrSupply *machine, const double *deficit)
 {
+  double cpus = machine->type ? machine->type->cpus : 0;
   guint best = 0;
   gboolean best_same_zone = FALSE;
   for (guint shard = 0; shard < provisioner->node->settings->shard_count; shard++) {
     gboolean same_zone =
-        deficit[shard] >= cpus && g_strcmp0 (owner_zone (provisioner, shard), listed->zone) == 0;
+        deficit[shard] >= cpus && g_strcmp0 (owner_zone (provisioner, shard), machine->zone) == 0;
     if (shard == 0 || same_zone > best_same_zone ||
         (same_zone == best_same_zone && deficit[shard] > deficit[best])) {
       best = shard;
@@ -483,10 +483,11 @@
   return best;
 }
 
-/* Assigns the machines, each to the shard with the largest remaining deficit, in one transaction.
- * Machines for which the transaction has no room remain unassigned until the next round. */
+/* Assigns new machines, each to the shard that it is dedicated to, else to the one
+ * with the largest remaining deficit, in one transaction. Machines for which the transaction has no
+ * room remain unassigned until the next round. */
 static void
-assign_machines (KrProvisioner *provisioner, GPtrArray *machines, double *deficit)
+assign_machines (KrProvisioner *provisioner, const GPtrArray *machines, double *deficit)
 {
   const KrSettings *settings = provisioner->node->settings;
   if (provisioner->assign_in_flight || !provisioner->records_relisted)
@@ -506,12 +507,11 @@
   for (guint i = 0; i < machines->len &&
                     kr_record_update_chunk_count (assignment->update) < settings->state_txn_ops;
        i++) {
-    const KrListedMachine *listed = machines->pdata[i];
-    const KrMachineType *type = kr_node_machine_type (provisioner->node, listed->type);
-    double cpus = type ? type->cpus : 0;
-    guint best = shard_for_machine (provisioner, listed, cpus, deficit);
-    kr_record_update_add (assignment->update, best, listed->id, "");
-    deficit[best] -= cpus;
+    const KrSupply *machine = machines->pdata[i];
+    guint shard = machine->dedicated ? machine->dedicated_to
+                                     : shard_for_machine (provisioner, machine, deficit);
+    kr_record_update_add (assignment->update, shard, machine->id, "");
+    deficit[shard] -= machine->type ? machine->type->cpus : 0;
   }
   KrTxn *txn = kr_txn_new ();
   kr_txn_expect_revision (txn, KR_LEADER_KEY,
@@ -643,6 +643,28 @@
   }
 }
 
+/* Adds the machines that no shard's record contains to `supplies`, to which they belong. Returns
+ * these alone; the caller frees the array. */
+static GPtrArray *
+add_unassigned_supplies (KrProvisioner *provisioner, GPtrArray *supplies, gint64 now)
+{
+  g_autoptr (GPtrArray) machines = unassigned_machines (provisioner, now);
+  GPtrArray *unassigned = g_ptr_array_new ();
+  for (guint i = 0; i < machines->len; i++) {
+    const KrListedMachine *listed = machines->pdata[i];
+    KrSupply *supply = g_new0 (KrSupply, 1);
+    supply->id = g_strdup (listed->id);
+    supply->shard = supply->target_shard = -1;
+    supply->type = kr_node_machine_type (provisioner->node, listed->type);
+    supply->zone = listed->zone;
+    supply->spot = listed->spot;
+    supply->idle_s = -1;
+    g_ptr_array_add (supplies, supply);
+    g_ptr_array_add (unassigned, supply);
+  }
+  return unassigned;
+}
+
 /* The second half of a round, after the summaries were received. With `full` unset, between two
  * rounds, it only assigns and rents machines, based on the last summaries: directives to move or
  * return machines would be sent twice. */
@@ -663,18 +685,7 @@
   if (!is_ready (provisioner, now))
     return;
   collect_demands_and_supplies (provisioner, demands, supplies, now);
-  g_autoptr (GPtrArray) unassigned = unassigned_machines (provisioner, now);
-  for (guint i = 0; i < unassigned->len; i++) {
-    const KrListedMachine *listed = unassigned->pdata[i];
-    KrSupply *supply = g_new0 (KrSupply, 1);
-    supply->id = g_strdup (listed->id);
-    supply->shard = supply->target_shard = -1;
-    supply->type = kr_node_machine_type (provisioner->node, listed->type);
-    supply->zone = listed->zone;
-    supply->spot = listed->spot;
-    supply->idle_s = -1;
-    g_ptr_array_add (supplies, supply);
-  }
+  g_autoptr (GPtrArray) unassigned = add_unassigned_supplies (provisioner, supplies, now);
   for (guint i = 0; i < supplies->len; i++) {
     const KrSupply *supply = supplies->pdata[i];
     total_cpus += supply->unavailable || !supply->type ? 0 : supply->type->cpus;
@@ -683,6 +694,7 @@
   kr_allocation_shard_targets (demands, provisioner->node->machine_types, shard_count, total_cpus,
                                targets);
 
+  kr_allocation_match (demands, supplies, FALSE); /* shows which machines are dedicated */
   if (unassigned->len) {
     g_autofree double *deficit = g_new0 (double, shard_count);
     for (guint shard = 0; shard < shard_count; shard++)
--- a/src/rebalance.c
+++ b/src/rebalance.c
@@ -17,18 +17,11 @@
   guint *count;   /* number of machines in each shard */
 } Round;
 
-/* Whether the machine can move without being drained. */
-static gboolean
-is_free (const KrSupply *machine)
-{
-  return !machine->up || machine->idle_s >= 0;
-}
-
 /* Whether the machine counts as supply of the shard that it is assigned to. */
 static gboolean
 is_counted (const KrSupply *machine)
 {
-  return machine->shard >= 0 && !machine->unavailable && machine->type;
+  return machine->shard >= 0 && kr_supply_is_counted (machine);
 }
 
 void
@@ -38,8 +31,7 @@
   for (guint i = 0; i < supplies->len; i++) {
     const KrSupply *machine = supplies->pdata[i];
     if (is_counted (machine))
-      have[machine->target_shard >= 0 && is_free (machine) ? machine->target_shard
-                                                           : machine->shard] += machine->type->cpus;
+      have[kr_supply_shard (machine)] += machine->type->cpus;
   }
 }
 
@@ -107,7 +99,8 @@
 {
   guint shard = (guint) machine->shard;
   /* Draining costs nothing in a shard without waiting tasks. */
-  if (is_free (machine) || machine->target_shard == (gint) to || !round->in->has_pending[shard])
+  if (kr_supply_is_free (machine) || machine->target_shard == (gint) to ||
+      !round->in->has_pending[shard])
     return TRUE;
   return round->in->may_drain_busy &&
          round->leaving[shard] < 1 + round->count[shard] / KR_REBALANCE_DRAINING_DIVISOR;
@@ -144,7 +137,7 @@
   for (guint i = 0; i < round->supplies->len; i++) {
     const KrSupply *machine = round->supplies->pdata[i];
     if (!is_counted (machine) || round->chosen[i] >= 0 || machine->shard == (gint) to ||
-        machine->up != round->up || !improves_balance (round, machine, to) ||
+        machine->dedicated || machine->up != round->up || !improves_balance (round, machine, to) ||
         !may_leave (round, machine, to))
       continue;
     if (best < 0 || is_better_for (machine, round->supplies->pdata[best], to, zone))
@@ -194,8 +187,11 @@
   for (guint i = 0; i < supplies->len; i++) {
     const KrSupply *machine = supplies->pdata[i];
     chosen[i] = -1;
-    if (machine->shard >= 0)
-      count[machine->shard]++;
+    if (machine->shard < 0)
+      continue;
+    count[machine->shard]++;
+    if (machine->dedicated && machine->dedicated_to != (guint) machine->shard)
+      chosen[i] = (gint) machine->dedicated_to;
   }
   choose_moves (&round);
   for (guint i = 0; i < supplies->len; i++) {
--- a/src/rebalance.h
+++ b/src/rebalance.h
@@ -28,7 +28,8 @@
  * Machines that are up are balanced separately from booting ones: otherwise a shard whose machines
  * are all still booting would wait while other shards have idle machines. The move of a busy
  * machine is revoked when it is no longer needed, e.g. because machines were rented in the
- * meantime. With the same targets, a further round changes nothing.
+ * meantime. A dedicated machine moves to the shard that it is dedicated to, or stays there,
+ * whatever the sums say. With the same targets, a further round changes nothing.
  */
 void kr_rebalance (const KrRebalanceInput *in, GPtrArray *supplies, KrRebalanceFunc move,
                    gpointer data);
--- a/tests/test_allocation.c
+++ b/tests/test_allocation.c
@@ -148,6 +148,145 @@
   g_assert_cmpfloat (((KrSupply *) supplies->pdata[3])->unused, >, 0.5);
 }
 
+/* --- restricted demand on random fleets -------------------------------------------------- */
+#define SHARDS 3
+
+static const KrMachineType random_types[] = {
+  { .name = (char *) "small",
+    .zones = (char *[]){ (char *) "z0", (char *) "z1", NULL },
+    .cpus = 4,
+    .mem_gb = 32 },
+  { .name = (char *) "large", .zones = (char *[]){ (char *) "z1", NULL }, .cpus = 8, .mem_gb = 64 },
+};
+
+static gboolean
+chance (double probability)
+{
+  return g_test_rand_double () < probability;
+}
+
+static KrDemand *
+random_demand (void)
+{
+  KrDemand *demand = demand_new ((guint) g_test_rand_int_range (0, SHARDS),
+                                 chance (0.2) ? 6 : g_test_rand_double_range (0.01, 4),
+                                 g_test_rand_int_range (0, 12), chance (0.8));
+  if (chance (0.4))
+    demand->requirements->zone = g_strdup (chance (0.5) ? "z0" : "z1");
+  return demand;
+}
+
+static KrSupply *
+random_supply (guint number)
+{
+  g_autofree char *id = g_strdup_printf ("m%02u", number);
+  const KrMachineType *type = &random_types[g_test_rand_int_range (0, 2)];
+  KrSupply *machine = supply_new (id, type, g_test_rand_int_range (-1, SHARDS), chance (0.7));
+  machine->zone = type == &random_types[0] && chance (0.5) ? "z0" : "z1";
+  machine->up = machine->shard >= 0 && chance (0.8);
+  machine->idle_s = machine->up && chance (0.4) ? 1 : -1;
+  machine->target_shard = -1;
+  machine->unavailable = chance (0.1);
+  return machine;
+}
+
+/* Whether the machine may serve the demand at all, by a rule of its own. */
+static gboolean
+model_allows (const KrDemand *demand, const KrSupply *machine)
+{
+  const KrJobSpec *spec = demand->requirements;
+  return !machine->unavailable && spec->cpus <= machine->type->cpus &&
+         (!spec->zone || g_str_equal (spec->zone, machine->zone)) &&
+         (!machine->spot || spec->spot_allowed);
+}
+
+static gboolean
+model_is_restricted (const KrDemand *demand, const GPtrArray *supplies)
+{
+  for (guint i = 0; i < supplies->len; i++) {
+    const KrSupply *machine = supplies->pdata[i];
+    if (!machine->unavailable && !model_allows (demand, machine))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* The slots that machines which belong to the demand's shard, or are to move there, could hold at
+ * most. */
+static double
+model_slots_in_shard (const KrDemand *demand, const GPtrArray *supplies)
+{
+  double slots = 0;
+  for (guint i = 0; i < supplies->len; i++) {
+    const KrSupply *machine = supplies->pdata[i];
+    gboolean there = machine->dedicated ? machine->dedicated_to == demand->shard
+                                        : machine->shard == (gint) demand->shard;
+    if (there && model_allows (demand, machine))
+      slots += 1 / kr_placement_machine_share (demand->requirements, machine->type);
+  }
+  return slots;
+}
+
+static void
+check_match (const GPtrArray *demands, const GPtrArray *supplies)
+{
+  for (guint k = 0; k < demands->len; k++) {
+    const KrDemand *demand = demands->pdata[k];
+    g_assert_cmpint (demand->restricted, ==, model_is_restricted (demand, supplies));
+    if (!demand->restricted)
+      continue;
+    g_assert_cmpfloat (demand->goal_slots - demand->unmet_slots, <=,
+                       model_slots_in_shard (demand, supplies) + 1e-6);
+    for (guint i = 0; demand->unmet_slots > 1e-6 && i < supplies->len; i++) {
+      const KrSupply *machine = supplies->pdata[i];
+      gboolean is_free = !machine->up || machine->idle_s >= 0;
+      g_assert_false (is_free && machine->unused >= 1 && model_allows (demand, machine));
+    }
+  }
+  for (guint i = 0; i < supplies->len; i++) {
+    const KrSupply *machine = supplies->pdata[i];
+    g_assert_true (!machine->dedicated || machine->dedicated_to == (guint) machine->shard ||
+                   !machine->up || machine->idle_s >= 0);
+  }
+}
+
+/* Carries out the moves of dedicated machines. Returns their number. */
+static guint
+apply_dedications (const GPtrArray *supplies)
+{
+  guint moves = 0;
+  for (guint i = 0; i < supplies->len; i++) {
+    KrSupply *machine = supplies->pdata[i];
+    if (!machine->dedicated || machine->shard == (gint) machine->dedicated_to)
+      continue;
+    machine->shard = (gint) machine->dedicated_to;
+    moves++;
+  }
+  return moves;
+}
+
+/* Guards against demand that counts as served by machines that it does not get, compared with a
+ * plain model, and against machines that move to and fro for it. */
+static void
+test_restricted_demand (void)
+{
+  for (guint round = 0; round < 500; round++) {
+    g_autoptr (GPtrArray) demands = g_ptr_array_new_with_free_func (kr_demand_free);
+    g_autoptr (GPtrArray) supplies = g_ptr_array_new_with_free_func (kr_supply_free);
+    for (gint i = g_test_rand_int_range (1, 8); i > 0; i--)
+      g_ptr_array_add (demands, random_demand ());
+    for (gint i = g_test_rand_int_range (0, 16); i > 0; i--)
+      g_ptr_array_add (supplies, random_supply ((guint) i));
+    guint moves = 1;
+    for (guint step = 0; step <= supplies->len && moves; step++) {
+      kr_allocation_match (demands, supplies, FALSE);
+      check_match (demands, supplies);
+      moves = apply_dedications (supplies);
+    }
+    g_assert_cmpuint (moves, ==, 0);
+  }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -156,5 +295,6 @@
   g_test_add_func ("/allocation/match", test_match);
   g_test_add_func ("/allocation/machine-of-unknown-zone", test_machine_of_unknown_zone);
   g_test_add_func ("/allocation/shard-targets", test_shard_targets);
+  g_test_add_func ("/allocation/restricted-demand", test_restricted_demand);
   return g_test_run ();
 }
--- a/tests/test_rental.c
+++ b/tests/test_rental.c
@@ -116,6 +116,60 @@
   with_seeds (spot_pool_open);
 }
 
+static void
+room_of_another_team (void)
+{
+  const SimOptions options = options_with_zones (2);
+  start_cluster (&options);
+  sim_submit_in_zone ("wk-000001", "team0", 4, 1, LONG_TASK_S, "z1");
+  sim_submit_in_zone ("wk-000002", "team0", 4, 1, 40, "z1");
+  run_until_tasks_run (8, FIRST_TASK_WITHIN_S);
+  sim_submit_in_zone ("wk-000003", "team1", 2, 1, LONG_TASK_S, "z0");
+  sim_submit_in_zone ("wk-000004", "team1", 1, 1, LONG_TASK_S, "z1");
+  run_until_tasks_run (11, FIRST_TASK_WITHIN_S);
+  while (g_strcmp0 (sim_reported_state ("wk-000002"), "done") != 0)
+    sim_run (1);
+  sim_run (RETURNED_WITHIN_S);
+  sim_machine_kill (sim_machine_of ("wk-000004"));
+  sim_run (2 * options.lease_s);
+  run_until_tasks_run (7, FIRST_TASK_WITHIN_S);
+  g_assert_cmpstr (sim_violations (), ==, "");
+  sim_stop ();
+}
+
+/* Guards against a job bound to a zone that waits for good, as room on another team's machine there
+ * counts as supply: that machine is busy and not moved, and no other is rented. */
+static void
+test_room_of_another_team (void)
+{
+  with_seeds (room_of_another_team);
+}
+
+static void
+teams_in_two_zones (void)
+{
+  SimOptions options = options_with_zones (2);
+  options.max_machines = 3;
+  start_cluster (&options);
+  sim_submit_in_zone ("wk-000001", "team0", 4, 2, 30, "z1");
+  sim_submit_in_zone ("wk-000002", "team1", 4, 2, 30, "z0");
+  /* No machine fits: nothing may be moved to and fro for it. */
+  sim_submit_in_zone ("wk-000003", "team2", 1, 1, 30, "z0");
+  sim_cancel ("wk-000003");
+  run_until_tasks_run (8, 2 * FIRST_TASK_WITHIN_S);
+  sim_submit ("wk-000004", "team2", "normal", 24, 1, 20, 600);
+  sim_submit_in_zone ("wk-000005", "team2", 2, 2, 30, "z0");
+  sim_submit_in_zone ("wk-000006", "team0", 2, 2, 30, "z0");
+  finish_and_check (300);
+}
+
+/* Guards against teams that each have the machine of the other's zone. */
+static void
+test_teams_in_two_zones (void)
+{
+  with_seeds (teams_in_two_zones);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -124,5 +178,7 @@
   g_test_add_func ("/rental/small-task", test_small_task);
   g_test_add_func ("/rental/spot-machines-gone", test_spot_machines_gone);
   g_test_add_func ("/rental/spot-pool-open", test_spot_pool_open);
+  g_test_add_func ("/rental/room-of-another-team", test_room_of_another_team);
+  g_test_add_func ("/rental/teams-in-two-zones", test_teams_in_two_zones);
   return g_test_run ();
 }
