Renting says which demand stays unmet and why; invariant demand-asked

Now the leader logs, each 30 s while some demand of a whole slot stays unmet, the number of jobs, the first one with what it needs, and how many of the pools that may serve it refuse or are asked. A pool that is neither is a fault: the invariant demand-asked, which every simulated test checks.

--- a/src/constants.h
+++ b/src/constants.h
@@ -390,6 +390,8 @@
 #define KR_RENT_GOAL_SHARE 0.75
 /* No machine is rented for a part of a slot below this fraction of a machine. */
 #define KR_RENT_MIN_MACHINES 0.05
+/* Demand that has been unmet for this time is logged, and again at this interval. */
+#define KR_UNMET_DEMAND_LOG_S 30.0
 /* Machines in a rental, by the protocol. */
 #define KR_RENT_BATCH_MAX 50
 /* Machine ids in a deletion, by the protocol. */
--- a/src/invariant.c
+++ b/src/invariant.c
@@ -5,7 +5,8 @@
 static const char *const names[] = {
   [KR_INVARIANT_ONE_RECORD] = "one-record",       [KR_INVARIANT_RECORD_KEPT] = "record-kept",
   [KR_INVARIANT_ONE_ATTEMPT] = "one-attempt",     [KR_INVARIANT_MACHINE_READY] = "machine-ready",
-  [KR_INVARIANT_JOB_NOT_ENDED] = "job-not-ended", [KR_INVARIANT_POLLS_SERVED] = "polls-served"
+  [KR_INVARIANT_JOB_NOT_ENDED] = "job-not-ended", [KR_INVARIANT_POLLS_SERVED] = "polls-served",
+  [KR_INVARIANT_DEMAND_ASKED] = "demand-asked"
 };
 
 void
--- a/src/invariant.h
+++ b/src/invariant.h
@@ -12,6 +12,7 @@
   KR_INVARIANT_MACHINE_READY, /* a task is started only on a machine that is ready for tasks */
   KR_INVARIANT_JOB_NOT_ENDED, /* no task of a job that has ended is started */
   KR_INVARIANT_POLLS_SERVED,  /* while the state service answers, polls get served */
+  KR_INVARIANT_DEMAND_ASKED,  /* no demand is unmet while a pool that may serve it is not asked */
   KR_N_INVARIANTS
 } KrInvariant;
 
--- a/src/rental.c
+++ b/src/rental.c
@@ -1,6 +1,7 @@
 #include "rental.h"
 #include "clock.h"
 #include "constants.h"
+#include "invariant.h"
 #include "log.h"
 #include <math.h>
 
@@ -26,8 +27,10 @@
   GCancellable *cancel; /* borrowed */
   const KrRentalEvents *events;
   gpointer data;
-  GHashTable *pools;     /* "type zone spot" -> PoolState */
-  guint request_counter; /* requests of this process; part of their names */
+  GHashTable *pools;      /* "type zone spot" -> PoolState */
+  guint request_counter;  /* requests of this process; part of their names */
+  gint64 unmet_since;     /* monotonic us since which some demand has been unmet; 0: none is */
+  gint64 unmet_logged_at; /* monotonic us of the last line about it */
 };
 
 static void
@@ -259,6 +262,70 @@
   send_rent_request (rental, pool, (guint) ceil (machines));
 }
 
+/* The pools that may serve a demand. */
+typedef struct {
+  guint backing_off, asked, open;
+} PoolCounts;
+
+static void
+count_pool (PoolCounts *counts, const PoolState *pool, gint64 now)
+{
+  if (pool->request_in_flight || pool->request_name)
+    counts->asked++;
+  else if (now < pool->backoff_until)
+    counts->backing_off++;
+  else
+    counts->open++;
+}
+
+static PoolCounts
+count_pools (KrRental *rental, const Round *round, guint index, const GArray *offers, gint64 now)
+{
+  PoolCounts counts = { 0 };
+  for (guint i = 0; i < offers->len; i++) {
+    const Offer *offer = &g_array_index (offers, Offer, i);
+    for (char **zone = offer->type->zones; *zone; zone++) {
+      const PoolState *pool = find_pool (rental, offer->type->name, *zone, offer->spot);
+      if (offer_serves (round, index, offer, pool))
+        count_pool (&counts, pool, now);
+    }
+  }
+  return counts;
+}
+
+/* Logs demand that stays unmet, and why, and checks that each pool that may serve it is asked or in
+ * backoff. */
+static void
+check_unmet (KrRental *rental, const Round *round, const GArray *offers, gint64 now)
+{
+  guint count = 0, first = 0;
+  for (guint i = round->demands->len; i-- > 0;)
+    if (((KrDemand *) round->demands->pdata[i])->unmet_slots > 1 - SLOT_TOLERANCE) {
+      count++;
+      first = i;
+    }
+  if (!count) {
+    rental->unmet_since = 0;
+    return;
+  }
+  const gint64 interval_us = (gint64) (KR_UNMET_DEMAND_LOG_S * G_USEC_PER_SEC);
+  if (!rental->unmet_since)
+    rental->unmet_since = now;
+  if (now - MAX (rental->unmet_since, rental->unmet_logged_at) < interval_us)
+    return;
+  rental->unmet_logged_at = now;
+  const KrDemand *demand = round->demands->pdata[first];
+  const KrJobSpec *spec = demand->requirements;
+  PoolCounts pools = count_pools (rental, round, first, offers, now);
+  kr_info ("provisioner: demand of %u jobs is unmet; job %s needs %.0f more slots of %g CPUs in "
+           "zone %s; of the pools that may serve it %u refuse, %u are asked",
+           count, spec->id ? spec->id : "?", demand->unmet_slots, spec->cpus,
+           spec->zone ? spec->zone : "any", pools.backing_off, pools.asked);
+  if (pools.open)
+    kr_invariant_violated (KR_INVARIANT_DEMAND_ASKED, "job %s needs %g slots, %u pools are open",
+                           spec->id ? spec->id : "?", demand->unmet_slots, pools.open);
+}
+
 void
 kr_rental_rent_unmet (KrRental *rental, GPtrArray *demands)
 {
@@ -275,6 +342,7 @@
     for (guint k = 0; k < open->len; k++)
       rent_from_pool (rental, &round, offer, open->pdata[k], open->len - k);
   }
+  check_unmet (rental, &round, offers, now);
 }
 
 KrRental *
--- a/tests/test_rental.c
+++ b/tests/test_rental.c
@@ -170,6 +170,27 @@
   with_seeds (teams_in_two_zones);
 }
 
+static void
+no_capacity (void)
+{
+  SimOptions options = options_with_zones (2);
+  options.max_machines = 1;
+  start_cluster (&options);
+  sim_cloud_no_spot ("z1");
+  sim_submit ("wk-000001", "team0", "normal", 30, 1, 40, 600);
+  sim_submit_in_zone ("wk-000002", "team1", 2, 1, 40, "z1");
+  sim_run (150); /* beyond the time after which unmet demand is looked at */
+  finish_and_check (600);
+}
+
+/* Guards against the invariant demand-asked taking a cloud without machines for a pool that nobody
+ * asks, and against work that is not done with the only machine there is. */
+static void
+test_no_capacity (void)
+{
+  with_seeds (no_capacity);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -180,5 +201,6 @@
   g_test_add_func ("/rental/spot-pool-open", test_spot_pool_open);
   g_test_add_func ("/rental/room-of-another-team", test_room_of_another_team);
   g_test_add_func ("/rental/teams-in-two-zones", test_teams_in_two_zones);
+  g_test_add_func ("/rental/no-capacity", test_no_capacity);
   return g_test_run ();
 }
