A machine is reserved only for tasks that may start

Cause: the reservations were renewed, and room made for one more task each second, before the number of tasks that the limit allows was computed; a report released a reservation only once the job had no unstarted task at all.

Why this mends it: one number, the tasks that may start now (backoff, team limit, gang), decides on reservations, stops and starts. Reservations beyond it are released, each second and in the response to a report.

--- a/src/shard-dispatch.c
+++ b/src/shard-dispatch.c
@@ -10,6 +10,9 @@
 #include "shard-summary.h"
 #include <math.h>
 
+/* Tolerance for rounding errors in numbers of slots. */
+#define SLOT_TOLERANCE 1e-6
+
 /* --- scheduling ---------------------------------------------------------------------- */
 /* Returns the wall-clock time, in seconds, by which the job should have finished. */
 static double
@@ -457,6 +460,45 @@
   return kr_ranking_compare (&a->ranking_key, &b->ranking_key);
 }
 
+/* Returns how many of `want` tasks the quota of the job's team allows in addition to `used`, and
+ * adds them to `used`. */
+static double
+cap_to_quota (const KrLiveJob *live_job, double want, KrResources *used)
+{
+  const KrJobSpec *spec = live_job->job->spec;
+  if (live_job->team->cpus_max > 0 && spec->cpus > 0)
+    want = MIN (want, MAX (0, (live_job->team->cpus_max - used->cpus) / spec->cpus));
+  if (live_job->team->gpus_max > 0 && spec->gpus > 0)
+    want = MIN (want, MAX (0, (live_job->team->gpus_max - used->gpus) / spec->gpus));
+  used->cpus += want * spec->cpus;
+  used->gpus += want * spec->gpus;
+  return want;
+}
+
+/* Returns the number of unstarted tasks that the job's backoff allows to start. */
+static double
+startable_tasks (const KrJob *job, gint64 now)
+{
+  if (job->cancelled || now < job->backoff_until)
+    return 0;
+  return kr_job_is_suspect (job) ? MIN (kr_job_unstarted (job), 1) : kr_job_unstarted (job);
+}
+
+/* Returns how many of the job's tasks may start now, as far as its backoff, the quota of its team
+ * and, for a gang, the number of its tasks allow. Decides whether machines are reserved, and tasks
+ * stopped, for the job. */
+static guint
+startable_now (const KrLiveJob *live_job, gint64 now)
+{
+  const KrJob *job = live_job->job;
+  if (!live_job->team)
+    return 0;
+  KrResources used = *live_job->used;
+  double startable = cap_to_quota (live_job, startable_tasks (job, now), &used);
+  guint tasks = (guint) floor (startable + SLOT_TOLERANCE);
+  return job->spec->kind == KR_JOB_KIND_GANG && tasks < kr_job_unstarted (job) ? 0 : tasks;
+}
+
 /* Returns the best-ranked job of which a task fits the remaining capacity, or NULL. */
 static KrLiveJob *
 best_fitting_job (KrShard *shard, const KrMachine *machine, const KrResources *capacity, gint64 now)
@@ -479,15 +521,26 @@
   return best;
 }
 
-/* Releases the machine's reservation once the job for which it was made has no unstarted tasks, and
- * admits the other jobs to the round again. Returns FALSE if there is nothing to release. */
+/* Releases the machine's reservation if no task of the job for which it was made may start now.
+ * Returns FALSE if there is nothing to release. */
 static gboolean
-release_reservation (KrShard *shard, KrMachine *machine)
+release_reservation (KrShard *shard, KrMachine *machine, gint64 now)
 {
-  KrJob *holder = machine->reserved_for ? kr_shard_job (shard, machine->reserved_for) : NULL;
-  if (!holder || kr_job_unstarted (holder))
+  if (!machine->reserved_for)
+    return FALSE;
+  const KrLiveJob *holder = g_hash_table_lookup (shard->jobs, machine->reserved_for);
+  if (holder && startable_now (holder, now))
     return FALSE;
   g_clear_pointer (&machine->reserved_for, g_free);
+  return TRUE;
+}
+
+/* The same within a round, to which it admits the other jobs again. */
+static gboolean
+release_reservation_in_round (KrShard *shard, KrMachine *machine, gint64 now)
+{
+  if (!release_reservation (shard, machine, now))
+    return FALSE;
   for (guint i = 0; i < shard->live_jobs->len; i++)
     ((KrLiveJob *) shard->live_jobs->pdata[i])->skip = FALSE;
   return TRUE;
@@ -517,14 +570,12 @@
   KrResources capacity;
   if (!kr_shard_usable (shard, machine, now) || !free_capacity (shard, machine, &capacity))
     return;
-  KrJob *waiting = machine->reserved_for ? kr_shard_job (shard, machine->reserved_for) : NULL;
-  if (machine->reserved_for && (!waiting || !kr_job_unstarted (waiting)))
-    g_clear_pointer (&machine->reserved_for, g_free);
+  release_reservation (shard, machine, now);
   rank_jobs (shard, now);
 
   for (;;) {
     KrLiveJob *best = best_fitting_job (shard, machine, &capacity, now);
-    if (!best && !release_reservation (shard, machine))
+    if (!best && !release_reservation_in_round (shard, machine, now))
       return;
     if (!best)
       continue;
@@ -649,28 +700,35 @@
   return type ? MAX (1, (guint) (1 / kr_placement_machine_share (live_job->job->spec, type))) : 0;
 }
 
-/* Renews the reservations for `live_job`. Returns the number of its tasks that the reserved
- * machines can take once the preempted attempts are gone. */
+/* Renews the reservations for `live_job` until they have room for `want` of its tasks, and releases
+ * the others. Returns the number of its tasks that the reserved machines can take once the
+ * preempted attempts are gone. */
 static guint
-reserved_slots (KrShard *shard, KrLiveJob *live_job, double max_loss_s, gint64 now)
+keep_reservations (KrShard *shard, KrLiveJob *live_job, guint want, double max_loss_s, gint64 now)
 {
   GHashTableIter it;
   gpointer value;
-  guint n = 0;
+  guint reserved = 0;
   g_hash_table_iter_init (&it, shard->machines);
   while (kr_shard_next_machine (shard, &it, &value)) {
     KrMachine *machine = value;
     double total;
-    if (g_strcmp0 (machine->reserved_for, live_job->job->spec->id) != 0 ||
-        now >= machine->reserved_until || !kr_shard_usable (shard, machine, now))
+    if (g_strcmp0 (machine->reserved_for, live_job->job->spec->id) != 0)
+      continue;
+    if (reserved >= want) {
+      g_clear_pointer (&machine->reserved_for, g_free);
+      continue;
+    }
+    if (now >= machine->reserved_until || !kr_shard_usable (shard, machine, now) ||
+        !may_run_on (shard, machine, live_job, now))
       continue;
     g_autoptr (GPtrArray) victims = choose_victims (shard, machine, live_job, now, &total);
     if (!victims)
       continue; /* No longer useful: the reservation expires. */
     reserve_machine (shard, machine, live_job, victims, max_loss_s, now);
-    n += slots_on_machine (shard, machine, live_job);
+    reserved += slots_on_machine (shard, machine, live_job);
   }
-  return n;
+  return reserved;
 }
 
 /* A machine that could be reserved, the attempts to preempt there, and the run time lost by that in
@@ -754,12 +812,8 @@
     if (!kr_job_unstarted (job) || (!live_job->may_preempt && !has_guarantee))
       continue;
     double max_loss_s = waited > live_job->preempt_all_after_s ? G_MAXDOUBLE : waited;
-    KrResources used = *live_job->used;
-    guint want = 0, reserved = reserved_slots (shard, live_job, max_loss_s, now);
-    for (; want < kr_job_unstarted (job) &&
-           kr_placement_task_within_quota (live_job->team, &used, job->spec);
-         want++)
-      kr_resources_add (&used, job->spec);
+    guint want = startable_now (live_job, now);
+    guint reserved = keep_reservations (shard, live_job, want, max_loss_s, now);
     if (reserved >= want)
       continue;
     g_autoptr (GPtrArray) candidates = reservation_candidates (shard, live_job, now);
@@ -796,30 +850,6 @@
              kr_seconds_to_us (KR_SILENT_REPORT_PERIODS * shard->node->settings->report_interval_s);
 }
 
-/* Returns how many of `want` tasks the quota of the job's team allows in addition to `used`, and
- * adds them to `used`. */
-static double
-cap_to_quota (const KrLiveJob *live_job, double want, KrResources *used)
-{
-  const KrJobSpec *spec = live_job->job->spec;
-  if (live_job->team->cpus_max > 0 && spec->cpus > 0)
-    want = MIN (want, MAX (0, (live_job->team->cpus_max - used->cpus) / spec->cpus));
-  if (live_job->team->gpus_max > 0 && spec->gpus > 0)
-    want = MIN (want, MAX (0, (live_job->team->gpus_max - used->gpus) / spec->gpus));
-  used->cpus += want * spec->cpus;
-  used->gpus += want * spec->gpus;
-  return want;
-}
-
-/* Returns the number of unstarted tasks that the job's backoff allows to start. */
-static double
-startable_tasks (const KrJob *job, gint64 now)
-{
-  if (job->cancelled || now < job->backoff_until)
-    return 0;
-  return kr_job_is_suspect (job) ? MIN (kr_job_unstarted (job), 1) : kr_job_unstarted (job);
-}
-
 /* Returns the number of slots that the job needs to meet its goal (the paper's min variant). */
 static double
 slots_for_goal (const KrLiveJob *live_job)
