--- a/tests/test_small_tasks.c
+++ b/tests/test_small_tasks.c
@@ -7,6 +7,10 @@
 /* Tasks of the job, of which a machine's CPUs and memory take all at once. */
 #define TASKS 4000
 #define TASK_CPUS 0.002
+/* The largest number of tasks that a job may have. */
+#define HUGE_TASKS 100000
+/* Time in which jobs beside a huge one are done. */
+#define OTHERS_DONE_WITHIN_S 60
 /* Time in which the tasks are all done, a part at a time. */
 #define DONE_WITHIN_S 200
 
@@ -55,6 +59,22 @@
   with_seeds (thousands_are_cancelled);
 }
 
+/* Guards against a huge job of tasks that need nothing, as submitted by mistake, of which one
+ * response starts tasks without a bound, while the other jobs of its team and others wait. */
+static void
+test_tasks_without_needs (void)
+{
+  start_cluster (&default_options);
+  sim_submit ("wk-000001", "team0", "normal", HUGE_TASKS, 0, 4, 600);
+  sim_submit ("wk-000002", "team0", "normal", 32, 1, 4, 600);
+  sim_submit ("wk-000003", "team1", "normal", 32, 1, 4, 600);
+  sim_run (OTHERS_DONE_WITHIN_S);
+  g_assert_cmpstr (sim_reported_state ("wk-000002"), ==, "done");
+  g_assert_cmpstr (sim_reported_state ("wk-000003"), ==, "done");
+  sim_cancel ("wk-000001");
+  finish_and_check (100);
+}
+
 typedef gboolean (*OrderFunc) (KrOrders *orders, const char *job);
 
 static gboolean
@@ -146,6 +166,7 @@
   g_test_add_func ("/small-tasks/machine-takes-what-it-can-report",
                    test_machine_takes_what_it_can_report);
   g_test_add_func ("/small-tasks/thousands", test_thousands_of_tasks);
+  g_test_add_func ("/small-tasks/without-needs", test_tasks_without_needs);
   g_test_add_func ("/small-tasks/thousands-are-cancelled", test_thousands_are_cancelled);
   return g_test_run ();
 }
