Changes are applied in the order of their revisions

The nodes applied them as listed, so that an older change of a key could win over a newer one.

Why this mends it: wire hands the events over sorted by revision, and there is no other way to read them: the view that answers polls and every watch.

--- a/src/job-view.c
+++ b/src/job-view.c
@@ -160,17 +160,12 @@
 static gboolean
 apply_changes (KrJobView *view, json_t *body)
 {
-  json_t *events = kr_wire_watch_events (body), *entry;
-  size_t i;
+  g_autoptr (GArray) events = kr_wire_watch_events (body);
 
-  if (!json_is_array (events) || kr_wire_revision (body) < view->revision)
+  if (!events || kr_wire_revision (body) < view->revision)
     return FALSE;
-  json_array_foreach (events, i, entry)
-  {
-    KrKeyValue item;
-    if (kr_wire_watch_event_parse (entry, &item))
-      apply_item (view->jobs, &item);
-  }
+  for (guint i = 0; i < events->len; i++)
+    apply_item (view->jobs, &g_array_index (events, KrKeyValue, i));
   view->revision = kr_wire_revision (body);
   return TRUE;
 }
--- a/src/state-watch.c
+++ b/src/state-watch.c
@@ -86,17 +86,13 @@
 static void
 handle_events (KrWatch *watch, json_t *body)
 {
-  json_t *events = kr_wire_watch_events (body), *event;
-  size_t i;
+  g_autoptr (GArray) events = kr_wire_watch_events (body);
   guint64 revision = kr_wire_revision (body);
 
   if (revision > watch->revision)
     watch->revision = revision;
-  json_array_foreach (events, i, event)
-  {
-    KrKeyValue item;
-    if (kr_wire_watch_event_parse (event, &item))
-      watch->on_event (&item, watch->data);
+  for (guint i = 0; events && i < events->len; i++) {
+    watch->on_event (&g_array_index (events, KrKeyValue, i), watch->data);
     if (!watch->listed) /* the callback has called kr_watch_relist() or kr_watch_stop() */
       return;
   }
--- a/src/wire.c
+++ b/src/wire.c
@@ -698,14 +698,8 @@
   return json_object_get (body, "Items");
 }
 
-json_t *
-kr_wire_watch_events (json_t *body)
-{
-  return json_object_get (body, "Events");
-}
-
-gboolean
-kr_wire_watch_event_parse (json_t *event, KrKeyValue *item)
+static gboolean
+parse_watch_event (json_t *event, KrKeyValue *item)
 {
   item->key = get_string (event, "Put");
   item->value = item->key ? json_object_get (event, "Value") : NULL;
@@ -715,6 +709,31 @@
   return item->key != NULL;
 }
 
+static int
+compare_revisions (gconstpointer a, gconstpointer b)
+{
+  guint64 first = ((const KrKeyValue *) a)->revision, second = ((const KrKeyValue *) b)->revision;
+  return first < second ? -1 : first > second;
+}
+
+GArray *
+kr_wire_watch_events (json_t *body)
+{
+  json_t *list = json_object_get (body, "Events"), *event;
+  size_t i;
+  if (!json_is_array (list))
+    return NULL;
+  GArray *events = g_array_new (FALSE, FALSE, sizeof (KrKeyValue));
+  json_array_foreach (list, i, event)
+  {
+    KrKeyValue item;
+    if (parse_watch_event (event, &item))
+      g_array_append_val (events, item);
+  }
+  g_array_sort (events, compare_revisions);
+  return events;
+}
+
 gboolean
 kr_wire_commit_failed_on (json_t *body, const char *key)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -233,8 +233,10 @@
 /* Returns an array of objects for kr_wire_key_value_parse, or NULL. *more: whether there are
  * further pages. */
 json_t *kr_wire_store_list_items (json_t *body, gboolean *more);
-/* Returns an array of objects for kr_wire_watch_event_parse, or NULL. */
-json_t *kr_wire_watch_events (json_t *body);
-gboolean kr_wire_watch_event_parse (json_t *event, KrKeyValue *item);
+/* Returns the events in the answer to a watch as an array of KrKeyValue in the order of their
+ * revisions: the state service may list them in any order. Malformed events are left out. Returns
+ * NULL if there is no list of events. The caller frees the array with g_array_unref(); keys and
+ * values belong to `body`. */
+GArray *kr_wire_watch_events (json_t *body);
 /* Whether a failed commit's answer names `key` among the keys with an unexpected revision. */
 gboolean kr_wire_commit_failed_on (json_t *body, const char *key);
--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -157,6 +157,22 @@
   g_free (p);
 }
 
+/* Lists the events in any order: the protocol states none. The order is not drawn from the run's
+ * random numbers, whose order is part of a seed. */
+static json_t *
+shuffle_events (json_t *events)
+{
+  json_t *shuffled = json_array ();
+  while (json_array_size (events)) {
+    gint32 count = (gint32) json_array_size (events);
+    size_t i = (size_t) g_rand_int_range (fakes.event_rng, 0, count);
+    json_array_append (shuffled, json_array_get (events, i));
+    json_array_remove (events, i);
+  }
+  json_decref (events);
+  return shuffled;
+}
+
 static json_t *
 changes_after (const char *prefix, guint64 revision)
 {
@@ -173,7 +189,7 @@
                                             : json_pack ("{ss sI}", "Remove", c->key, "Mark",
                                                          (json_int_t) c->revision));
   }
-  return events;
+  return shuffle_events (events);
 }
 
 static gboolean
@@ -2293,6 +2309,7 @@
   fakes.options = *options;
   fakes.revision = fakes.next_lease = options->first_revision;
   fakes.rng = g_rand_new_with_seed (seed);
+  fakes.event_rng = g_rand_new_with_seed (seed);
   g_random_set_seed (seed);
   fakes.running_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fakes.store = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -27,6 +27,7 @@
 typedef struct {
   SimOptions options;
   GRand *rng;
+  GRand *event_rng;         /* of the order of the events in an answer to a watch */
   gint64 now;               /* us since the start */
   GHashTable *links;        /* "from>to" -> SimLinkState */
   GPtrArray *held_messages; /* Message */
--- a/tests/test_races.c
+++ b/tests/test_races.c
@@ -341,6 +341,40 @@
   with_seeds (stale_watch_event_done);
 }
 
+static void
+events_in_any_order (void)
+{
+  SimOptions options = default_options;
+  options.poll_after_change = TRUE;
+  options.run_time_jitter = 0.5;
+  start_cluster (&options);
+  sim_run (20);
+  for (guint round = 0; round < 6; round++) {
+    /* Several changes of each job come in one answer. */
+    sim_state_delay (round % 2 ? 0.6 : 0);
+    sim_watch_delay (round % 3 ? 0.8 : 0);
+    for (guint i = 0; i < 12; i++) {
+      g_autofree char *id = g_strdup_printf ("wk-07%02u%02u", round, i);
+      g_autofree char *team = g_strdup_printf ("team%u", i % 3);
+      sim_submit (id, team, "normal", 1 + i % 3, 1, 0.2, 600);
+      if (i % 4 == 0)
+        sim_cancel_at (id, i % options.nodes);
+    }
+    sim_run (8);
+  }
+  sim_state_delay (0);
+  sim_watch_delay (0);
+  finish_and_check (300);
+}
+
+/* Guards against an older answer where the state service lists the changes of one key in another
+ * order than that of their revisions. */
+static void
+test_events_in_any_order (void)
+{
+  with_seeds (events_in_any_order);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,5 +389,6 @@
   g_test_add_func ("/races/teams-at-quota", test_teams_at_quota);
   g_test_add_func ("/races/stale-watch-event-cancelled", test_stale_watch_event_cancelled);
   g_test_add_func ("/races/stale-watch-event-done", test_stale_watch_event_done);
+  g_test_add_func ("/races/events-in-any-order", test_events_in_any_order);
   return g_test_run ();
 }
