--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -45,10 +45,9 @@
   guint break_pages;
   guint job_pages_read[SIM_MAX_NODES]; /* of sim_job_pages_read() */
   char *hold_prefix; /* sim_hold_commits(): prefix of a key that the commit puts */
-  guint hold_commits;
+  guint hold_commits, commands_repeated;
   double hold_commits_s;
   double delayed_commit_share, delayed_command_share, repeated_command_share;
-  guint commands_repeated;
   double request_tokens; /* of the rate limit for requests, as of request_tokens_at */
   gint64 request_tokens_at;
   double write_tokens; /* of the rate limit for writes, as of write_tokens_at */
@@ -57,10 +56,10 @@
   GHashTable *machines;      /* id -> Machine */
   GHashTable *running_tasks; /* "job/index" -> Task that runs on a machine */
   guint machines_alive;
-  GHashTable *rentals; /* request name -> JSON array of the rented machines' ids */
+  char *zone_without_spot; /* of sim_cloud_no_spot() */
+  GHashTable *rentals;     /* request name -> JSON array of the rented machines' ids */
   guint next_machine;
   gboolean fail_boots, cloud_outage;
-  char *zone_without_spot; /* of sim_cloud_no_spot() */
   guint refused_deletions; /* machine ids in refused deletions */
   /* users */
   GHashTable *jobs; /* id -> User */
--- a/tests/test_held_messages.c
+++ b/tests/test_held_messages.c
@@ -111,7 +111,7 @@
   /* Two short jobs whose attempts are cleared soon, one whose tasks are stopped for the urgent one
    * and start elsewhere, and two that are cancelled. */
   sim_submit ("wk-000001", "team0", "normal", 40, 1, 2, 600);
-  sim_submit ("wk-000002", "team1", "idle", 30, 1, LONG_TASK_S / 4, 600);
+  sim_submit ("wk-000002", "team1", "idle", 30, 1, LONG_TASK_S / 4.0, 600);
   sim_submit ("wk-000003", "team2", "normal", 30, 1, 3, 600);
   sim_submit ("wk-000004", "team0", "normal", 20, 1, LONG_TASK_S, 600);
   sim_run (FLEET_UP_S);
