--- a/tests/fakes.c
+++ b/tests/fakes.c
@@ -1672,6 +1672,33 @@
 }
 
 /* --- cloud ---------------------------------------------------------------------------------- */
+/* Handles POST /rentals. A request of a name that succeeded before gets the same answer. */
+static void
+rent (Call *c)
+{
+  const char *request_name = json_string_value (json_object_get (c->body, "Charter"));
+  const char *zone = json_string_value (json_object_get (c->body, "Harbor"));
+  json_t *machine_ids = g_hash_table_lookup (fakes.rentals, request_name);
+  guint n = (guint) json_integer_value (json_object_get (c->body, "Number"));
+  gboolean spot = json_is_true (json_object_get (c->body, "Driftwood"));
+  if (!machine_ids) {
+    machine_ids = json_array ();
+    if (spot && g_strcmp0 (zone, fakes.zone_without_spot) == 0)
+      n = 0;
+    for (guint k = 0; k < n && sim_machine_count () < fakes.options.max_machines; k++) {
+      json_array_append_new (machine_ids, json_sprintf ("host-%06u", fakes.next_machine));
+      add_machine (zone, spot);
+    }
+    if (json_array_size (machine_ids) == 0) {
+      json_decref (machine_ids);
+      fakes_respond (c, 503, json_pack ("{ss}", "error", "no capacity"));
+      return;
+    }
+    g_hash_table_insert (fakes.rentals, g_strdup (request_name), machine_ids);
+  }
+  fakes_respond (c, 200, json_pack ("{sO}", "Berths", machine_ids));
+}
+
 static void
 handle_cloud_request (Call *c)
 {
@@ -1696,28 +1723,9 @@
         sim_machine_kill (m->id);
     }
     fakes_respond (c, 200, json_object ());
-  } else if (g_str_equal (c->path, "/rentals")) {
-    const char *request_name = json_string_value (json_object_get (c->body, "Charter"));
-    json_t *machine_ids = g_hash_table_lookup (fakes.rentals, request_name);
-    guint n = (guint) json_integer_value (json_object_get (c->body, "Number"));
-    const char *zone = json_string_value (json_object_get (c->body, "Harbor"));
-    gboolean spot = json_is_true (json_object_get (c->body, "Driftwood"));
-    if (!machine_ids) {
-      machine_ids = json_array ();
-      if (spot && g_strcmp0 (zone, fakes.zone_without_spot) == 0)
-        n = 0;
-      for (guint k = 0; k < n && sim_machine_count () < fakes.options.max_machines; k++) {
-        json_array_append_new (machine_ids, json_sprintf ("host-%06u", fakes.next_machine));
-        add_machine (zone, spot);
-      }
-      if (json_array_size (machine_ids) == 0) {
-        fakes_respond (c, 503, json_pack ("{ss}", "error", "no capacity"));
-        return;
-      }
-      g_hash_table_insert (fakes.rentals, g_strdup (request_name), machine_ids);
-    }
-    fakes_respond (c, 200, json_pack ("{sO}", "Berths", machine_ids));
-  } else {
+  } else if (g_str_equal (c->path, "/rentals"))
+    rent (c);
+  else {
     g_autoptr (GList) ids = g_list_sort (g_hash_table_get_keys (fakes.machines), compare_strings);
     for (GList *l = ids; l; l = l->next) {
       Machine *m = g_hash_table_lookup (fakes.machines, l->data);
